--- /dev/null
+++ b/crates/samphiregrade-standins/src/proxy.rs
@@ -0,0 +1,261 @@
+//! A fault proxy for TCP and UDP links: delays, cuts, drops and half-open connections.
+
+use std::collections::HashMap;
+use std::io;
+use std::net::{SocketAddr, TcpListener as StdListener};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use ntex::server::Server;
+use samphiregrade_http::{HttpServer, IncomingRequest, OutgoingResponse, ServerSettings};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+use smol_str::SmolStr;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream, UdpSocket};
+use tokio::sync::watch;
+
+use crate::lock;
+
+/// Bytes read at once.
+const BUFFER: usize = 64 * 1024;
+
+/// How long a UDP sender without traffic is remembered.
+const UDP_IDLE: Duration = Duration::from_secs(60);
+
+/// Faults of one link.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
+pub struct LinkFaults {
+    /// Delay of each read in milliseconds.
+    pub delay_ms: u64,
+    /// Close every connection and accept none; drop every datagram.
+    pub cut: bool,
+    /// Keep connections open, but deliver nothing.
+    pub half_open: bool,
+    /// Share of datagrams dropped, from 0 to 1.
+    pub drop: f64,
+}
+
+/// A link with its faults and the bytes it carried; cloning gives another handle to the same one.
+#[derive(Clone, Debug)]
+pub struct FaultLink {
+    faults: watch::Sender<LinkFaults>,
+    bytes: Arc<AtomicU64>,
+}
+
+impl Default for FaultLink {
+    fn default() -> Self {
+        Self {
+            faults: watch::Sender::new(LinkFaults::default()),
+            bytes: Arc::default(),
+        }
+    }
+}
+
+impl FaultLink {
+    /// Replaces the faults in force.
+    pub fn set_faults(&self, faults: LinkFaults) {
+        self.faults.send_replace(faults);
+    }
+
+    /// Returns the bytes carried both ways.
+    #[must_use]
+    pub fn bytes(&self) -> u64 {
+        self.bytes.load(Ordering::Relaxed)
+    }
+
+    /// Carries TCP connections from a listener to a target, until the task is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns the listener's error.
+    pub async fn run_tcp(self, listener: StdListener, target: SocketAddr) -> io::Result<()> {
+        listener.set_nonblocking(true)?;
+        let listener = TcpListener::from_std(listener)?;
+        loop {
+            let (near, _) = listener.accept().await?;
+            if self.faults.borrow().cut {
+                continue;
+            }
+            let link = self.clone();
+            tokio::spawn(async move { link.carry_connection(near, target).await });
+        }
+    }
+
+    async fn carry_connection(self, near: TcpStream, target: SocketAddr) {
+        let Ok(far) = TcpStream::connect(target).await else {
+            return;
+        };
+        let _ = near.set_nodelay(true);
+        let _ = far.set_nodelay(true);
+        let (near_read, near_write) = near.into_split();
+        let (far_read, far_write) = far.into_split();
+        let mut faults = self.faults.subscribe();
+        tokio::select! {
+            () = async {
+                tokio::join!(
+                    self.carry_bytes(near_read, far_write),
+                    self.carry_bytes(far_read, near_write),
+                );
+            } => {}
+            _ = faults.wait_for(|faults| faults.cut) => {}
+        }
+    }
+
+    async fn carry_bytes(&self, mut from: OwnedReadHalf, mut to: OwnedWriteHalf) {
+        let mut faults = self.faults.subscribe();
+        let mut buffer = vec![0; BUFFER];
+        loop {
+            let Ok(count @ 1..) = from.read(&mut buffer).await else {
+                let _ = to.shutdown().await;
+                return;
+            };
+            let delay = faults.borrow().delay_ms;
+            if delay > 0 {
+                tokio::time::sleep(Duration::from_millis(delay)).await;
+            }
+            if faults.wait_for(|faults| !faults.half_open).await.is_err() {
+                return;
+            }
+            self.bytes.fetch_add(count as u64, Ordering::Relaxed);
+            if to.write_all(&buffer[..count]).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// Carries datagrams between a socket and a target, until the task is dropped.
+    ///
+    /// # Errors
+    ///
+    /// Returns the socket's error.
+    pub async fn run_udp(self, socket: std::net::UdpSocket, target: SocketAddr) -> io::Result<()> {
+        socket.set_nonblocking(true)?;
+        let near = Arc::new(UdpSocket::from_std(socket)?);
+        let mut senders: HashMap<SocketAddr, Arc<UdpSocket>> = HashMap::new();
+        let mut buffer = vec![0; BUFFER];
+        loop {
+            let Ok((count, sender)) = near.recv_from(&mut buffer).await else {
+                continue;
+            };
+            let far = match senders.get(&sender) {
+                Some(far) if Arc::strong_count(far) > 1 => far.clone(),
+                _ => {
+                    let far = Arc::new(UdpSocket::bind("127.0.0.1:0").await?);
+                    far.connect(target).await?;
+                    senders.insert(sender, far.clone());
+                    let back = self.clone().carry_back(far.clone(), near.clone(), sender);
+                    tokio::spawn(back);
+                    far
+                }
+            };
+            self.deliver(&buffer[..count], far, None).await;
+        }
+    }
+
+    async fn carry_back(self, far: Arc<UdpSocket>, near: Arc<UdpSocket>, sender: SocketAddr) {
+        let mut buffer = vec![0; BUFFER];
+        loop {
+            let received = tokio::time::timeout(UDP_IDLE, far.recv(&mut buffer)).await;
+            let count = match received {
+                Ok(Ok(count)) => count,
+                Ok(Err(_)) => continue,
+                Err(_) => return,
+            };
+            let near = near.clone();
+            self.deliver(&buffer[..count], near, Some(sender)).await;
+        }
+    }
+
+    /// Sends a datagram on, to the address or to the socket's peer, unless a fault eats it.
+    async fn deliver(&self, datagram: &[u8], socket: Arc<UdpSocket>, to: Option<SocketAddr>) {
+        let faults = self.faults.borrow().clone();
+        if faults.cut || faults.half_open || rand::random::<f64>() < faults.drop {
+            return;
+        }
+        self.bytes
+            .fetch_add(datagram.len() as u64, Ordering::Relaxed);
+        if faults.delay_ms == 0 {
+            send_datagram(datagram, &socket, to).await;
+            return;
+        }
+        let datagram = datagram.to_vec();
+        tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(faults.delay_ms)).await;
+            send_datagram(&datagram, &socket, to).await;
+        });
+    }
+}
+
+/// Sends a datagram; a failure is a loss, as on any network.
+async fn send_datagram(datagram: &[u8], socket: &UdpSocket, to: Option<SocketAddr>) {
+    let _ = match to {
+        Some(address) => socket.send_to(datagram, address).await,
+        None => socket.send(datagram).await,
+    };
+}
+
+/// Many links under one control address.
+#[derive(Clone, Debug, Default)]
+pub struct FaultProxy {
+    links: Arc<Mutex<HashMap<SmolStr, FaultLink>>>,
+}
+
+impl FaultProxy {
+    /// Returns the link of that name, made where there is none.
+    #[must_use]
+    pub fn link(&self, name: &str) -> FaultLink {
+        lock(&self.links).entry(name.into()).or_default().clone()
+    }
+
+    /// Replaces the faults of every link whose name the choice takes.
+    pub fn set_faults<Choice>(&self, faults: &LinkFaults, choice: Choice)
+    where
+        Choice: Fn(&str) -> bool,
+    {
+        for (name, link) in lock(&self.links).iter() {
+            if choice(name) {
+                link.set_faults(faults.clone());
+            }
+        }
+    }
+
+    /// Returns the bytes that the chosen links carried.
+    pub fn bytes<Choice>(&self, choice: Choice) -> u64
+    where
+        Choice: Fn(&str) -> bool,
+    {
+        let links = lock(&self.links);
+        let chosen = links.iter().filter(|(name, _)| choice(name));
+        chosen.map(|(_, link)| link.bytes()).sum()
+    }
+
+    /// Starts the control address: `POST /links/NAME` takes a link's faults.
+    ///
+    /// # Errors
+    ///
+    /// Returns the listener's error.
+    pub fn start_control(&self, listener: StdListener) -> io::Result<Server> {
+        let proxy = self.clone();
+        HttpServer::start(listener, ServerSettings::default(), move |request| {
+            let proxy = proxy.clone();
+            async move { proxy.control(&request) }
+        })
+    }
+
+    fn control(&self, request: &IncomingRequest) -> OutgoingResponse {
+        let ["links", name] = request.segments()[..] else {
+            return OutgoingResponse::json(404, &json!({"error": "no such call"}));
+        };
+        match request.json::<LinkFaults>() {
+            Ok(faults) => {
+                self.link(name).set_faults(faults);
+                OutgoingResponse::json(200, &json!({}))
+            }
+            Err(error) => OutgoingResponse::json(400, &json!({"error": error.to_string()})),
+        }
+    }
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,98 @@
+//! The commands, each in a file of its own with the same two functions: `arguments`, `execute`.
+
+mod call;
+mod check;
+mod demo;
+mod dump;
+mod keys;
+mod record;
+mod serve;
+
+use std::process::ExitCode;
+
+use anyhow::{Result, bail};
+use pico_args::Arguments;
+
+const USAGE: &str = "\
+samphiregrade, a scheduler for agent programs
+
+Usage: samphiregrade COMMAND [OPTIONS]
+
+Commands:
+  serve    run an entry instance
+  check    check a settings file or a record
+  record   list, read and change the operators' records
+  dump     show the state of a running instance
+  call     run a program by hand
+  demo     run a whole small deployment in this process
+  keys     make the certificates of instances
+
+Every command takes --help. The log level is set by RUST_LOG.
+";
+
+/// Parses the command and runs it.
+pub fn run(mut arguments: Arguments) -> Result<ExitCode> {
+    let command = arguments.subcommand()?;
+    let help = arguments.contains(["-h", "--help"]);
+    let Some(command) = command else {
+        print!("{USAGE}");
+        return Ok(if help {
+            ExitCode::SUCCESS
+        } else {
+            ExitCode::from(2)
+        });
+    };
+    match command.as_str() {
+        "serve" => with_help(help, serve::USAGE, || {
+            serve::execute(serve::arguments(arguments)?)
+        }),
+        "check" => with_help(help, check::USAGE, || {
+            check::execute(check::arguments(arguments)?)
+        }),
+        "record" => with_help(help, record::USAGE, || {
+            record::execute(record::arguments(arguments)?)
+        }),
+        "dump" => with_help(help, dump::USAGE, || {
+            dump::execute(dump::arguments(arguments)?)
+        }),
+        "call" => with_help(help, call::USAGE, || {
+            call::execute(call::arguments(arguments)?)
+        }),
+        "demo" => with_help(help, demo::USAGE, || {
+            demo::execute(demo::arguments(arguments)?)
+        }),
+        "keys" => with_help(help, keys::USAGE, || {
+            keys::execute(keys::arguments(arguments)?)
+        }),
+        other => bail!("there is no command `{other}`; see samphiregrade --help"),
+    }
+}
+
+fn with_help<Command>(help: bool, usage: &str, command: Command) -> Result<ExitCode>
+where
+    Command: FnOnce() -> Result<ExitCode>,
+{
+    if help {
+        print!("{usage}");
+        return Ok(ExitCode::SUCCESS);
+    }
+    command()
+}
+
+/// Refuses arguments that no option has taken.
+fn finish(arguments: Arguments) -> Result<()> {
+    let rest = arguments.finish();
+    if let Some(first) = rest.first() {
+        bail!(
+            "unexpected argument `{}`; see --help",
+            first.to_string_lossy()
+        );
+    }
+    Ok(())
+}
+
+/// Chooses the library that the links' encryption comes from.
+fn install_crypto() {
+    // A second installation in the same process changes nothing.
+    let _ = rustls::crypto::ring::default_provider().install_default();
+}
--- /dev/null
+++ b/src/cmd/serve.rs
@@ -0,0 +1,94 @@
+//! `samphiregrade serve`: runs an entry instance.
+
+use std::net::{TcpListener, UdpSocket};
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use anyhow::{Context, Result};
+use pico_args::Arguments;
+use samphiregrade::link::LinkIdentity;
+use samphiregrade::platform::{EtcdGateway, InstanceList};
+use samphiregrade::{Instance, InstanceParts, Settings};
+use samphiregrade_http::{HttpPool, run_system};
+use tokio::runtime::Runtime;
+use tokio::signal::unix::{SignalKind, signal};
+
+pub const USAGE: &str = "\
+Runs an entry instance until it gets SIGTERM or SIGINT, then shuts down gracefully.
+
+Usage: samphiregrade serve --settings FILE.toml
+";
+
+/// Arguments of the command.
+pub struct ServeArguments {
+    settings: PathBuf,
+}
+
+/// Reads the arguments.
+pub fn arguments(mut arguments: Arguments) -> Result<ServeArguments> {
+    let settings = arguments.value_from_str("--settings")?;
+    super::finish(arguments)?;
+    Ok(ServeArguments { settings })
+}
+
+/// Runs the command.
+pub fn execute(arguments: ServeArguments) -> Result<ExitCode> {
+    super::install_crypto();
+    let settings = Settings::read(&arguments.settings)?;
+    let runtime = Runtime::new().context("starting the runtime")?;
+    run_system(serve(settings, runtime))
+}
+
+async fn serve(settings: Settings, runtime: Runtime) -> Result<ExitCode> {
+    let listen = &settings.listen;
+    let bound = |what: &str| format!("listening for {what}");
+    let callers = TcpListener::bind(listen.callers).with_context(|| bound("callers"))?;
+    let operators = TcpListener::bind(listen.operators).with_context(|| bound("operators"))?;
+    let peer_socket = UdpSocket::bind(listen.peers).with_context(|| bound("other instances"))?;
+    let pool = HttpPool::start(settings.upstreams.client_threads);
+    let links = &settings.links;
+    let identity = LinkIdentity::read(&links.authority, &links.certificate, &links.key)?;
+    let list = match &settings.platform.instance_list {
+        Some(url) => InstanceList::Url(url.clone(), pool.clone()),
+        None => InstanceList::Fixed(settings.platform.instances.clone()),
+    };
+    let parts = InstanceParts {
+        store: Arc::new(EtcdGateway::new(&settings.platform.key_value, pool.clone())),
+        settings,
+        identity,
+        list,
+        pool,
+        peer_socket,
+    };
+    let instance = {
+        let _runtime = runtime.enter();
+        Instance::start(parts)?
+    };
+    let servers = instance
+        .listen(callers, operators)
+        .context("starting the listeners")?;
+    wait_for_signal().await?;
+    let clean = instance.drain().await;
+    for server in servers {
+        server.stop(true).await;
+    }
+    instance.stop();
+    runtime.shutdown_background();
+    log::info!("instance stopped clean={clean}");
+    Ok(if clean {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
+
+async fn wait_for_signal() -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).context("waiting for SIGTERM")?;
+    let mut interrupt = signal(SignalKind::interrupt()).context("waiting for SIGINT")?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/demo.rs
@@ -0,0 +1,329 @@
+//! A whole small deployment in one process on loopback, stand-ins included.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{TcpListener, UdpSocket};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use anyhow::{Context, Result};
+use futures_util::future::join_all;
+use ntex::server::Server;
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use samphiregrade_http::HttpPool;
+use samphiregrade_standins::engine::{EngineSettings, EngineStandin};
+use samphiregrade_standins::service::{ServiceSettings, ServiceStandin};
+use smol_str::{SmolStr, format_smolstr};
+use tokio::runtime::Runtime;
+
+use crate::client::CallerClient;
+use crate::instance::{Instance, InstanceParts};
+use crate::link::{make_authority, make_identity};
+use crate::platform::{InstanceList, ListedInstance, MemoryStore, PlatformStore, SwapOutcome};
+use crate::record::record_key;
+use crate::settings::{
+    InstanceSection, LimitSection, LinkSection, ListenSection, MembershipSection, PlatformSection,
+    Settings, ShardSection, UpstreamSection,
+};
+use crate::workload::{
+    Deployment, ProgramNote, ProgramVerdict, deployment_records, draw_plan, run_program,
+};
+
+/// Longest wait for the instances to become ready.
+const READY_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Pause between two looks.
+const READY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Pause between the begins of two programs.
+const BEGIN_PAUSE: Duration = Duration::from_millis(60);
+
+/// What the demo runs.
+#[derive(Clone, Debug)]
+pub struct DemoSettings {
+    /// Deployment whose classes are run.
+    pub deployment: Deployment,
+    /// Programs.
+    pub programs: usize,
+    /// Seed of the programs' shapes.
+    pub seed: u64,
+}
+
+impl Default for DemoSettings {
+    fn default() -> Self {
+        Self {
+            deployment: Deployment::cantabrica().with_instances(2).with_engines(6),
+            programs: 30,
+            seed: 1,
+        }
+    }
+}
+
+/// What the programs of one class came to.
+#[derive(Clone, Debug, Default)]
+pub struct ClassSummary {
+    /// Programs run, sub-agents included.
+    pub programs: usize,
+    /// Programs that finished.
+    pub finished: usize,
+    /// Calls answered.
+    pub calls: usize,
+    /// Latencies in order.
+    pub latencies: Vec<Duration>,
+}
+
+/// What the demo came to.
+#[derive(Clone, Debug, Default)]
+pub struct DemoReport {
+    /// By class.
+    pub classes: BTreeMap<SmolStr, ClassSummary>,
+    /// Programs that did not finish, with the reason.
+    pub failures: Vec<SmolStr>,
+    /// Answers that were not the right ones.
+    pub wrong_answers: u32,
+    /// Instances and upstreams that were started.
+    pub processes: usize,
+    /// Time over all programs.
+    pub elapsed: Duration,
+}
+
+struct DemoInstance {
+    parts_settings: Settings,
+    callers: TcpListener,
+    operators: TcpListener,
+    peers: UdpSocket,
+}
+
+/// Runs the demo on the main event loop of a system; `progress` is told of every ended program.
+///
+/// # Errors
+///
+/// Returns what could not be started, or that the instances did not become ready.
+pub async fn run_demo<Progress>(
+    settings: DemoSettings,
+    runtime: &Runtime,
+    progress: Progress,
+) -> Result<DemoReport>
+where
+    Progress: Fn(&ProgramNote),
+{
+    let deployment = &settings.deployment;
+    let pool = HttpPool::start(1);
+    let store: Arc<dyn PlatformStore> = Arc::new(MemoryStore::default());
+    let (mut servers, addresses) = start_upstreams(deployment).context("starting the stand-ins")?;
+    write_records(deployment, &addresses, store.as_ref()).await?;
+    let started = start_instances(deployment, &store, &pool, runtime);
+    let (instances, entries, listeners) = started.context("starting the instances")?;
+    servers.extend(listeners);
+    wait_until_ready(&instances).await?;
+    let client = CallerClient::new(pool, entries, deployment.token.clone());
+    let started = Instant::now();
+    let mut report = DemoReport {
+        processes: instances.len() + addresses.len(),
+        ..DemoReport::default()
+    };
+    for note in run_programs(&settings, &client, &progress).await {
+        report.add(note);
+    }
+    report.elapsed = started.elapsed();
+    for instance in &instances {
+        instance.stop();
+    }
+    for server in servers {
+        server.stop(false).await;
+    }
+    Ok(report)
+}
+
+type StartedUpstreams = (Vec<Server>, BTreeMap<SmolStr, SmolStr>);
+
+fn start_upstreams(deployment: &Deployment) -> io::Result<StartedUpstreams> {
+    let mut addresses = BTreeMap::new();
+    let mut servers = Vec::new();
+    for engine in &deployment.engines {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        addresses.insert(
+            engine.name.clone(),
+            format_smolstr!("http://{}", listener.local_addr()?),
+        );
+        let settings = EngineSettings {
+            models: vec![deployment.model.clone()],
+            checks_fencing: engine.checks_fencing,
+            ..EngineSettings::default()
+        };
+        servers.push(EngineStandin::new(settings).start(listener)?);
+    }
+    for service in &deployment.services {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        addresses.insert(
+            service.name.clone(),
+            format_smolstr!("http://{}", listener.local_addr()?),
+        );
+        let settings = ServiceSettings {
+            checks_fencing: service.checks_fencing,
+            tells_outcome: service.tells_outcome,
+            ..ServiceSettings::default()
+        };
+        servers.push(ServiceStandin::new(settings).start(listener)?);
+    }
+    Ok((servers, addresses))
+}
+
+async fn write_records(
+    deployment: &Deployment,
+    addresses: &BTreeMap<SmolStr, SmolStr>,
+    store: &dyn PlatformStore,
+) -> Result<()> {
+    let address = |name: &str| addresses.get(name).cloned().unwrap_or_default();
+    for record in deployment_records(deployment, address) {
+        let key = record_key(record.kind, &record.name);
+        let text = serde_json::to_string(&record).context("writing a record")?;
+        let outcome = store.swap(key, 0, Some(text)).await?;
+        anyhow::ensure!(
+            matches!(outcome, SwapOutcome::Swapped(_)),
+            "a record exists already"
+        );
+    }
+    Ok(())
+}
+
+fn start_instances(
+    deployment: &Deployment,
+    store: &Arc<dyn PlatformStore>,
+    pool: &HttpPool,
+    runtime: &Runtime,
+) -> Result<(Vec<Instance>, Vec<SmolStr>, Vec<Server>)> {
+    let (authority, authority_key) = make_authority()?;
+    let mut prepared = Vec::new();
+    let mut listed = Vec::new();
+    for domain in &deployment.domains {
+        for index in 0..domain.instances {
+            let name = format_smolstr!("{}-{index}", domain.name);
+            let instance = prepare_instance(name.clone(), domain.name.clone())?;
+            listed.push(ListedInstance {
+                name,
+                failure_domain: domain.name.clone(),
+                peer_address: instance.peers.local_addr()?,
+                leaving: false,
+            });
+            prepared.push(instance);
+        }
+    }
+    let _runtime = runtime.enter();
+    let mut instances = Vec::new();
+    let mut entries = Vec::new();
+    let mut servers = Vec::new();
+    for prepared in prepared {
+        entries.push(format_smolstr!("http://{}", prepared.callers.local_addr()?));
+        let name = prepared.parts_settings.instance.name.clone();
+        let parts = InstanceParts {
+            identity: make_identity(&authority, &authority_key, &name)?,
+            settings: prepared.parts_settings,
+            store: store.clone(),
+            list: InstanceList::Fixed(listed.clone()),
+            pool: pool.clone(),
+            peer_socket: prepared.peers,
+        };
+        let instance = Instance::start(parts)?;
+        servers.extend(instance.listen(prepared.callers, prepared.operators)?);
+        instances.push(instance);
+    }
+    Ok((instances, entries, servers))
+}
+
+fn prepare_instance(name: SmolStr, domain: SmolStr) -> Result<DemoInstance> {
+    let callers = TcpListener::bind("127.0.0.1:0")?;
+    let operators = TcpListener::bind("127.0.0.1:0")?;
+    let peers = UdpSocket::bind("127.0.0.1:0")?;
+    let settings = Settings {
+        instance: InstanceSection {
+            name,
+            failure_domain: domain,
+            data_folder: None,
+        },
+        listen: ListenSection {
+            callers: callers.local_addr()?,
+            operators: operators.local_addr()?,
+            peers: peers.local_addr()?,
+            workers: 1,
+        },
+        platform: PlatformSection {
+            key_value: "http://127.0.0.1".into(),
+            instance_list: None,
+            instances: Vec::new(),
+            calls_per_second: 20.0,
+            call_burst: 60.0,
+        },
+        // The certificates are made in memory; these paths are not read.
+        links: LinkSection {
+            authority: "authority.pem".into(),
+            certificate: "instance.pem".into(),
+            key: "instance.key".into(),
+        },
+        shards: ShardSection::default(),
+        membership: MembershipSection::default(),
+        upstreams: UpstreamSection::default(),
+        limits: LimitSection::default(),
+    };
+    Ok(DemoInstance {
+        parts_settings: settings,
+        callers,
+        operators,
+        peers,
+    })
+}
+
+async fn wait_until_ready(instances: &[Instance]) -> Result<()> {
+    let deadline = Instant::now() + READY_TIMEOUT;
+    while !instances.iter().all(Instance::is_ready) {
+        anyhow::ensure!(
+            Instant::now() < deadline,
+            "the instances did not become ready within {} s",
+            READY_TIMEOUT.as_secs()
+        );
+        tokio::time::sleep(READY_PAUSE).await;
+    }
+    Ok(())
+}
+
+async fn run_programs<Progress>(
+    settings: &DemoSettings,
+    client: &CallerClient,
+    progress: &Progress,
+) -> Vec<ProgramNote>
+where
+    Progress: Fn(&ProgramNote),
+{
+    let mut rng = SmallRng::seed_from_u64(settings.seed);
+    let shapes = &settings.deployment.classes;
+    let plans: Vec<_> = (0..settings.programs)
+        .map(|_| draw_plan(shapes, &mut rng))
+        .collect();
+    let runs = plans.iter().zip(0..).map(async |(plan, number): (_, u32)| {
+        tokio::time::sleep(BEGIN_PAUSE * number).await;
+        let key = format_smolstr!("demo-{}-{number}", settings.seed);
+        let notes = run_program(client, plan, key, None, None).await;
+        notes.first().inspect(|note| progress(note));
+        notes
+    });
+    join_all(runs).await.into_iter().flatten().collect()
+}
+
+impl DemoReport {
+    fn add(&mut self, note: ProgramNote) {
+        let class = self.classes.entry(note.class.clone()).or_default();
+        class.programs += 1;
+        class.calls += note.calls.iter().filter(|call| call.answered).count();
+        class.latencies.push(note.latency);
+        class.latencies.sort();
+        self.wrong_answers += note.wrong_answers;
+        if note.verdict == ProgramVerdict::Finished {
+            class.finished += 1;
+            return;
+        }
+        let reason = note.failure.unwrap_or_default();
+        self.failures
+            .push(format_smolstr!("{:?}: {reason}", note.verdict));
+    }
+}
--- /dev/null
+++ b/src/instance/callers/respond.rs
@@ -0,0 +1,190 @@
+//! Composing the responses to calls: at once, streamed, resumed or late.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use ntex::util::Bytes;
+use samphiregrade_http::OutgoingResponse;
+use serde::Serialize;
+use serde_json::json;
+use tokio::sync::mpsc;
+
+use super::LocalAnswer;
+use crate::contract::{Refusal, RefusalKind};
+use crate::ids::{ProgramId, SequenceNumber};
+use crate::instance::InstanceState;
+use crate::program::CallOutcome;
+use crate::shard::{CallReply, StreamBuffer, StreamRead, StreamReader};
+
+/// Events of a stream that may wait for their reader.
+const STREAM_QUEUE: usize = 64;
+
+/// When a caller should ask again whose answer takes long.
+const LONG_ANSWER_RETRY: Duration = Duration::from_millis(200);
+
+/// Composes a JSON response, or tells that the primary is elsewhere.
+pub fn json_or_moved<Body>(answer: Option<Result<Body, Refusal>>) -> LocalAnswer
+where
+    Body: Serialize,
+{
+    match answer {
+        Some(Ok(body)) => LocalAnswer::Response(OutgoingResponse::json(200, &body)),
+        Some(Err(refusal)) => LocalAnswer::Response(refusal.response()),
+        None => LocalAnswer::Moved,
+    }
+}
+
+impl InstanceState {
+    /// Answers a call, as soon as its outcome is stored or as the text comes.
+    pub async fn respond_to_call(
+        &self,
+        program: &ProgramId,
+        sequence: SequenceNumber,
+        offset: Option<usize>,
+        answer: CallReply,
+    ) -> LocalAnswer {
+        match (answer, offset) {
+            (CallReply::Moved, _) => LocalAnswer::Moved,
+            (CallReply::Refused(refusal), _) => LocalAnswer::Response(refusal.response()),
+            (CallReply::Outcome(outcome), None) => {
+                LocalAnswer::Response(outcome.response(program, sequence))
+            }
+            (CallReply::Outcome(outcome), Some(offset)) => {
+                LocalAnswer::Response(stream_outcome(&outcome, program, sequence, offset))
+            }
+            (CallReply::Stream(stream), Some(offset)) => {
+                LocalAnswer::Response(stream_text(&stream, offset))
+            }
+            (CallReply::Stream(stream), None) => {
+                self.wait_for_outcome(program, sequence, &stream).await
+            }
+        }
+    }
+
+    async fn wait_for_outcome(
+        &self,
+        program: &ProgramId,
+        sequence: SequenceNumber,
+        stream: &Arc<StreamBuffer>,
+    ) -> LocalAnswer {
+        let reader = stream.reader();
+        let wait = Duration::from_secs(self.settings.limits.wait_seconds);
+        match tokio::time::timeout(wait, reader.outcome()).await {
+            Ok(Some(outcome)) => LocalAnswer::Response(outcome.response(program, sequence)),
+            Ok(None) => LocalAnswer::Moved,
+            Err(_) => {
+                let detail = "the call is still under way";
+                let refusal = Refusal::unknown(RefusalKind::UpstreamTimeout, detail);
+                LocalAnswer::Response(refusal.with_retry_after(LONG_ANSWER_RETRY).response())
+            }
+        }
+    }
+
+    /// Answers a question for the answer of an earlier call.
+    pub fn respond_late(
+        &self,
+        program: &ProgramId,
+        sequence: SequenceNumber,
+        offset: Option<usize>,
+        answer: CallReply,
+    ) -> LocalAnswer {
+        let response = match (answer, offset) {
+            (CallReply::Moved, _) => return LocalAnswer::Moved,
+            (CallReply::Refused(refusal), _) => refusal.response(),
+            (CallReply::Outcome(outcome), None) => outcome.response(program, sequence),
+            (CallReply::Outcome(outcome), Some(offset)) => {
+                stream_outcome(&outcome, program, sequence, offset)
+            }
+            (CallReply::Stream(stream), Some(offset)) => stream_text(&stream, offset),
+            (CallReply::Stream(_), None) => {
+                OutgoingResponse::json(202, &json!({"status": "running"}))
+                    .with_header("retry-after", "1")
+            }
+        };
+        LocalAnswer::Response(response)
+    }
+}
+
+/// Streams a running answer from an offset.
+fn stream_text(stream: &Arc<StreamBuffer>, offset: usize) -> OutgoingResponse {
+    let (sender, events) = mpsc::channel(STREAM_QUEUE);
+    let reader = stream.reader();
+    tokio::spawn(async move { relay_text(reader, offset, sender).await });
+    OutgoingResponse::stream(200, "text/event-stream", events)
+}
+
+async fn relay_text(reader: StreamReader, mut offset: usize, sender: mpsc::Sender<Bytes>) {
+    loop {
+        let read = tokio::select! {
+            read = reader.read(offset) => read,
+            () = sender.closed() => return,
+        };
+        let event = match read {
+            StreamRead::Text(text) => {
+                offset += text.len();
+                text_event(&text, offset)
+            }
+            StreamRead::Restarted => {
+                offset = 0;
+                Bytes::from_static(b"event: restart\ndata: {}\n\n")
+            }
+            StreamRead::Finished(outcome) => {
+                // The reader is gone or gets the last event; either way this is the end.
+                let _ = sender.send(last_event(&outcome)).await;
+                return;
+            }
+            StreamRead::Closed => {
+                let _ = sender
+                    .send(Bytes::from_static(b"event: moved\ndata: {}\n\n"))
+                    .await;
+                return;
+            }
+        };
+        if sender.send(event).await.is_err() {
+            return;
+        }
+    }
+}
+
+/// Streams a stored outcome from an offset.
+fn stream_outcome(
+    outcome: &CallOutcome,
+    program: &ProgramId,
+    sequence: SequenceNumber,
+    offset: usize,
+) -> OutgoingResponse {
+    let CallOutcome::Answer { text, .. } = outcome else {
+        return outcome.response(program, sequence);
+    };
+    let mut body = Vec::new();
+    if let Some(rest) = text.get(offset..).filter(|rest| !rest.is_empty()) {
+        body.extend_from_slice(&text_event(rest, text.len()));
+    }
+    body.extend_from_slice(&last_event(outcome));
+    OutgoingResponse::full(200, "text/event-stream", body)
+}
+
+fn text_event(text: &str, offset: usize) -> Bytes {
+    let data = json!({"choices": [{"index": 0, "delta": {"content": text}}]});
+    Bytes::from(format!("id: {offset}\ndata: {data}\n\n"))
+}
+
+fn last_event(outcome: &CallOutcome) -> Bytes {
+    match outcome {
+        CallOutcome::Answer { usage, .. } => {
+            let data = json!({
+                "choices": [{"index": 0, "delta": {}, "finish_reason": "stop"}],
+                "usage": usage,
+            });
+            Bytes::from(format!("data: {data}\n\ndata: [DONE]\n\n"))
+        }
+        CallOutcome::Reply { body, .. } => Bytes::from(format!("data: {body}\n\ndata: [DONE]\n\n")),
+        CallOutcome::Refused(refusal) => {
+            let data = json!({
+                "type": refusal.kind.name(), "title": refusal.detail,
+                "ran": refusal.ran, "remedy": refusal.kind.remedy(),
+            });
+            Bytes::from(format!("event: refusal\ndata: {data}\n\n"))
+        }
+    }
+}
--- /dev/null
+++ b/src/instance/forward.rs
@@ -0,0 +1,138 @@
+//! The one hop of a request from the instance that a caller has reached to the shard's primary.
+
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use ntex::util::Bytes;
+use samphiregrade_http::{OutgoingResponse, ResponseBody};
+use tokio::sync::mpsc;
+
+use super::InstanceState;
+use super::callers::{CallerOperation, LocalAnswer};
+use crate::ids::{InstanceRef, ProgramId, UpstreamName};
+use crate::link::{ForwardHead, ForwardedRequest, PeerAnswer, PeerReply, PeerRequest, ReplyStream};
+
+/// Status by which the second instance tells that it is not the primary.
+const STATUS_MOVED: u16 = 421;
+
+/// Time by which the wait for a forwarded answer exceeds the wait at the primary.
+const FORWARD_MARGIN: Duration = Duration::from_secs(5);
+
+/// Longest wait for a peer to take the word of a hold.
+const HOLD_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Chunks of a body that may wait for their reader.
+const BODY_QUEUE: usize = 64;
+
+impl InstanceState {
+    /// Sends a request to a shard's primary; `None` where that is not it, or can't be reached.
+    ///
+    /// Every request has a key, so that sending it again after a broken link is always right.
+    pub(super) async fn forward(
+        &self,
+        primary: &InstanceRef,
+        request: ForwardedRequest,
+    ) -> Option<OutgoingResponse> {
+        let address = self.peers.view().address(primary)?;
+        let message = PeerRequest::Forward(request);
+        let wait = Duration::from_secs(self.settings.limits.wait_seconds) + FORWARD_MARGIN;
+        self.forwarded_requests.fetch_add(1, Ordering::Relaxed);
+        let opened = tokio::time::timeout(wait, self.network.open_stream(address, &message)).await;
+        let mut stream = match opened {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) => {
+                log::debug!("request not forwarded primary={primary} error={error}");
+                return None;
+            }
+            Err(_) => return None,
+        };
+        let Some(PeerReply::Forward(head)) = stream.take_head() else {
+            return None;
+        };
+        if head.status == STATUS_MOVED {
+            return None;
+        }
+        if head.streamed {
+            return Some(streamed_response(head, stream));
+        }
+        let mut body = Vec::new();
+        while let Some(chunk) = stream.next_chunk().await.ok()? {
+            body.extend_from_slice(&chunk);
+        }
+        Some(OutgoingResponse {
+            status: head.status,
+            headers: head.headers,
+            body: ResponseBody::Full(body.into()),
+        })
+    }
+
+    /// Answers a forwarded request, as primary only.
+    pub(super) async fn serve_forwarded(&self, request: ForwardedRequest) -> PeerAnswer {
+        let organisation = request.organisation.clone();
+        let response = match CallerOperation::parse(&request) {
+            Ok(operation) => match self.answer_locally(&operation, &organisation).await {
+                LocalAnswer::Response(response) => response,
+                LocalAnswer::Moved => OutgoingResponse::full(STATUS_MOVED, "text/plain", ""),
+            },
+            Err(refusal) => refusal.response(),
+        };
+        let mut head = ForwardHead {
+            status: response.status,
+            headers: response.headers,
+            streamed: false,
+        };
+        match response.body {
+            ResponseBody::Stream(chunks) => {
+                head.streamed = true;
+                PeerAnswer::Stream(PeerReply::Forward(head), chunks)
+            }
+            ResponseBody::Full(body) => {
+                let (sender, chunks) = mpsc::channel(1);
+                if !body.is_empty() {
+                    // The channel has room for the one chunk.
+                    let _ = sender.try_send(body);
+                }
+                PeerAnswer::Stream(PeerReply::Forward(head), chunks)
+            }
+        }
+    }
+}
+
+fn streamed_response(head: ForwardHead, mut stream: ReplyStream) -> OutgoingResponse {
+    let (sender, chunks) = mpsc::channel(BODY_QUEUE);
+    tokio::spawn(async move {
+        loop {
+            let chunk = tokio::select! {
+                chunk = stream.next_chunk() => chunk,
+                () = sender.closed() => return,
+            };
+            let Ok(Some(chunk)) = chunk else { return };
+            if sender.send(Bytes::from(chunk)).await.is_err() {
+                return;
+            }
+        }
+    });
+    OutgoingResponse {
+        status: head.status,
+        headers: head.headers,
+        body: ResponseBody::Stream(chunks),
+    }
+}
+
+/// Tells a program's primary that an engine lists a hold for it.
+pub fn pass_hold(
+    state: &InstanceState,
+    primary: &InstanceRef,
+    program: ProgramId,
+    upstream: UpstreamName,
+) {
+    let Some(address) = state.peers.view().address(primary) else {
+        return;
+    };
+    let network = state.network.clone();
+    tokio::spawn(async move {
+        let request = PeerRequest::AuditHold(program, upstream);
+        // A lost word is told again with the next reading of the engine's holds.
+        let _ = network.call(address, &request, HOLD_TIMEOUT).await;
+    });
+}
--- /dev/null
+++ b/src/instance/mod.rs
@@ -0,0 +1,342 @@
+//! An instance: everything it consists of, started and stopped together.
+
+mod callers;
+mod dump;
+mod forward;
+mod metrics;
+mod news;
+mod operators;
+mod overseer;
+mod peers;
+mod records;
+mod shards;
+
+use std::io;
+use std::net::{TcpListener, UdpSocket};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use arc_swap::ArcSwap;
+use samphiregrade_http::{HttpPool, HttpServer, IncomingRequest, OutgoingResponse, ServerSettings};
+use tokio::runtime::Handle;
+use tokio::sync::{Semaphore, mpsc};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::AbortOnDropHandle;
+
+use crate::ids::InstanceRef;
+use crate::link::{IdentityError, LinkIdentity, LinkNetwork};
+use crate::membership::{PeerTable, run_membership};
+use crate::platform::{InstanceList, PlatformClient, PlatformLimits, PlatformStore};
+use crate::record::ConfigView;
+use crate::scheduler::CallQueue;
+use crate::settings::Settings;
+use crate::shard::{MapKeeper, ShardContext, ShardCounters};
+use crate::upstream::{UpstreamRunner, run_poller};
+
+use metrics::MetricsExporter;
+use news::NewsSource;
+use peers::PeerDesk;
+use records::RecordKeeper;
+use shards::ShardHost;
+
+/// Whole copies that an instance sends at the same time.
+const INSTALL_PERMITS: usize = 2;
+
+/// Pause between two looks at whether a graceful shutdown is done.
+const DRAIN_PAUSE: Duration = Duration::from_millis(50);
+
+/// What an instance is started with.
+pub struct InstanceParts {
+    /// Checked settings.
+    pub settings: Settings,
+    /// Certificates of its links.
+    pub identity: LinkIdentity,
+    /// The key-value service.
+    pub store: Arc<dyn PlatformStore>,
+    /// The instance list.
+    pub list: InstanceList,
+    /// Client for upstreams.
+    pub pool: HttpPool,
+    /// Bound socket for other instances.
+    pub peer_socket: UdpSocket,
+}
+
+impl std::fmt::Debug for InstanceParts {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter
+            .debug_struct("InstanceParts")
+            .field("settings", &self.settings)
+            .finish()
+    }
+}
+
+/// What the parts of an instance share.
+#[derive(Debug)]
+pub(crate) struct InstanceState {
+    settings: Settings,
+    peers: Arc<PeerTable>,
+    network: LinkNetwork,
+    platform: PlatformClient,
+    maps: Arc<MapKeeper>,
+    config: Arc<ArcSwap<ConfigView>>,
+    records: RecordKeeper,
+    shards: ShardHost,
+    queue: Arc<CallQueue>,
+    runner: UpstreamRunner,
+    pool: HttpPool,
+    metrics: MetricsExporter,
+    open_requests: AtomicUsize,
+    served_requests: AtomicUsize,
+    forwarded_requests: AtomicUsize,
+    draining: AtomicBool,
+    started: Instant,
+    stop: CancellationToken,
+}
+
+/// A running instance; cloning it gives another handle to the same one.
+#[derive(Clone, Debug)]
+pub struct Instance {
+    state: Arc<InstanceState>,
+    runtime: Handle,
+}
+
+impl Instance {
+    /// Starts an instance; to be called inside a multi-threaded tokio runtime.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`IdentityError`] where the certificates or the peers' socket can't be used.
+    pub fn start(parts: InstanceParts) -> Result<Self, IdentityError> {
+        let stop = CancellationToken::new();
+        let runtime = Handle::current();
+        let settings = parts.settings;
+        let me = InstanceRef {
+            name: settings.instance.name.clone(),
+            incarnation: start_number(),
+        };
+        let domain = settings.instance.failure_domain.clone();
+        let membership = settings.membership.task_settings();
+        let peers = Arc::new(PeerTable::new(
+            me.clone(),
+            domain.clone(),
+            membership.suspect_after,
+        ));
+        let network = LinkNetwork::open(parts.peer_socket, &parts.identity)?;
+        let limits = PlatformLimits {
+            calls_per_second: settings.platform.calls_per_second,
+            burst: settings.platform.call_burst,
+        };
+        let platform = PlatformClient::new(parts.store, limits);
+        let maps = MapKeeper::start(platform.clone(), &me.to_string(), stop.clone());
+        let config = Arc::new(ArcSwap::from_pointee(ConfigView::default()));
+        let queue = Arc::new(CallQueue::new(domain, me.incarnation));
+        let runner = UpstreamRunner::new(queue.clone(), parts.pool.clone(), config.clone());
+        let context = Arc::new(ShardContext {
+            settings: settings.shards.copy_settings(),
+            peers: peers.clone(),
+            network: network.clone(),
+            platform: platform.clone(),
+            maps: maps.clone(),
+            config: config.clone(),
+            dispatch: Arc::new(runner.clone()),
+            install_permits: Semaphore::new(INSTALL_PERMITS),
+            counters: ShardCounters::default(),
+            stop: stop.clone(),
+        });
+        let state = Arc::new(InstanceState {
+            records: RecordKeeper::new(config.clone()),
+            shards: ShardHost::new(context),
+            metrics: MetricsExporter::new(),
+            open_requests: AtomicUsize::new(0),
+            served_requests: AtomicUsize::new(0),
+            forwarded_requests: AtomicUsize::new(0),
+            draining: AtomicBool::new(false),
+            started: Instant::now(),
+            pool: parts.pool,
+            settings,
+            peers,
+            network,
+            platform,
+            maps,
+            config,
+            queue,
+            runner,
+            stop,
+        });
+        let instance = Self { state, runtime };
+        instance.spawn_tasks(parts.list, membership);
+        log::info!("instance started instance={me}");
+        Ok(instance)
+    }
+
+    fn spawn_tasks(&self, list: InstanceList, membership: crate::membership::MembershipSettings) {
+        let state = &self.state;
+        let stop = state.stop.clone();
+        state.metrics.observe(state);
+        let desk = Arc::new(PeerDesk::new(state.clone()));
+        let network = state.network.clone();
+        let serving = stop.clone();
+        tokio::spawn(async move { network.serve(desk, serving).await });
+        let news = Arc::new(NewsSource::new(state.clone()));
+        tokio::spawn(run_membership(
+            state.peers.clone(),
+            list,
+            state.network.clone(),
+            news,
+            membership,
+            stop.clone(),
+        ));
+        tokio::spawn(state.runner.clone().run(stop.clone()));
+        let (holds, found) = mpsc::channel(1024);
+        tokio::spawn(run_poller(
+            state.queue.clone(),
+            state.pool.clone(),
+            state.peers.clone(),
+            state.config.clone(),
+            state.settings.upstreams.poller_settings(),
+            holds,
+            stop,
+        ));
+        tokio::spawn(shards::audit_holds(state.clone(), found));
+        tokio::spawn(records::follow_platform(state.clone()));
+        tokio::spawn(overseer::oversee_maps(state.clone()));
+        tokio::spawn(shards::follow_maps(state.clone()));
+    }
+
+    /// Starts the listeners for callers and operators; to be called inside a running system.
+    ///
+    /// # Errors
+    ///
+    /// Returns the listener's error.
+    pub fn listen(
+        &self,
+        callers: TcpListener,
+        operators: TcpListener,
+    ) -> io::Result<Vec<ntex::server::Server>> {
+        let limits = &self.state.settings.limits;
+        let settings = ServerSettings {
+            body_limit: limits.body_bytes,
+            body_timeout: Duration::from_secs(limits.body_seconds),
+            workers: self.state.settings.listen.workers,
+            ..ServerSettings::default()
+        };
+        let instance = self.clone();
+        let for_callers = HttpServer::start(callers, settings, move |request| {
+            let instance = instance.clone();
+            async move { instance.serve_caller(request).await }
+        })?;
+        let instance = self.clone();
+        let settings = ServerSettings::default();
+        let for_operators = HttpServer::start(operators, settings, move |request| {
+            let instance = instance.clone();
+            async move { instance.serve_operator(request).await }
+        })?;
+        Ok(vec![for_callers, for_operators])
+    }
+
+    /// Answers a caller's request on the instance's own runtime.
+    ///
+    /// A caller that hangs up drops the task, and with it its interest in the answer.
+    async fn serve_caller(&self, request: IncomingRequest) -> OutgoingResponse {
+        let state = self.state.clone();
+        let task = self
+            .runtime
+            .spawn(async move { state.serve_caller(request).await });
+        match AbortOnDropHandle::new(task).await {
+            Ok(response) => response,
+            Err(error) => {
+                log::error!("request not answered error={error}");
+                OutgoingResponse::full(500, "text/plain", "the instance has failed; ask again")
+            }
+        }
+    }
+
+    async fn serve_operator(&self, request: IncomingRequest) -> OutgoingResponse {
+        let state = self.state.clone();
+        let task = self
+            .runtime
+            .spawn(async move { state.serve_operator(&request).await });
+        task.await.unwrap_or_else(|error| {
+            OutgoingResponse::full(
+                500,
+                "text/plain",
+                format!("the instance has failed: {error}"),
+            )
+        })
+    }
+
+    /// Returns whether the instance can serve programs of its own failure domain.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.state.is_ready()
+    }
+
+    /// Shuts down gracefully: shards are handed over and requests under way are answered.
+    ///
+    /// Returns whether everything was done within the time of the settings.
+    pub async fn drain(&self) -> bool {
+        let state = &self.state;
+        state.draining.store(true, Ordering::Relaxed);
+        log::info!("instance draining instance={}", state.peers.view().me);
+        state.shards.drain().await;
+        let deadline = Instant::now() + Duration::from_secs(state.settings.limits.drain_seconds);
+        while Instant::now() < deadline {
+            let open = state.open_requests.load(Ordering::Relaxed);
+            if open == 0 && state.own_primaries() == 0 {
+                return true;
+            }
+            if open == 0 && state.is_alone() {
+                return true;
+            }
+            tokio::time::sleep(DRAIN_PAUSE).await;
+        }
+        false
+    }
+
+    /// Stops every task.
+    pub fn stop(&self) {
+        self.state.stop.cancel();
+        self.state.network.close();
+    }
+}
+
+impl InstanceState {
+    fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+
+    fn is_ready(&self) -> bool {
+        let domain = &self.settings.instance.failure_domain;
+        !self.is_draining() && self.maps.map(domain).is_some() && self.records.revision() > 0
+    }
+
+    /// Returns the number of shards, of any failure domain, that this instance is primary of.
+    fn own_primaries(&self) -> usize {
+        let me = self.peers.view().me.clone();
+        let maps = self.maps.all();
+        let shards = maps.iter().flat_map(|map| &map.map.shards);
+        shards.filter(|placement| placement.primary == me).count()
+    }
+
+    fn own_copies(&self) -> usize {
+        let me = self.peers.view().me.clone();
+        let maps = self.maps.all();
+        let shards = maps.iter().flat_map(|map| &map.map.shards);
+        shards.filter(|placement| placement.holds(&me)).count()
+    }
+
+    /// Returns whether no other instance of the failure domain answers.
+    fn is_alone(&self) -> bool {
+        let view = self.peers.view();
+        view.live_in(&view.domain, Instant::now()).is_empty()
+    }
+}
+
+/// Number of this process: later processes of the same instance have higher ones.
+fn start_number() -> u64 {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    u64::try_from(since.as_nanos()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/src/instance/news.rs
@@ -0,0 +1,113 @@
+//! What this instance tells others with its probes, and what it does with their news.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+
+use super::InstanceState;
+use crate::ids::InstanceRef;
+use crate::link::{PeerReply, PeerRequest, ProbeMessage};
+use crate::membership::ProbeSource;
+
+/// Most instances told of in one probe.
+const HEARD_LIMIT: usize = 16;
+
+/// Longest wait for records or a map from a peer.
+const READ_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Composes probes and takes news.
+#[derive(Debug)]
+pub struct NewsSource {
+    state: Arc<InstanceState>,
+}
+
+impl NewsSource {
+    /// Makes the source of an instance.
+    pub fn new(state: Arc<InstanceState>) -> Self {
+        Self { state }
+    }
+}
+
+impl InstanceState {
+    /// Composes a probe.
+    pub(super) fn probe(&self, gossip: bool) -> ProbeMessage {
+        let view = self.peers.view();
+        let now = Instant::now();
+        let heard = view
+            .peers()
+            .filter_map(|peer| Some((peer.instance.clone(), now.duration_since(peer.heard?))))
+            .filter(|(_, age)| *age < view.suspect_after)
+            .take(HEARD_LIMIT);
+        ProbeMessage {
+            from: view.me.clone(),
+            domain: view.domain.clone(),
+            leaving: self.is_draining(),
+            config_revision: self.records.revision(),
+            map_revisions: self.maps.revisions(),
+            copies: u32::try_from(self.own_copies()).unwrap_or(u32::MAX),
+            primaries: u32::try_from(self.own_primaries()).unwrap_or(u32::MAX),
+            heard: if gossip { heard.collect() } else { Vec::new() },
+            loads: self.queue.digests(&view.me.name),
+        }
+    }
+
+    /// Returns the instances that share shards with this one.
+    pub(super) fn partners(&self) -> Vec<InstanceRef> {
+        let me = self.peers.view().me.clone();
+        let mut partners = BTreeSet::new();
+        for map in self.maps.all() {
+            for placement in map
+                .map
+                .shards
+                .iter()
+                .filter(|placement| placement.holds(&me))
+            {
+                partners.extend(placement.members().filter(|member| **member != me).cloned());
+            }
+        }
+        partners.into_iter().collect()
+    }
+
+    /// Takes news: loads at once, newer records and maps by asking for them.
+    pub(super) async fn take_news(&self, probe: ProbeMessage) {
+        self.queue.take_digests(&probe.loads, Instant::now());
+        let Some(address) = self.peers.view().address(&probe.from) else {
+            return;
+        };
+        if probe.config_revision > self.records.revision() {
+            let request = PeerRequest::RecordsRead(self.records.revision());
+            let answer = self.network.call(address, &request, READ_TIMEOUT).await;
+            if let Ok(PeerReply::Records(delta)) = answer {
+                self.records.merge(&delta);
+            }
+        }
+        for (domain, revision) in probe.map_revisions {
+            let known = self.maps.map(&domain).map_or(0, |map| map.revision);
+            if revision <= known {
+                continue;
+            }
+            let request = PeerRequest::MapRead(domain);
+            let answer = self.network.call(address, &request, READ_TIMEOUT).await;
+            if let Ok(PeerReply::Map(Some(map))) = answer {
+                self.maps.adopt(map);
+            }
+        }
+    }
+}
+
+impl ProbeSource for NewsSource {
+    fn compose(&self, gossip: bool) -> ProbeMessage {
+        self.state.probe(gossip)
+    }
+
+    fn partners(&self) -> Vec<InstanceRef> {
+        self.state.partners()
+    }
+
+    fn take(&self, probe: ProbeMessage) -> BoxFuture<'_, ()> {
+        self.state.take_news(probe).boxed()
+    }
+}
--- /dev/null
+++ b/src/instance/overseer.rs
@@ -0,0 +1,122 @@
+//! Looking after the shard map of the own failure domain: its first version, and lost shards.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+use smol_str::format_smolstr;
+
+use super::InstanceState;
+use crate::ids::{InstanceRef, ShardId};
+use crate::platform::SwapOutcome;
+use crate::shard::{MapChange, VersionedMap, initial_map, map_key};
+
+/// Time between two looks.
+const OVERSEE_INTERVAL: Duration = Duration::from_millis(400);
+
+/// Time after the start for the other instances of the failure domain to be found.
+const GATHER_TIME: Duration = Duration::from_millis(1500);
+
+/// Makes the first map, and restarts shards without a copy, until the instance stops.
+pub async fn oversee_maps(state: Arc<InstanceState>) {
+    let mut ticks = tokio::time::interval(OVERSEE_INTERVAL);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => {}
+            () = state.stop.cancelled() => return,
+        }
+        if state.is_draining() || !state.is_first() {
+            continue;
+        }
+        let domain = &state.settings.instance.failure_domain;
+        if state.maps.map(domain).is_none() {
+            if state.started.elapsed() >= GATHER_TIME {
+                make_first_map(&state).await;
+            }
+            continue;
+        }
+        restart_lost_shards(&state).await;
+    }
+}
+
+impl InstanceState {
+    /// Returns whether this instance's name is the first among those of its failure domain.
+    fn is_first(&self) -> bool {
+        let view = self.peers.view();
+        let live = view.live_in(&view.domain, Instant::now());
+        live.iter().all(|peer| peer.instance.name > view.me.name)
+    }
+}
+
+async fn make_first_map(state: &InstanceState) {
+    let view = state.peers.view();
+    let now = Instant::now();
+    let mut local: Vec<InstanceRef> = vec![view.me.clone()];
+    local.extend(
+        view.live_in(&view.domain, now)
+            .iter()
+            .map(|peer| peer.instance.clone()),
+    );
+    let mut remote: Vec<InstanceRef> = view
+        .peers()
+        .filter(|peer| peer.domain != view.domain && peer.heard.is_some() && !peer.leaving)
+        .filter(|peer| !view.suspects(&peer.instance, now))
+        .map(|peer| peer.instance.clone())
+        .collect();
+    remote.sort();
+    if state.settings.shards.remote_backups == 0 {
+        remote.clear();
+    }
+    let mut map = initial_map(&view.domain, state.settings.shards.count, &local, &remote);
+    map.attempt = format_smolstr!("{}/first", view.me);
+    let text = serde_json::to_string(&map).unwrap_or_default();
+    let key = map_key(&view.domain);
+    match state.platform.swap(&key, 0, Some(text)).await {
+        Ok(SwapOutcome::Swapped(revision)) => {
+            log::info!(
+                "shard map made domain={} shards={}",
+                view.domain,
+                map.shards.len()
+            );
+            state.maps.adopt(VersionedMap { revision, map });
+        }
+        Ok(SwapOutcome::Conflict(Some(entry))) => {
+            if let Ok(map) = serde_json::from_str(&entry.value) {
+                let revision = entry.revision;
+                state.maps.adopt(VersionedMap { revision, map });
+            }
+        }
+        Ok(SwapOutcome::Conflict(None)) => {}
+        Err(error) => log::debug!("shard map not made error={error}"),
+    }
+}
+
+/// Begins those shards empty again all of whose copies have certainly ended.
+async fn restart_lost_shards(state: &InstanceState) {
+    let view = state.peers.view();
+    let Some(map) = state.maps.map(&view.domain) else {
+        return;
+    };
+    for (index, placement) in map.map.shards.iter().enumerate() {
+        if !placement.members().all(|member| view.has_ended(member)) {
+            continue;
+        }
+        let shard = ShardId {
+            domain: view.domain.clone(),
+            index: u16::try_from(index).unwrap_or(u16::MAX),
+        };
+        log::error!("shard lost all copies and begins empty shard={shard}");
+        let change = MapChange::Reset(view.me.clone());
+        match state.maps.propose(&shard, placement.epoch, change).await {
+            Ok(_) => {
+                state
+                    .shards
+                    .counters()
+                    .resets
+                    .fetch_add(1, Ordering::Relaxed);
+            }
+            Err(error) => log::info!("shard not begun again shard={shard} error={error}"),
+        }
+    }
+}
--- /dev/null
+++ b/src/instance/peers.rs
@@ -0,0 +1,106 @@
+//! Answers the requests of other instances.
+
+use std::sync::Arc;
+use std::time::Instant;
+
+use futures_util::FutureExt;
+use futures_util::future::BoxFuture;
+use tokio::sync::oneshot;
+
+use super::InstanceState;
+use crate::link::{PeerAnswer, PeerHandler, PeerReply, PeerRequest, ProbeMessage};
+use crate::shard::{AppendReply, AppendRequest, InstallRequest, ShardCommand};
+
+/// Answers the requests of other instances.
+#[derive(Debug)]
+pub struct PeerDesk {
+    state: Arc<InstanceState>,
+}
+
+impl PeerDesk {
+    /// Makes the desk of an instance.
+    pub fn new(state: Arc<InstanceState>) -> Self {
+        Self { state }
+    }
+
+    async fn answer(&self, request: PeerRequest) -> PeerAnswer {
+        let state = &self.state;
+        let reply = match request {
+            PeerRequest::Probe(probe) => self.probe(probe),
+            PeerRequest::Append(request) => PeerReply::Append(self.append(request).await),
+            PeerRequest::Install(request) => PeerReply::Install(self.install(request).await),
+            PeerRequest::MapUpdate(map) => {
+                state.maps.adopt(map);
+                PeerReply::Done
+            }
+            PeerRequest::MapRead(domain) => {
+                PeerReply::Map(state.maps.map(&domain).map(|map| (*map).clone()))
+            }
+            PeerRequest::RecordsRead(revision) => {
+                PeerReply::Records(state.records.changes_since(revision))
+            }
+            PeerRequest::RecordsUpdate(delta) => {
+                state.take_records(&delta);
+                PeerReply::Done
+            }
+            PeerRequest::AuditHold(program, upstream) => {
+                state.audit_hold(program, upstream);
+                PeerReply::Done
+            }
+            PeerRequest::Forward(request) => return state.serve_forwarded(request).await,
+        };
+        PeerAnswer::One(reply)
+    }
+
+    fn probe(&self, probe: ProbeMessage) -> PeerReply {
+        self.state.peers.merge_probe(&probe, Instant::now());
+        let state = self.state.clone();
+        tokio::spawn(async move { state.take_news(probe).await });
+        PeerReply::Probe(self.state.probe(false))
+    }
+
+    async fn append(&self, request: AppendRequest) -> AppendReply {
+        let (reply, verdict) = oneshot::channel();
+        let copy = self.state.shards.copy(&request.shard);
+        if copy
+            .send(ShardCommand::Append(request, reply))
+            .await
+            .is_err()
+        {
+            return AppendReply::Stale;
+        }
+        verdict.await.unwrap_or(AppendReply::Stale)
+    }
+
+    async fn install(&self, request: InstallRequest) -> AppendReply {
+        let (reply, verdict) = oneshot::channel();
+        let copy = self.state.shards.copy(&request.shard);
+        if copy
+            .send(ShardCommand::Install(Box::new(request), reply))
+            .await
+            .is_err()
+        {
+            return AppendReply::Stale;
+        }
+        verdict.await.unwrap_or(AppendReply::Stale)
+    }
+}
+
+impl InstanceState {
+    /// Takes records that a peer has just learned of, where none before them are missing.
+    fn take_records(&self, delta: &crate::record::RecordDelta) {
+        // A push may come before an earlier one. Its revision counts only with all before it, so
+        // the changes are taken and the gap is filled with the next probe.
+        let partial = crate::record::RecordDelta {
+            changes: delta.changes.clone(),
+            revision: self.records.revision(),
+        };
+        self.records.merge(&partial);
+    }
+}
+
+impl PeerHandler for PeerDesk {
+    fn handle(&self, request: PeerRequest) -> BoxFuture<'_, PeerAnswer> {
+        self.answer(request).boxed()
+    }
+}
--- /dev/null
+++ b/src/link/identity.rs
@@ -0,0 +1,171 @@
+//! Certificates and keys of the links.
+
+use std::fs;
+use std::io;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
+use rcgen::{
+    BasicConstraints, CertificateParams, CertifiedIssuer, DnType, IsCa, Issuer, KeyPair,
+    KeyUsagePurpose,
+};
+use rustls::RootCertStore;
+use rustls::pki_types::pem::PemObject;
+use rustls::pki_types::{CertificateDer, PrivateKeyDer};
+use rustls::server::WebPkiClientVerifier;
+use thiserror::Error;
+
+/// Name for which every instance's certificate is made; instances are told apart by address.
+pub const SERVER_NAME: &str = "samphiregrade";
+
+/// Protocol name that both ends of a link have to offer.
+const PROTOCOL: &[u8] = b"samphiregrade/1";
+
+/// Certificates or keys that can't be used.
+#[derive(Debug, Error)]
+pub enum IdentityError {
+    /// A file can't be read.
+    #[error("{path}: {error}; make keys with `samphiregrade keys` and name them in the settings")]
+    Unreadable {
+        /// The file.
+        path: PathBuf,
+        /// Why.
+        error: io::Error,
+    },
+    /// The content is not a usable certificate or key.
+    #[error("the certificates can't be used: {0}; make new ones with `samphiregrade keys`")]
+    Unusable(String),
+}
+
+fn unusable<Source>(error: Source) -> IdentityError
+where
+    Source: std::fmt::Display,
+{
+    IdentityError::Unusable(error.to_string())
+}
+
+/// Certificate and key of an instance with the authority it trusts, as PEM text.
+#[derive(Clone, Debug)]
+pub struct LinkIdentity {
+    /// Certificate of the authority.
+    pub authority: String,
+    /// Certificate of the instance.
+    pub certificate: String,
+    /// Private key of the instance.
+    pub key: String,
+}
+
+impl LinkIdentity {
+    /// Reads the three files.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`IdentityError::Unreadable`] with the file's path.
+    pub fn read(authority: &Path, certificate: &Path, key: &Path) -> Result<Self, IdentityError> {
+        let read = |path: &Path| {
+            fs::read_to_string(path).map_err(|error| IdentityError::Unreadable {
+                path: path.to_owned(),
+                error,
+            })
+        };
+        Ok(Self {
+            authority: read(authority)?,
+            certificate: read(certificate)?,
+            key: read(key)?,
+        })
+    }
+
+    fn chain(&self) -> Result<Vec<CertificateDer<'static>>, IdentityError> {
+        CertificateDer::pem_slice_iter(self.certificate.as_bytes())
+            .collect::<Result<_, _>>()
+            .map_err(unusable)
+    }
+
+    fn private_key(&self) -> Result<PrivateKeyDer<'static>, IdentityError> {
+        PrivateKeyDer::from_pem_slice(self.key.as_bytes()).map_err(unusable)
+    }
+
+    fn roots(&self) -> Result<Arc<RootCertStore>, IdentityError> {
+        let mut roots = RootCertStore::empty();
+        for certificate in CertificateDer::pem_slice_iter(self.authority.as_bytes()) {
+            roots
+                .add(certificate.map_err(unusable)?)
+                .map_err(unusable)?;
+        }
+        Ok(Arc::new(roots))
+    }
+
+    /// Composes the configuration for accepting links.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`IdentityError::Unusable`] with the library's reason.
+    pub fn server_config(&self) -> Result<QuicServerConfig, IdentityError> {
+        let verifier = WebPkiClientVerifier::builder(self.roots()?)
+            .build()
+            .map_err(unusable)?;
+        let mut config = rustls::ServerConfig::builder()
+            .with_client_cert_verifier(verifier)
+            .with_single_cert(self.chain()?, self.private_key()?)
+            .map_err(unusable)?;
+        config.alpn_protocols = vec![PROTOCOL.to_vec()];
+        QuicServerConfig::try_from(config).map_err(unusable)
+    }
+
+    /// Composes the configuration for opening links.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`IdentityError::Unusable`] with the library's reason.
+    pub fn client_config(&self) -> Result<QuicClientConfig, IdentityError> {
+        let mut config = rustls::ClientConfig::builder()
+            .with_root_certificates(self.roots()?)
+            .with_client_auth_cert(self.chain()?, self.private_key()?)
+            .map_err(unusable)?;
+        config.alpn_protocols = vec![PROTOCOL.to_vec()];
+        QuicClientConfig::try_from(config).map_err(unusable)
+    }
+}
+
+/// Makes an authority; returns its certificate and key as PEM text.
+///
+/// # Errors
+///
+/// Returns [`IdentityError::Unusable`] with the library's reason.
+pub fn make_authority() -> Result<(String, String), IdentityError> {
+    let key = KeyPair::generate().map_err(unusable)?;
+    let mut params = CertificateParams::default();
+    params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+    params
+        .distinguished_name
+        .push(DnType::CommonName, "samphiregrade authority");
+    params.key_usages = vec![KeyUsagePurpose::KeyCertSign];
+    let key_text = key.serialize_pem();
+    let issuer = CertifiedIssuer::self_signed(params, key).map_err(unusable)?;
+    Ok((issuer.pem(), key_text))
+}
+
+/// Makes an instance's identity under an authority.
+///
+/// # Errors
+///
+/// Returns [`IdentityError::Unusable`] with the library's reason.
+pub fn make_identity(
+    authority: &str,
+    authority_key: &str,
+    name: &str,
+) -> Result<LinkIdentity, IdentityError> {
+    let issuer_key = KeyPair::from_pem(authority_key).map_err(unusable)?;
+    let issuer = Issuer::from_ca_cert_pem(authority, issuer_key).map_err(unusable)?;
+    let key = KeyPair::generate().map_err(unusable)?;
+    let names = vec![SERVER_NAME.to_owned()];
+    let mut params = CertificateParams::new(names).map_err(unusable)?;
+    params.distinguished_name.push(DnType::CommonName, name);
+    let certificate = params.signed_by(&key, &issuer).map_err(unusable)?;
+    Ok(LinkIdentity {
+        authority: authority.to_owned(),
+        certificate: certificate.pem(),
+        key: key.serialize_pem(),
+    })
+}
--- /dev/null
+++ b/src/link/message.rs
@@ -0,0 +1,142 @@
+//! Messages between instances.
+
+use std::time::Duration;
+
+use samphiregrade_http::HeaderList;
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use crate::ids::{
+    DomainId, InstanceName, InstanceRef, OrganisationId, ProgramId, RevisionNumber, UpstreamName,
+};
+use crate::record::RecordDelta;
+use crate::shard::{AppendReply, AppendRequest, InstallRequest, VersionedMap};
+
+/// An upstream's own report of its load.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct LoadReport {
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting inside the upstream.
+    pub queued: u32,
+    /// Requests that can run at once.
+    pub slots: u32,
+    /// Tokens the cache can hold.
+    pub cache_tokens: u64,
+    /// Tokens of the cache that are in use.
+    pub used_tokens: u64,
+    /// Tokens held for programs.
+    pub held_tokens: u64,
+    /// Whether the upstream is leaving.
+    pub leaving: bool,
+    /// Models loaded.
+    pub models: Vec<SmolStr>,
+}
+
+/// What an instance tells of an upstream.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct UpstreamDigest {
+    /// The upstream.
+    pub upstream: UpstreamName,
+    /// Instance that tells of its own calls.
+    pub instance: InstanceName,
+    /// Calls that the instance has under way at the upstream.
+    pub in_flight: u32,
+    /// Tokens of the running programs that the instance serves there.
+    pub resident_tokens: u64,
+    /// The last report read, where the instance reads them.
+    pub report: Option<LoadReport>,
+    /// Age of the report.
+    pub age: Duration,
+}
+
+/// What instances tell each other all the time.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ProbeMessage {
+    /// The sender.
+    pub from: InstanceRef,
+    /// Its failure domain.
+    pub domain: DomainId,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Revision of its configuration.
+    pub config_revision: RevisionNumber,
+    /// Revisions of the shard maps it knows.
+    pub map_revisions: Vec<(DomainId, RevisionNumber)>,
+    /// Shard copies it holds.
+    pub copies: u32,
+    /// Shards it is primary of.
+    pub primaries: u32,
+    /// Instances that it has lately heard of, directly or not, with the age of the news.
+    pub heard: Vec<(InstanceRef, Duration)>,
+    /// Loads of upstreams.
+    pub loads: Vec<UpstreamDigest>,
+}
+
+/// A caller's request on its one hop to the primary.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ForwardedRequest {
+    /// HTTP method.
+    pub method: SmolStr,
+    /// Path.
+    pub path: SmolStr,
+    /// Query.
+    pub query: SmolStr,
+    /// Organisation that the first instance has made out.
+    pub organisation: OrganisationId,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+/// Head of the answer to a forwarded request; the body follows in chunks.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ForwardHead {
+    /// HTTP status.
+    pub status: u16,
+    /// Headers.
+    pub headers: HeaderList,
+    /// Whether the body comes in chunks over time.
+    pub streamed: bool,
+}
+
+/// A request to another instance.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum PeerRequest {
+    /// Exchange of news; the answer is [`PeerReply::Probe`].
+    Probe(ProbeMessage),
+    /// Entries for a copy of a shard.
+    Append(AppendRequest),
+    /// A whole copy of a shard.
+    Install(InstallRequest),
+    /// A newer shard map.
+    MapUpdate(VersionedMap),
+    /// Asks for the shard map of a failure domain.
+    MapRead(DomainId),
+    /// Asks for the records changed after a revision.
+    RecordsRead(RevisionNumber),
+    /// Records that the sender has just learned of.
+    RecordsUpdate(RecordDelta),
+    /// An engine lists a hold for a program whose primary the receiver is.
+    AuditHold(ProgramId, UpstreamName),
+    /// A caller's request.
+    Forward(ForwardedRequest),
+}
+
+/// The answer of another instance.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum PeerReply {
+    /// News.
+    Probe(ProbeMessage),
+    /// What became of the entries.
+    Append(AppendReply),
+    /// What became of the copy.
+    Install(AppendReply),
+    /// A shard map, where one is known.
+    Map(Option<VersionedMap>),
+    /// Records.
+    Records(RecordDelta),
+    /// Head of the answer to a forwarded request.
+    Forward(ForwardHead),
+    /// Nothing to tell.
+    Done,
+}
--- /dev/null
+++ b/src/link/mod.rs
@@ -0,0 +1,11 @@
+//! Links between instances: typed messages over QUIC with mutual TLS.
+
+mod identity;
+mod message;
+mod network;
+
+pub use identity::{IdentityError, LinkIdentity, make_authority, make_identity};
+pub use message::{
+    ForwardHead, ForwardedRequest, LoadReport, PeerReply, PeerRequest, ProbeMessage, UpstreamDigest,
+};
+pub use network::{LinkCounters, LinkError, LinkNetwork, PeerAnswer, PeerHandler, ReplyStream};
--- /dev/null
+++ b/src/membership/prober.rs
@@ -0,0 +1,127 @@
+//! The task that reads the instance list and probes other instances.
+//!
+//! The work of one instance does not grow with the fleet: it probes the instances that share shards
+//! with it, and a few others in turn.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use futures_util::future::BoxFuture;
+use rand::seq::SliceRandom;
+use tokio_util::sync::CancellationToken;
+
+use super::table::{PeerRecord, PeerTable};
+use crate::ids::InstanceRef;
+use crate::link::{LinkNetwork, PeerReply, PeerRequest, ProbeMessage};
+use crate::platform::InstanceList;
+
+/// How instances look after each other.
+#[derive(Clone, Debug)]
+pub struct MembershipSettings {
+    /// Time between two probes of the same instance.
+    pub probe_interval: Duration,
+    /// Silence after which an instance is suspected.
+    pub suspect_after: Duration,
+    /// Time between two readings of the instance list.
+    pub list_interval: Duration,
+    /// Instances probed in one interval besides those that share shards.
+    pub others: usize,
+    /// Most instances probed in one interval.
+    pub most: usize,
+}
+
+impl Default for MembershipSettings {
+    fn default() -> Self {
+        Self {
+            probe_interval: Duration::from_millis(250),
+            suspect_after: Duration::from_millis(1200),
+            list_interval: Duration::from_secs(2),
+            others: 2,
+            most: 12,
+        }
+    }
+}
+
+/// What a probe tells and what is done with the answer.
+pub trait ProbeSource: Send + Sync + 'static {
+    /// Composes the news for a probe; `gossip` asks for the parts that go to few.
+    fn compose(&self, gossip: bool) -> ProbeMessage;
+
+    /// Returns the instances that share shards with this one.
+    fn partners(&self) -> Vec<InstanceRef>;
+
+    /// Takes the news of another instance.
+    fn take(&self, probe: ProbeMessage) -> BoxFuture<'_, ()>;
+}
+
+/// Reads the list and probes until the token is cancelled.
+pub async fn run_membership(
+    table: Arc<PeerTable>,
+    list: InstanceList,
+    network: LinkNetwork,
+    source: Arc<dyn ProbeSource>,
+    settings: MembershipSettings,
+    stop: CancellationToken,
+) {
+    let mut ticks = tokio::time::interval(settings.probe_interval);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut list_due = Instant::now();
+    loop {
+        tokio::select! {
+            _ = ticks.tick() => {}
+            () = stop.cancelled() => return,
+        }
+        if Instant::now() >= list_due {
+            list_due = Instant::now() + settings.list_interval;
+            let list = list.clone();
+            let table = table.clone();
+            tokio::spawn(async move { read_list(&list, &table).await });
+        }
+        for (position, peer) in choose_peers(&table, &source.partners(), &settings)
+            .into_iter()
+            .enumerate()
+        {
+            let probe = source.compose(position == 0);
+            let source = source.clone();
+            let table = table.clone();
+            let network = network.clone();
+            let timeout = settings.suspect_after / 2;
+            tokio::spawn(async move {
+                let request = PeerRequest::Probe(probe);
+                let reply = network.call(peer.address, &request, timeout).await;
+                if let Ok(PeerReply::Probe(probe)) = reply {
+                    table.merge_probe(&probe, Instant::now());
+                    source.take(probe).await;
+                }
+            });
+        }
+    }
+}
+
+async fn read_list(list: &InstanceList, table: &PeerTable) {
+    match list.read().await {
+        Ok(listed) => table.merge_list(&listed, Instant::now()),
+        Err(error) => log::debug!("instance list not read error={error}"),
+    }
+}
+
+/// Chooses whom to probe: some others first, so that the first one gets the gossip.
+fn choose_peers(
+    table: &PeerTable,
+    partners: &[InstanceRef],
+    settings: &MembershipSettings,
+) -> Vec<PeerRecord> {
+    let view = table.view();
+    let shares = |record: &PeerRecord| partners.iter().any(|one| one.name == record.instance.name);
+    let (mut partners, mut others): (Vec<_>, Vec<_>) = view.peers().cloned().partition(shares);
+    let mut rng = rand::rng();
+    partners.shuffle(&mut rng);
+    others.shuffle(&mut rng);
+    let mut chosen: Vec<PeerRecord> = others.into_iter().take(settings.others).collect();
+    chosen.extend(partners);
+    chosen.truncate(settings.most);
+    if chosen.len() > 1 && rand::random_bool(0.5) {
+        chosen.swap(0, 1);
+    }
+    chosen
+}
--- /dev/null
+++ b/src/program/book.rs
@@ -0,0 +1,353 @@
+//! The book of a shard: every program it holds, built up by log entries.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::SystemTime;
+
+use serde::{Deserialize, Serialize};
+use smol_str::SmolStr;
+
+use super::budget::BudgetAccount;
+use super::entry::{
+    BodyDigest, CallIntent, CallResult, EndReason, LogEntry, ProgramBegin, ProgramEnd,
+};
+use super::outcome::CallOutcome;
+use crate::contract::{CallSpec, ChatMessage};
+use crate::ids::{
+    ClassName, OrganisationId, ProgramId, SequenceNumber, ShardEpoch, TokenCount, UpstreamName,
+};
+
+/// How far a call has come.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum CallPhase {
+    /// It may have been dispatched; its outcome is not known.
+    Intended {
+        /// Tokens reserved.
+        reserved: TokenCount,
+        /// Epoch in which it was accepted.
+        epoch: ShardEpoch,
+        /// When it was accepted.
+        accepted: SystemTime,
+    },
+    /// It has its outcome.
+    Finished(CallOutcome),
+}
+
+/// One call of a program.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct CallRecord {
+    /// Digest of the body.
+    pub digest: BodyDigest,
+    /// What was asked for.
+    pub spec: CallSpec,
+    /// How far it has come.
+    pub phase: CallPhase,
+}
+
+/// Whether a program still takes calls.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub enum ProgramStatus {
+    /// It does.
+    Running,
+    /// It has ended.
+    Ended {
+        /// Why.
+        reason: EndReason,
+        /// When.
+        at: SystemTime,
+    },
+}
+
+/// One program.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ProgramRecord {
+    /// How it began.
+    pub begin: ProgramBegin,
+    /// Its tokens.
+    pub account: BudgetAccount,
+    /// Its calls in order.
+    pub calls: Vec<CallRecord>,
+    /// Engines that may keep its prefix.
+    pub holds: BTreeSet<UpstreamName>,
+    /// Whether it still takes calls.
+    pub status: ProgramStatus,
+    /// Sub-agents that draw on it.
+    pub children: Vec<ProgramId>,
+    /// When the last call finished.
+    pub last_finished: SystemTime,
+    /// How often the last call's body came in a row.
+    pub repeats: u16,
+}
+
+impl ProgramRecord {
+    /// Returns a call by its number.
+    #[must_use]
+    pub fn call(&self, sequence: SequenceNumber) -> Option<&CallRecord> {
+        let index = usize::try_from(sequence).ok()?.checked_sub(1)?;
+        self.calls.get(index)
+    }
+
+    /// Returns the number that the next new call has to have.
+    #[must_use]
+    pub fn next_sequence(&self) -> SequenceNumber {
+        SequenceNumber::try_from(self.calls.len())
+            .unwrap_or(SequenceNumber::MAX)
+            .saturating_add(1)
+    }
+
+    /// Returns whether a call waits for its outcome.
+    #[must_use]
+    pub fn is_busy(&self) -> bool {
+        self.calls
+            .last()
+            .is_some_and(|call| matches!(call.phase, CallPhase::Intended { .. }))
+    }
+
+    /// Returns whether the program takes calls.
+    #[must_use]
+    pub fn is_running(&self) -> bool {
+        self.status == ProgramStatus::Running
+    }
+
+    /// Returns the conversation up to the calls before `sequence`.
+    #[must_use]
+    pub fn history_before(&self, sequence: SequenceNumber) -> Vec<ChatMessage> {
+        let earlier = usize::try_from(sequence)
+            .unwrap_or(usize::MAX)
+            .saturating_sub(1);
+        let mut messages = Vec::new();
+        for call in self.calls.iter().take(earlier) {
+            let CallSpec::Model(spec) = &call.spec else {
+                continue;
+            };
+            let CallPhase::Finished(CallOutcome::Answer { text, .. }) = &call.phase else {
+                continue;
+            };
+            messages.extend(spec.messages.iter().cloned());
+            messages.push(ChatMessage {
+                role: "assistant".into(),
+                content: text.clone(),
+            });
+        }
+        messages
+    }
+
+    /// Returns the calls that have their outcome.
+    #[must_use]
+    pub fn finished_calls(&self) -> SequenceNumber {
+        let finished = self
+            .calls
+            .iter()
+            .filter(|call| matches!(call.phase, CallPhase::Finished(_)));
+        SequenceNumber::try_from(finished.count()).unwrap_or(SequenceNumber::MAX)
+    }
+}
+
+/// All programs of a shard.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct ShardBook {
+    programs: HashMap<ProgramId, ProgramRecord>,
+    organisations: BTreeMap<OrganisationId, TokenCount>,
+    classes: BTreeMap<ClassName, TokenCount>,
+}
+
+impl ShardBook {
+    /// Returns a program.
+    #[must_use]
+    pub fn program(&self, program: &str) -> Option<&ProgramRecord> {
+        self.programs.get(program)
+    }
+
+    /// Returns all programs, in no order.
+    pub fn programs(&self) -> impl Iterator<Item = (&ProgramId, &ProgramRecord)> {
+        self.programs.iter()
+    }
+
+    /// Returns the number of programs.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.programs.len()
+    }
+
+    /// Returns whether the shard holds no program.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.programs.is_empty()
+    }
+
+    /// Returns the tokens that an organisation has spent or reserved in this shard.
+    #[must_use]
+    pub fn organisation_used(&self, organisation: &str) -> TokenCount {
+        self.organisations.get(organisation).copied().unwrap_or(0)
+    }
+
+    /// Returns the tokens that a class has spent or reserved in this shard.
+    #[must_use]
+    pub fn class_used(&self, class: &str) -> TokenCount {
+        self.classes.get(class).copied().unwrap_or(0)
+    }
+
+    /// Applies an entry; one that fits nothing changes nothing.
+    pub fn apply(&mut self, entry: &LogEntry) {
+        match entry {
+            LogEntry::Begin(begin) => self.apply_begin(begin),
+            LogEntry::Intent(intent) => self.apply_intent(intent),
+            LogEntry::Result(result) => self.apply_result(result),
+            LogEntry::Hold(hold) => {
+                if let Some(program) = self.programs.get_mut(&hold.program) {
+                    program.holds.insert(hold.upstream.clone());
+                }
+            }
+            LogEntry::Release(hold) => {
+                if let Some(program) = self.programs.get_mut(&hold.program) {
+                    program.holds.remove(&hold.upstream);
+                }
+            }
+            LogEntry::End(end) => self.apply_end(end),
+            LogEntry::Forget(program) => {
+                self.programs.remove(program);
+            }
+        }
+    }
+
+    fn apply_begin(&mut self, begin: &ProgramBegin) {
+        if self.programs.contains_key(&begin.program) {
+            return;
+        }
+        if let Some(parent) = &begin.parent
+            && let Some(parent) = self.programs.get_mut(parent)
+        {
+            // The decision has checked that it fits.
+            let _ = parent.account.reserve(begin.limits.tokens);
+            parent.children.push(begin.program.clone());
+        }
+        let record = ProgramRecord {
+            begin: begin.clone(),
+            account: BudgetAccount::new(begin.limits.tokens),
+            calls: Vec::new(),
+            holds: BTreeSet::new(),
+            status: ProgramStatus::Running,
+            children: Vec::new(),
+            last_finished: begin.began,
+            repeats: 0,
+        };
+        self.programs.insert(begin.program.clone(), record);
+    }
+
+    fn apply_intent(&mut self, intent: &CallIntent) {
+        let Some(program) = self.programs.get_mut(&intent.program) else {
+            return;
+        };
+        if intent.sequence != program.next_sequence() {
+            return;
+        }
+        let same = program
+            .calls
+            .last()
+            .is_some_and(|call| call.digest == intent.digest);
+        program.repeats = if same {
+            program.repeats.saturating_add(1)
+        } else {
+            1
+        };
+        // The decision has checked that it fits.
+        let _ = program.account.reserve(intent.reserved);
+        let phase = CallPhase::Intended {
+            reserved: intent.reserved,
+            epoch: intent.epoch,
+            accepted: intent.accepted,
+        };
+        program.calls.push(CallRecord {
+            digest: intent.digest,
+            spec: intent.spec.clone(),
+            phase,
+        });
+        let organisation = program.begin.organisation.clone();
+        let class = program.begin.class.clone();
+        *self.organisations.entry(organisation).or_default() += intent.reserved;
+        *self.classes.entry(class).or_default() += intent.reserved;
+    }
+
+    fn apply_result(&mut self, result: &CallResult) {
+        let Some(program) = self.programs.get_mut(&result.program) else {
+            return;
+        };
+        let index = usize::try_from(result.sequence)
+            .unwrap_or(0)
+            .wrapping_sub(1);
+        let Some(call) = program.calls.get_mut(index) else {
+            return;
+        };
+        let CallPhase::Intended { reserved, .. } = call.phase else {
+            return;
+        };
+        call.phase = CallPhase::Finished(result.outcome.clone());
+        program.account.settle(reserved, result.used);
+        program.last_finished = result.finished;
+        let unused = reserved - result.used.min(reserved);
+        let organisation = program.begin.organisation.clone();
+        let class = program.begin.class.clone();
+        give_back(self.organisations.get_mut(&organisation), unused);
+        give_back(self.classes.get_mut(&class), unused);
+    }
+
+    fn apply_end(&mut self, end: &ProgramEnd) {
+        let Some(program) = self.programs.get_mut(&end.program) else {
+            return;
+        };
+        if !program.is_running() {
+            return;
+        }
+        program.status = ProgramStatus::Ended {
+            reason: end.reason,
+            at: end.ended,
+        };
+        let (limit, used) = (program.account.limit, program.account.used());
+        let Some(parent) = program.begin.parent.clone() else {
+            return;
+        };
+        if let Some(parent) = self.programs.get_mut(&parent) {
+            parent.account.settle(limit, used);
+        }
+    }
+
+    /// Returns the state of the book in numbers, for dumps.
+    #[must_use]
+    pub fn summary(&self) -> BookSummary {
+        let running = self
+            .programs
+            .values()
+            .filter(|program| program.is_running())
+            .count();
+        let holds = self
+            .programs
+            .values()
+            .map(|program| program.holds.len())
+            .sum();
+        BookSummary {
+            programs: self.programs.len(),
+            running,
+            holds,
+            organisations: self.organisations.clone(),
+        }
+    }
+}
+
+fn give_back(account: Option<&mut TokenCount>, tokens: TokenCount) {
+    if let Some(used) = account {
+        *used = used.saturating_sub(tokens);
+    }
+}
+
+/// State of a book in numbers.
+#[derive(Clone, Debug, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct BookSummary {
+    /// Programs remembered.
+    pub programs: usize,
+    /// Programs running.
+    pub running: usize,
+    /// Engine holds not given back.
+    pub holds: usize,
+    /// Tokens spent or reserved by each organisation.
+    pub organisations: BTreeMap<SmolStr, TokenCount>,
+}
--- /dev/null
+++ b/src/program/budget.rs
@@ -0,0 +1,148 @@
+//! Budgets: what a program may use, what is reserved and what is spent.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+
+use crate::ids::{SequenceNumber, TokenCount};
+
+/// What a program may use.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
+pub struct ProgramLimits {
+    /// Tokens, generated and newly sent.
+    pub tokens: TokenCount,
+    /// Calls.
+    pub calls: SequenceNumber,
+    /// Time from begin to end, in seconds in records.
+    #[serde(with = "seconds")]
+    pub wall_time: Duration,
+    /// Depth of sub-agents below the program.
+    pub depth: u8,
+    /// Times that the same call may come in a row.
+    pub repeats: u16,
+}
+
+impl Default for ProgramLimits {
+    fn default() -> Self {
+        Self {
+            tokens: 100_000,
+            calls: 400,
+            wall_time: Duration::from_secs(3600),
+            depth: 3,
+            repeats: 5,
+        }
+    }
+}
+
+/// A duration as a whole number of seconds.
+mod seconds {
+    use std::time::Duration;
+
+    use serde::{Deserialize, Deserializer, Serializer};
+
+    pub fn serialize<Target>(time: &Duration, target: Target) -> Result<Target::Ok, Target::Error>
+    where
+        Target: Serializer,
+    {
+        target.serialize_u64(time.as_secs())
+    }
+
+    pub fn deserialize<'de, Source>(source: Source) -> Result<Duration, Source::Error>
+    where
+        Source: Deserializer<'de>,
+    {
+        u64::deserialize(source).map(Duration::from_secs)
+    }
+}
+
+/// A reservation that goes beyond what is left.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+#[error("{asked} tokens asked for, {left} left; end the program or raise its budget")]
+pub struct BudgetExceeded {
+    /// Tokens asked for.
+    pub asked: TokenCount,
+    /// Tokens left.
+    pub left: TokenCount,
+}
+
+/// Tokens allowed, reserved and spent; `reserved + spent` never exceeds `limit`.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct BudgetAccount {
+    /// Tokens allowed.
+    pub limit: TokenCount,
+    /// Tokens reserved for what is under way.
+    pub reserved: TokenCount,
+    /// Tokens spent.
+    pub spent: TokenCount,
+}
+
+impl BudgetAccount {
+    /// Opens an account.
+    #[must_use]
+    pub fn new(limit: TokenCount) -> Self {
+        Self {
+            limit,
+            ..Self::default()
+        }
+    }
+
+    /// Returns the tokens that can still be reserved.
+    #[must_use]
+    pub fn left(&self) -> TokenCount {
+        self.limit.saturating_sub(self.used())
+    }
+
+    /// Returns the tokens spent or reserved.
+    #[must_use]
+    pub fn used(&self) -> TokenCount {
+        self.reserved.saturating_add(self.spent)
+    }
+
+    /// Reserves tokens.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`BudgetExceeded`] where fewer are left; nothing is reserved then.
+    pub fn reserve(&mut self, asked: TokenCount) -> Result<(), BudgetExceeded> {
+        let left = self.left();
+        if asked > left {
+            return Err(BudgetExceeded { asked, left });
+        }
+        self.reserved += asked;
+        Ok(())
+    }
+
+    /// Ends a reservation; what was used of it counts as spent, at most the reservation.
+    pub fn settle(&mut self, reserved: TokenCount, used: TokenCount) {
+        self.reserved = self.reserved.saturating_sub(reserved);
+        self.spent = self.spent.saturating_add(used.min(reserved));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use quickcheck::quickcheck;
+
+    use super::*;
+
+    quickcheck! {
+        fn account_is_never_overdrawn(limit: u32, steps: Vec<(u16, u16)>) -> bool {
+            let mut account = BudgetAccount::new(limit.into());
+            let mut open = Vec::new();
+            for (asked, used) in steps {
+                if account.reserve(asked.into()).is_ok() {
+                    open.push((TokenCount::from(asked), TokenCount::from(used)));
+                }
+                if used % 2 == 0 && let Some((reserved, used)) = open.pop() {
+                    account.settle(reserved, used);
+                }
+                if account.used() > account.limit {
+                    return false;
+                }
+            }
+            true
+        }
+    }
+}
--- /dev/null
+++ b/src/record/mod.rs
@@ -0,0 +1,16 @@
+//! Operators' records: their kinds and schema versions, and the configuration they add up to.
+
+mod schema;
+mod store;
+mod view;
+
+pub use schema::{
+    CURRENT_SCHEMA, DomainSpec, DomainState, ModelSpec, OrganisationSpec, PolicyName, PolicySpec,
+    ProgramClassSpec, RecordEnvelope, RecordError, RecordKind, RecordSpec, UpstreamKind,
+    UpstreamSpec, token_hash,
+};
+pub use store::{RecordChange, RecordDelta, RecordStore, StoredRecord, record_diff, record_key};
+pub use view::{ConfigView, RecordProblem};
+
+/// Prefix of the platform's keys that hold records.
+pub const RECORD_PREFIX: &str = "samphiregrade/records/";
--- /dev/null
+++ b/src/record/schema.rs
@@ -0,0 +1,503 @@
+//! The kinds of record and their schema versions 1 and 2.
+//!
+//! Every version is read into the current type; what version 1 could not say gets its default.
+
+use std::fmt;
+use std::str::FromStr;
+use std::time::Duration;
+
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use smol_str::{SmolStr, ToSmolStr};
+use thiserror::Error;
+
+use crate::ids::{DomainId, ModelName, TokenCount};
+use crate::program::ProgramLimits;
+
+/// Newest schema version that this release reads and writes.
+pub const CURRENT_SCHEMA: u32 = 2;
+
+/// Calls that an upstream without a limit of its own gets at once.
+const DEFAULT_CONCURRENCY: u32 = 64;
+
+/// What a record is about.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum RecordKind {
+    /// A class of programs that may run.
+    ProgramClass,
+    /// A model and its version.
+    Model,
+    /// An engine, plain service or tool service.
+    Upstream,
+    /// An organisation and its tokens.
+    Organisation,
+    /// How work is scheduled.
+    Policy,
+    /// A failure domain.
+    FailureDomain,
+}
+
+impl RecordKind {
+    /// Every kind.
+    pub const ALL: [Self; 6] = [
+        Self::ProgramClass,
+        Self::Model,
+        Self::Upstream,
+        Self::Organisation,
+        Self::Policy,
+        Self::FailureDomain,
+    ];
+
+    /// Name of the kind in keys and on the command line.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::ProgramClass => "program-class",
+            Self::Model => "model",
+            Self::Upstream => "upstream",
+            Self::Organisation => "organisation",
+            Self::Policy => "policy",
+            Self::FailureDomain => "failure-domain",
+        }
+    }
+}
+
+impl fmt::Display for RecordKind {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str(self.name())
+    }
+}
+
+impl FromStr for RecordKind {
+    type Err = RecordError;
+
+    fn from_str(text: &str) -> Result<Self, RecordError> {
+        Self::ALL
+            .into_iter()
+            .find(|kind| kind.name() == text)
+            .ok_or_else(|| RecordError::UnknownKind(text.into()))
+    }
+}
+
+/// A record that can't be used.
+#[derive(Clone, Debug, Error, PartialEq)]
+pub enum RecordError {
+    /// The kind is unknown.
+    #[error(
+        "there is no record kind `{0}`; use program-class, model, upstream, organisation, policy \
+         or failure-domain"
+    )]
+    UnknownKind(SmolStr),
+    /// The schema version is newer than this release knows.
+    #[error(
+        "schema version {0} is not known here (1 to {CURRENT_SCHEMA} are); upgrade the instances \
+         first, or write the record in schema {CURRENT_SCHEMA}"
+    )]
+    UnknownSchema(u32),
+    /// The record is not JSON of the expected shape.
+    #[error("the record is not valid: {0}; correct the named field")]
+    Invalid(SmolStr),
+    /// A value is out of its range.
+    #[error("field `{field}`: {problem}")]
+    BadField {
+        /// Name of the field.
+        field: &'static str,
+        /// What is wrong and what would be right.
+        problem: SmolStr,
+    },
+}
+
+/// A record as it is stored.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct RecordEnvelope {
+    /// Schema version of `spec`.
+    pub schema: u32,
+    /// What the record is about.
+    pub kind: RecordKind,
+    /// Name within the kind.
+    pub name: SmolStr,
+    /// The content, by schema version.
+    pub spec: Value,
+}
+
+/// The content of a record in its current form.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RecordSpec {
+    /// A class of programs that may run.
+    ProgramClass(ProgramClassSpec),
+    /// A model and its version.
+    Model(ModelSpec),
+    /// An engine, plain service or tool service.
+    Upstream(UpstreamSpec),
+    /// An organisation and its tokens.
+    Organisation(OrganisationSpec),
+    /// How work is scheduled.
+    Policy(PolicySpec),
+    /// A failure domain.
+    FailureDomain(DomainSpec),
+}
+
+impl RecordEnvelope {
+    /// Parses a stored record.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`RecordError::Invalid`] for text that is not an envelope.
+    pub fn parse(text: &str) -> Result<Self, RecordError> {
+        serde_json::from_str(text).map_err(|error| RecordError::Invalid(error.to_smolstr()))
+    }
+
+    /// Reads the content by its schema version and checks it.
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong with the first wrong field, or [`RecordError::UnknownSchema`].
+    pub fn read(&self) -> Result<RecordSpec, RecordError> {
+        if self.name.is_empty() || self.name.contains('/') {
+            let problem = "has to be non-empty and without `/`".into();
+            return Err(RecordError::BadField {
+                field: "name",
+                problem,
+            });
+        }
+        let old = match self.schema {
+            1 => true,
+            2 => false,
+            newer => return Err(RecordError::UnknownSchema(newer)),
+        };
+        let spec = match self.kind {
+            RecordKind::ProgramClass => RecordSpec::ProgramClass(if old {
+                self.content::<ProgramClassOld>()?.into()
+            } else {
+                self.content()?
+            }),
+            RecordKind::Model => RecordSpec::Model(self.content()?),
+            RecordKind::Upstream => RecordSpec::Upstream(if old {
+                self.content::<UpstreamOld>()?.into()
+            } else {
+                self.content()?
+            }),
+            RecordKind::Organisation => RecordSpec::Organisation(if old {
+                self.content::<OrganisationOld>()?.into()
+            } else {
+                self.content()?
+            }),
+            RecordKind::Policy => RecordSpec::Policy(self.content()?),
+            RecordKind::FailureDomain => RecordSpec::FailureDomain(self.content()?),
+        };
+        spec.check()?;
+        Ok(spec)
+    }
+
+    fn content<Spec>(&self) -> Result<Spec, RecordError>
+    where
+        Spec: DeserializeOwned,
+    {
+        serde_json::from_value(self.spec.clone())
+            .map_err(|error| RecordError::Invalid(error.to_smolstr()))
+    }
+}
+
+impl RecordSpec {
+    fn check(&self) -> Result<(), RecordError> {
+        let wrong = |field, problem: &str| {
+            let problem = problem.into();
+            Err(RecordError::BadField { field, problem })
+        };
+        match self {
+            Self::ProgramClass(class) if class.priority > 9 => {
+                wrong("priority", "has to be from 0 (first) to 9")
+            }
+            Self::ProgramClass(class) if class.limits.tokens == 0 => {
+                wrong("limits.tokens", "has to be at least 1")
+            }
+            Self::Upstream(upstream) if !upstream.address.starts_with("http://") => {
+                wrong("address", "has to be a URL such as http://10.0.0.7:8000")
+            }
+            Self::Upstream(upstream)
+                if upstream.kind == UpstreamKind::Service && upstream.service.is_empty() =>
+            {
+                wrong(
+                    "service",
+                    "has to name the service for an upstream of kind `service`",
+                )
+            }
+            Self::Upstream(upstream)
+                if upstream.kind == UpstreamKind::Engine && upstream.models.is_empty() =>
+            {
+                wrong(
+                    "models",
+                    "has to name at least one model for an upstream of kind `engine`",
+                )
+            }
+            Self::Organisation(organisation)
+                if organisation
+                    .token_hashes
+                    .iter()
+                    .any(|hash| hash.len() != 64) =>
+            {
+                wrong(
+                    "token-hashes",
+                    "has to hold BLAKE3 hashes of 64 hexadecimal digits",
+                )
+            }
+            _ => Ok(()),
+        }
+    }
+}
+
+/// A class of programs that may run.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct ProgramClassSpec {
+    /// Model that serves the class.
+    pub model: ModelName,
+    /// From 0, which runs first, to 9.
+    #[serde(default = "default_priority")]
+    pub priority: u8,
+    /// What one program may use.
+    #[serde(default)]
+    pub limits: ProgramLimits,
+    /// Tokens that all programs of the class may use together, over all failure domains.
+    #[serde(default)]
+    pub class_tokens: Option<TokenCount>,
+    /// Weight of program latency against wasted cache, from 0 to 1.
+    #[serde(default = "default_weight")]
+    pub latency_weight: f64,
+}
+
+fn default_priority() -> u8 {
+    5
+}
+
+fn default_weight() -> f64 {
+    0.5
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+struct ProgramClassOld {
+    model: ModelName,
+    priority: u8,
+    tokens: TokenCount,
+}
+
+impl From<ProgramClassOld> for ProgramClassSpec {
+    fn from(old: ProgramClassOld) -> Self {
+        Self {
+            model: old.model,
+            priority: old.priority,
+            limits: ProgramLimits {
+                tokens: old.tokens,
+                ..ProgramLimits::default()
+            },
+            class_tokens: None,
+            latency_weight: default_weight(),
+        }
+    }
+}
+
+/// A model and its version.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
+pub struct ModelSpec {
+    /// Version that engines are to serve.
+    pub version: SmolStr,
+    /// Engines of each failure domain that are to have it loaded.
+    pub replicas: u32,
+}
+
+/// What an upstream is.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum UpstreamKind {
+    /// A model engine.
+    #[default]
+    Engine,
+    /// A tool service or plain service.
+    Service,
+}
+
+/// An engine, plain service or tool service.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+pub struct UpstreamSpec {
+    /// What it is.
+    #[serde(default)]
+    pub kind: UpstreamKind,
+    /// Base URL.
+    pub address: SmolStr,
+    /// Failure domain it stands in.
+    pub failure_domain: DomainId,
+    /// Models that an engine serves.
+    #[serde(default)]
+    pub models: Vec<ModelName>,
+    /// Service that it belongs to.
+    #[serde(default)]
+    pub service: SmolStr,
+    /// Whether it refuses old fencing numbers.
+    #[serde(default)]
+    pub checks_fencing: bool,
+    /// Whether it tells the outcome of an earlier call.
+    #[serde(default)]
+    pub tells_outcome: bool,
+    /// Whether it is leaving and gets no new work.
+    #[serde(default)]
+    pub leaving: bool,
+    /// Calls that it takes at once.
+    #[serde(default = "default_concurrency")]
+    pub concurrency: u32,
+    /// Longest time one of its calls may take, in seconds.
+    #[serde(default = "default_timeout")]
+    pub timeout_seconds: u32,
+}
+
+fn default_concurrency() -> u32 {
+    DEFAULT_CONCURRENCY
+}
+
+fn default_timeout() -> u32 {
+    60
+}
+
+impl UpstreamSpec {
+    /// Returns the longest time one of its calls may take.
+    #[must_use]
+    pub fn timeout(&self) -> Duration {
+        Duration::from_secs(self.timeout_seconds.into())
+    }
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+struct UpstreamOld {
+    address: SmolStr,
+    failure_domain: DomainId,
+    models: Vec<ModelName>,
+}
+
+impl From<UpstreamOld> for UpstreamSpec {
+    fn from(old: UpstreamOld) -> Self {
+        Self {
+            kind: UpstreamKind::Engine,
+            address: old.address,
+            failure_domain: old.failure_domain,
+            models: old.models,
+            service: SmolStr::default(),
+            checks_fencing: false,
+            tells_outcome: false,
+            leaving: false,
+            concurrency: DEFAULT_CONCURRENCY,
+            timeout_seconds: default_timeout(),
+        }
+    }
+}
+
+/// An organisation and its tokens.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
+pub struct OrganisationSpec {
+    /// Hashes of the access tokens of its callers.
+    pub token_hashes: Vec<SmolStr>,
+    /// Whether its tokens open the operators' addresses too.
+    pub operator: bool,
+    /// Tokens that its programs may use together, over all failure domains.
+    pub tokens: Option<TokenCount>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields, rename_all = "kebab-case")]
+struct OrganisationOld {
+    token_hash: SmolStr,
+}
+
+impl From<OrganisationOld> for OrganisationSpec {
+    fn from(old: OrganisationOld) -> Self {
+        Self {
+            token_hashes: vec![old.token_hash],
+            ..Self::default()
+        }
+    }
+}
+
+/// Hash under which an access token is kept in records.
+#[must_use]
+pub fn token_hash(token: &str) -> SmolStr {
+    blake3::hash(token.as_bytes()).to_hex().as_str().into()
+}
+
+/// The ways of scheduling to choose from.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PolicyName {
+    /// By program, cached prefix and load.
+    #[default]
+    Default,
+    /// The next engine in turn, first come first served.
+    RoundRobin,
+    /// The engine with the least load, first come first served.
+    LeastLoaded,
+    /// Always the same engine for a program, first come first served.
+    Sticky,
+}
+
+impl FromStr for PolicyName {
+    type Err = RecordError;
+
+    fn from_str(text: &str) -> Result<Self, RecordError> {
+        serde_json::from_value(Value::from(text)).map_err(|_| RecordError::BadField {
+            field: "policy",
+            problem: "has to be default, round-robin, least-loaded or sticky".into(),
+        })
+    }
+}
+
+/// How work is scheduled; each mechanism can be switched off for a comparison.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
+pub struct PolicySpec {
+    /// The way of scheduling.
+    pub policy: PolicyName,
+    /// Order waiting calls by priority and program instead of arrival.
+    pub program_order: bool,
+    /// Prefer engines that have a program's prefix cached.
+    pub cache_placement: bool,
+    /// Keep prefixes over tool pauses.
+    pub retention: bool,
+    /// Keep calls waiting here while every engine is full.
+    pub admission: bool,
+}
+
+impl Default for PolicySpec {
+    fn default() -> Self {
+        Self {
+            policy: PolicyName::Default,
+            program_order: true,
+            cache_placement: true,
+            retention: true,
+            admission: true,
+        }
+    }
+}
+
+/// Whether a failure domain still exists.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum DomainState {
+    /// It does; when it can't be reached it may still be serving.
+    #[default]
+    Live,
+    /// Every instance in it is known to have stopped for good.
+    Lost,
+}
+
+/// A failure domain.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
+pub struct DomainSpec {
+    /// Whether it still exists.
+    pub state: DomainState,
+}
--- /dev/null
+++ b/src/shard/command.rs
@@ -0,0 +1,128 @@
+//! Commands to the task that owns a copy of a shard.
+
+use std::sync::Arc;
+
+use smol_str::SmolStr;
+use tokio::sync::oneshot;
+
+use super::copy::{AppendReply, AppendRequest, InstallRequest};
+use super::stream::StreamBuffer;
+use crate::contract::{BeginReply, CallSpec, HistoryReply, ProgramReply, Refusal};
+use crate::ids::{OrganisationId, ProgramId, SequenceNumber, ShardEpoch, TokenCount, UpstreamName};
+use crate::program::{BodyDigest, BookSummary, CallOutcome, ProgramBegin};
+
+/// The answer to a call.
+#[derive(Clone, Debug)]
+pub enum CallReply {
+    /// The final outcome.
+    Outcome(CallOutcome),
+    /// The answer is coming.
+    Stream(Arc<StreamBuffer>),
+    /// Refused, without a stored outcome.
+    Refused(Refusal),
+    /// This copy is not the primary's any more; find the primary again.
+    Moved,
+}
+
+/// A call from a caller.
+#[derive(Debug)]
+pub struct CallCommand {
+    /// The program.
+    pub program: ProgramId,
+    /// Number of the call.
+    pub sequence: SequenceNumber,
+    /// Digest of the body.
+    pub digest: BodyDigest,
+    /// What is asked for.
+    pub spec: CallSpec,
+    /// Organisation of the caller's token.
+    pub organisation: OrganisationId,
+    /// Whether the caller wants the text as it comes.
+    pub stream: bool,
+    /// Where the answer goes.
+    pub reply: oneshot::Sender<CallReply>,
+}
+
+/// What became of a dispatch.
+#[derive(Clone, Debug)]
+pub struct DispatchDone {
+    /// The program.
+    pub program: ProgramId,
+    /// Number of the call.
+    pub sequence: SequenceNumber,
+    /// Epoch in which it was dispatched.
+    pub epoch: ShardEpoch,
+    /// The outcome.
+    pub outcome: CallOutcome,
+    /// Tokens used.
+    pub used: TokenCount,
+    /// Engine that served it and may keep the prefix now.
+    pub hold: Option<UpstreamName>,
+}
+
+/// A question about a program that changes nothing.
+#[derive(Debug)]
+pub enum InspectQuestion {
+    /// The program's state.
+    Program(oneshot::Sender<Result<ProgramReply, Refusal>>),
+    /// Its conversation.
+    History(oneshot::Sender<Result<HistoryReply, Refusal>>),
+    /// A call's answer, however late.
+    Call(SequenceNumber, bool, oneshot::Sender<CallReply>),
+}
+
+/// State of a copy for dumps.
+#[derive(Clone, Debug, serde::Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct CopyDump {
+    /// The shard.
+    pub shard: SmolStr,
+    /// `primary`, `backup`, `sealed` or `absent`.
+    pub role: SmolStr,
+    /// Epoch of the copy.
+    pub epoch: ShardEpoch,
+    /// Index of its last entry.
+    pub index: u64,
+    /// Backups of the primary.
+    pub backups: Vec<SmolStr>,
+    /// Whether it goes on without its copy in another failure domain.
+    pub detached: bool,
+    /// Calls under way.
+    pub running_calls: usize,
+    /// Programs in numbers.
+    pub book: Option<BookSummary>,
+}
+
+/// A command to the task that owns a copy.
+#[derive(Debug)]
+pub enum ShardCommand {
+    /// Begin a program.
+    Begin(
+        Box<ProgramBegin>,
+        oneshot::Sender<Option<Result<BeginReply, Refusal>>>,
+    ),
+    /// Call.
+    Call(Box<CallCommand>),
+    /// Ask about a program.
+    Inspect(ProgramId, OrganisationId, InspectQuestion),
+    /// End a program.
+    End(
+        ProgramId,
+        OrganisationId,
+        oneshot::Sender<Option<Result<ProgramReply, Refusal>>>,
+    ),
+    /// A dispatch has ended.
+    Done(Box<DispatchDone>),
+    /// An engine lists a hold; have it released unless the book has it.
+    AuditHold(ProgramId, UpstreamName),
+    /// An engine has confirmed that it keeps a program's prefix no longer.
+    Released(ProgramId, UpstreamName),
+    /// Entries from a primary.
+    Append(AppendRequest, oneshot::Sender<AppendReply>),
+    /// A whole copy from a primary.
+    Install(Box<InstallRequest>, oneshot::Sender<AppendReply>),
+    /// The instance is stopping: hand the shard over.
+    Drain,
+    /// State for a dump.
+    Dump(oneshot::Sender<CopyDump>),
+}
--- /dev/null
+++ b/src/shard/context.rs
@@ -0,0 +1,160 @@
+//! What the task of a copy needs from the rest of the instance.
+
+use std::fmt;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::time::{Duration, SystemTime};
+
+use arc_swap::ArcSwap;
+use futures_util::future::BoxFuture;
+use tokio::sync::{Semaphore, mpsc};
+use tokio_util::sync::CancellationToken;
+
+use super::command::ShardCommand;
+use super::keeper::MapKeeper;
+use super::stream::StreamBuffer;
+use crate::contract::{ChatMessage, Refusal};
+use crate::ids::{ClassName, OrganisationId, ProgramId, ShardEpoch, ShardId, UpstreamName};
+use crate::link::LinkNetwork;
+use crate::membership::PeerTable;
+use crate::platform::PlatformClient;
+use crate::program::CallIntent;
+use crate::record::ConfigView;
+
+/// How copies are kept.
+#[derive(Clone, Debug)]
+pub struct ShardSettings {
+    /// Backups wanted in the shard's own failure domain.
+    pub local_backups: usize,
+    /// Backups wanted in other failure domains.
+    pub remote_backups: usize,
+    /// Most commands answered by one append.
+    pub batch: usize,
+    /// Longest wait for a backup's answer.
+    pub append_timeout: Duration,
+    /// Time between two looks at what is due.
+    pub tick: Duration,
+    /// How long an ended program is remembered.
+    pub remember: Duration,
+    /// Longest time an engine keeps a prefix over a pause.
+    pub longest_hold: Duration,
+}
+
+impl Default for ShardSettings {
+    fn default() -> Self {
+        Self {
+            local_backups: 1,
+            remote_backups: 1,
+            batch: 256,
+            append_timeout: Duration::from_millis(500),
+            tick: Duration::from_millis(200),
+            remember: Duration::from_secs(600),
+            longest_hold: Duration::from_secs(60),
+        }
+    }
+}
+
+/// A call that may be dispatched: its intent is stored.
+#[derive(Clone, Debug)]
+pub struct DispatchJob {
+    /// The shard.
+    pub shard: ShardId,
+    /// Epoch of the shard: the fencing number for upstreams.
+    pub epoch: ShardEpoch,
+    /// The call.
+    pub intent: CallIntent,
+    /// The conversation before it.
+    pub history: Vec<ChatMessage>,
+    /// Class of the program.
+    pub class: ClassName,
+    /// Organisation of the program.
+    pub organisation: OrganisationId,
+    /// When the program began.
+    pub began: SystemTime,
+    /// When the program has to have ended.
+    pub deadline: SystemTime,
+    /// Tokens that the program has used so far.
+    pub attained: u64,
+    /// Time since the program's last answer.
+    pub pause: Duration,
+    /// Engine that held the prefix over the pause.
+    pub held_at: Option<UpstreamName>,
+    /// Whether an earlier process may have dispatched the call.
+    pub redispatch: bool,
+    /// Whether the call must not be dispatched again, but its outcome asked for.
+    pub resolve_only: bool,
+    /// Where the text goes as it comes.
+    pub stream: Arc<StreamBuffer>,
+    /// Where the outcome goes.
+    pub done: mpsc::Sender<ShardCommand>,
+    /// Cancelled when nobody waits for the answer any more or the copy is not the primary's.
+    pub cancel: CancellationToken,
+}
+
+/// Takes dispatches and orders about engines' caches.
+pub trait DispatchSink: Send + Sync + 'static {
+    /// Refuses the begin of a program that could not be served in time.
+    fn admit(&self, class: &ClassName, deadline: SystemTime, now: SystemTime) -> Option<Refusal>;
+
+    /// Takes a dispatch.
+    fn dispatch(&self, job: DispatchJob);
+
+    /// Decides whether an engine should keep the prefix of a program that pauses.
+    fn wants_hold(&self, class: &ClassName, upstream: &UpstreamName, tokens: u64) -> bool;
+
+    /// Asks an engine to keep a program's prefix.
+    fn hold(&self, program: ProgramId, upstream: UpstreamName);
+
+    /// Asks an engine to keep a program's prefix no longer; resolves to whether it confirmed.
+    fn release(&self, program: ProgramId, upstream: UpstreamName) -> BoxFuture<'_, bool>;
+
+    /// Learns from the end of a program.
+    fn program_ended(&self, program: &ProgramId, class: &ClassName, calls: u32, tokens: u64);
+}
+
+/// Counters of an instance's copies.
+#[derive(Debug, Default)]
+pub struct ShardCounters {
+    /// Entries stored as primary.
+    pub entries: AtomicU64,
+    /// Appends sent, each with a batch of entries.
+    pub batches: AtomicU64,
+    /// Shards taken over.
+    pub takeovers: AtomicU64,
+    /// Whole copies sent.
+    pub installs: AtomicU64,
+    /// Shards that began empty because no copy was left.
+    pub resets: AtomicU64,
+}
+
+/// What the tasks of all copies share.
+pub struct ShardContext {
+    /// How copies are kept.
+    pub settings: ShardSettings,
+    /// The instances.
+    pub peers: Arc<PeerTable>,
+    /// The links.
+    pub network: LinkNetwork,
+    /// The platform.
+    pub platform: PlatformClient,
+    /// The shard maps.
+    pub maps: Arc<MapKeeper>,
+    /// The configuration in force.
+    pub config: Arc<ArcSwap<ConfigView>>,
+    /// Where dispatches go.
+    pub dispatch: Arc<dyn DispatchSink>,
+    /// Whole copies that may be sent at the same time.
+    pub install_permits: Semaphore,
+    /// Counters.
+    pub counters: ShardCounters,
+    /// Cancelled when the instance stops.
+    pub stop: CancellationToken,
+}
+
+impl fmt::Debug for ShardContext {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("ShardContext")
+            .finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/src/shard/map.rs
@@ -0,0 +1,222 @@
+//! Where the copies of a failure domain's shards are: one value in the platform's service.
+
+use serde::{Deserialize, Serialize};
+use smol_str::{SmolStr, format_smolstr};
+use thiserror::Error;
+
+use crate::ids::{DomainId, InstanceRef, RevisionNumber, ShardEpoch};
+
+/// Prefix of the platform's keys that hold maps.
+pub const MAP_PREFIX: &str = "samphiregrade/maps/";
+
+/// Key of a failure domain's map.
+#[must_use]
+pub fn map_key(domain: &str) -> SmolStr {
+    format_smolstr!("{MAP_PREFIX}{domain}")
+}
+
+/// Where the copies of one shard are.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct ShardPlacement {
+    /// Goes up with every change.
+    pub epoch: ShardEpoch,
+    /// Epoch in which the shard last began empty.
+    pub empty_epoch: ShardEpoch,
+    /// Instance whose copy writes.
+    pub primary: InstanceRef,
+    /// Instances whose copies have to store an entry before it counts.
+    pub backups: Vec<InstanceRef>,
+}
+
+impl ShardPlacement {
+    /// Returns whether the instance has a copy.
+    #[must_use]
+    pub fn holds(&self, instance: &InstanceRef) -> bool {
+        self.primary == *instance || self.backups.contains(instance)
+    }
+}
+
+/// Where the copies of a failure domain's shards are.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct DomainMap {
+    /// The failure domain.
+    pub domain: DomainId,
+    /// Unique to the swap that stored this value, to recognise it after a lost reply.
+    pub attempt: SmolStr,
+    /// The shards in order of their numbers.
+    pub shards: Vec<ShardPlacement>,
+}
+
+/// A map with the revision at which the platform's service stored it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub struct VersionedMap {
+    /// Revision; 0 where none is stored yet.
+    pub revision: RevisionNumber,
+    /// The map.
+    pub map: DomainMap,
+}
+
+/// A change of one shard's placement.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum MapChange {
+    /// A backup with a sealed copy becomes primary; the listed instances lose their copies.
+    TakeOver {
+        /// The backup.
+        by: InstanceRef,
+        /// Instances that lose their copies, the old primary among them.
+        without: Vec<InstanceRef>,
+    },
+    /// The primary goes on without some backups.
+    DropBackups(Vec<InstanceRef>),
+    /// An instance that has got a whole copy becomes a backup.
+    AddBackup(InstanceRef),
+    /// The primary and a backup exchange their roles.
+    HandOver(InstanceRef),
+    /// No copy is left: the shard begins empty at an instance.
+    Reset(InstanceRef),
+}
+
+/// A change that does not fit the map any more.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub enum MapConflict {
+    /// The shard's placement has changed since.
+    #[error("the placement has changed; look at the new one and decide again")]
+    Moved,
+    /// The instance has no copy, or has one already.
+    #[error("the instance's copy is not as the change supposes; look at the placement again")]
+    WrongMember,
+}
+
+impl ShardPlacement {
+    /// Applies a change that was decided on when the placement had the given epoch.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`MapConflict`] where the placement has changed or does not fit the change.
+    pub fn changed(&self, expected: ShardEpoch, change: &MapChange) -> Result<Self, MapConflict> {
+        if self.epoch != expected {
+            return Err(MapConflict::Moved);
+        }
+        let mut next = self.clone();
+        next.epoch += 1;
+        match change {
+            MapChange::TakeOver { by, without } => {
+                if !self.backups.contains(by) || without.contains(by) {
+                    return Err(MapConflict::WrongMember);
+                }
+                next.primary = by.clone();
+                next.backups = self.members().filter(|one| *one != by).cloned().collect();
+                next.backups.retain(|one| !without.contains(one));
+            }
+            MapChange::DropBackups(dropped) => {
+                next.backups.retain(|one| !dropped.contains(one));
+            }
+            MapChange::AddBackup(added) => {
+                if self.holds(added) {
+                    return Err(MapConflict::WrongMember);
+                }
+                next.backups.push(added.clone());
+            }
+            MapChange::HandOver(to) => {
+                let Some(place) = next.backups.iter().position(|one| one == to) else {
+                    return Err(MapConflict::WrongMember);
+                };
+                next.backups[place] = std::mem::replace(&mut next.primary, to.clone());
+            }
+            MapChange::Reset(to) => {
+                next.primary = to.clone();
+                next.backups.clear();
+                next.empty_epoch = next.epoch;
+            }
+        }
+        Ok(next)
+    }
+
+    /// Returns every instance with a copy, the primary first.
+    pub fn members(&self) -> impl Iterator<Item = &InstanceRef> {
+        std::iter::once(&self.primary).chain(&self.backups)
+    }
+}
+
+/// Composes the first map of a failure domain: primaries and backups spread over its instances.
+///
+/// Every shard gets a backup in the domain where there are two instances, and one in another domain
+/// where `remote` is not empty.
+///
+/// # Panics
+///
+/// Panics where `local` is empty.
+#[must_use]
+pub fn initial_map(
+    domain: &DomainId,
+    shards: u16,
+    local: &[InstanceRef],
+    remote: &[InstanceRef],
+) -> DomainMap {
+    let placements = (0..usize::from(shards)).map(|index| {
+        let mut backups = Vec::new();
+        if local.len() > 1 {
+            // The backup moves on by one with each round over the primaries.
+            let step = 1 + (index / local.len()) % (local.len() - 1);
+            backups.push(local[(index + step) % local.len()].clone());
+        }
+        if !remote.is_empty() {
+            backups.push(remote[index % remote.len()].clone());
+        }
+        ShardPlacement {
+            epoch: 1,
+            empty_epoch: 1,
+            primary: local[index % local.len()].clone(),
+            backups,
+        }
+    });
+    DomainMap {
+        domain: domain.clone(),
+        attempt: SmolStr::default(),
+        shards: placements.collect(),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn instance(name: &str) -> InstanceRef {
+        InstanceRef {
+            name: name.into(),
+            incarnation: 1,
+        }
+    }
+
+    #[test]
+    fn first_map_spreads_the_copies() {
+        let local: Vec<_> = ["a", "b", "c"].map(instance).to_vec();
+        let map = initial_map(&"d".into(), 12, &local, &[instance("r")]);
+        for shard in &map.shards {
+            assert_eq!(shard.backups.len(), 2);
+            assert!(!shard.backups.contains(&shard.primary));
+        }
+        let of_a = map.shards.iter().filter(|shard| shard.primary == local[0]);
+        let backups: std::collections::BTreeSet<_> = of_a.map(|shard| &shard.backups[0]).collect();
+        assert_eq!(backups.len(), 2);
+    }
+
+    #[test]
+    fn change_of_an_old_epoch_is_refused() {
+        let local: Vec<_> = ["a", "b"].map(instance).to_vec();
+        let map = initial_map(&"d".into(), 1, &local, &[]);
+        let change = MapChange::TakeOver {
+            by: local[1].clone(),
+            without: vec![local[0].clone()],
+        };
+        let taken = map.shards[0]
+            .changed(1, &change)
+            .expect("the first change fits");
+        assert_eq!(taken.primary, local[1]);
+        assert!(taken.backups.is_empty());
+        assert_eq!(taken.changed(1, &change), Err(MapConflict::Moved));
+    }
+}
--- /dev/null
+++ b/src/shard/mod.rs
@@ -0,0 +1,28 @@
+//! Shards: their copies, how the copies agree, and where they are placed.
+//!
+//! [`protocol`](self) types are pure: [`ShardCopy`] takes appends, seals and installs and says what
+//! became of them, [`DomainMap`] takes changes of placement. The actor around a copy does the I/O.
+
+mod actor;
+mod command;
+mod context;
+mod copy;
+mod keeper;
+mod map;
+mod primary;
+mod stream;
+
+pub use command::{CallCommand, CallReply, CopyDump, DispatchDone, InspectQuestion, ShardCommand};
+pub use context::{DispatchJob, DispatchSink, ShardContext, ShardCounters, ShardSettings};
+pub use copy::{
+    AppendReply, AppendRequest, BackupRole, InstallRequest, LogPosition, PrimaryRole, SealedRole,
+    ShardCopy,
+};
+pub use keeper::{MapKeeper, ProposeError};
+pub use map::{
+    DomainMap, MAP_PREFIX, MapChange, MapConflict, ShardPlacement, VersionedMap, initial_map,
+    map_key,
+};
+pub use stream::{StreamBuffer, StreamRead, StreamReader};
+
+pub use actor::spawn_copy;
--- /dev/null
+++ b/src/shard/primary/stage.rs
@@ -0,0 +1,522 @@
+//! Serving commands: decide on each, store the entries of all, then answer.
+
+use std::sync::Arc;
+use std::time::{Instant, SystemTime};
+
+use tokio::sync::oneshot;
+
+use super::{CallKey, DeposedError, PrimaryState, RunningCall};
+use crate::contract::{BeginReply, HistoryReply, ProgramReply, Refusal, RefusalKind};
+use crate::ids::{OrganisationId, ProgramId, SequenceNumber, TokenCount, UpstreamName};
+use crate::program::{
+    BeginDecision, CallArrival, CallDecision, CallIntent, CallOutcome, CallPhase, CallResult,
+    EndDecision, EngineHold, LogEntry, ProgramBegin, ProgramRecord, begin_program, end_program,
+    place_call,
+};
+use crate::shard::actor::answer_moved;
+use crate::shard::command::{CallCommand, CallReply, DispatchDone, InspectQuestion, ShardCommand};
+use crate::shard::context::DispatchJob;
+use crate::shard::stream::StreamBuffer;
+
+/// What is to be done once the entries are stored.
+enum StagedAction {
+    Begin(
+        oneshot::Sender<Option<Result<BeginReply, Refusal>>>,
+        Result<BeginReply, Refusal>,
+    ),
+    Call(oneshot::Sender<CallReply>, CallReply),
+    End(
+        oneshot::Sender<Option<Result<ProgramReply, Refusal>>>,
+        Result<ProgramReply, Refusal>,
+    ),
+    Dispatch(Box<DispatchJob>),
+    Finish(Arc<StreamBuffer>, CallOutcome),
+    Hold(ProgramId, UpstreamName),
+    Release(ProgramId, UpstreamName),
+}
+
+/// Entries to store and what follows.
+#[derive(Default)]
+struct StagedBatch {
+    entries: Vec<LogEntry>,
+    actions: Vec<StagedAction>,
+}
+
+impl PrimaryState {
+    /// Serves a batch of commands.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`DeposedError`] where the copy is not the primary's any more; whoever waits has
+    /// been told so.
+    pub async fn serve(&mut self, commands: Vec<ShardCommand>) -> Result<(), DeposedError> {
+        let mut batch = StagedBatch::default();
+        let now = SystemTime::now();
+        for command in commands {
+            self.stage(command, now, &mut batch);
+        }
+        self.finish_batch(batch).await
+    }
+
+    async fn finish_batch(&mut self, mut batch: StagedBatch) -> Result<(), DeposedError> {
+        if !batch.entries.is_empty() {
+            let entries = std::mem::take(&mut batch.entries);
+            if let Err(error) = self.commit_staged(entries).await {
+                batch
+                    .actions
+                    .into_iter()
+                    .for_each(StagedAction::refuse_moved);
+                return Err(error);
+            }
+        }
+        for action in batch.actions {
+            self.act(action);
+        }
+        Ok(())
+    }
+
+    /// Stores entries that were applied while they were staged.
+    async fn commit_staged(&mut self, entries: Vec<LogEntry>) -> Result<(), DeposedError> {
+        let previous = self.staged_from;
+        let count = entries.len() as u64;
+        self.context
+            .counters
+            .entries
+            .fetch_add(count, std::sync::atomic::Ordering::Relaxed);
+        let stored = self.replicate(previous, entries).await;
+        self.staged_from = self.copy.position();
+        stored
+    }
+
+    /// Stores entries that no command waits for, and does what follows from them.
+    pub(super) async fn commit_quietly(
+        &mut self,
+        entries: Vec<LogEntry>,
+    ) -> Result<(), DeposedError> {
+        let mut batch = StagedBatch::default();
+        for entry in entries {
+            self.write(entry, &mut batch);
+        }
+        self.finish_batch(batch).await
+    }
+
+    fn write(&mut self, entry: LogEntry, batch: &mut StagedBatch) {
+        if let LogEntry::End(end) = &entry
+            && let Some(record) = self.copy.book().program(&end.program)
+        {
+            for upstream in &record.holds {
+                let release = StagedAction::Release(end.program.clone(), upstream.clone());
+                batch.actions.push(release);
+            }
+            let calls = record.finished_calls();
+            let class = record.begin.class.clone();
+            let spent = record.account.spent;
+            self.context
+                .dispatch
+                .program_ended(&end.program, &class, calls, spent);
+        }
+        self.copy.write(&entry);
+        batch.entries.push(entry);
+    }
+
+    fn stage(&mut self, command: ShardCommand, now: SystemTime, batch: &mut StagedBatch) {
+        match command {
+            ShardCommand::Begin(begin, reply) => self.stage_begin(*begin, reply, now, batch),
+            ShardCommand::Call(call) => self.stage_call(*call, now, batch),
+            ShardCommand::End(program, organisation, reply) => {
+                self.stage_end(&program, &organisation, reply, now, batch);
+            }
+            ShardCommand::Inspect(program, organisation, question) => {
+                self.answer_question(&program, &organisation, question);
+            }
+            ShardCommand::Done(done) => self.stage_done(*done, now, batch),
+            ShardCommand::Released(program, upstream) => {
+                self.holds.remove(&(program.clone(), upstream.clone()));
+                let known = self.copy.book().program(&program);
+                if known.is_some_and(|record| record.holds.contains(&upstream)) {
+                    self.write(LogEntry::Release(EngineHold { program, upstream }), batch);
+                }
+            }
+            ShardCommand::AuditHold(program, upstream) => {
+                let known = self.copy.book().program(&program);
+                if !known.is_some_and(|record| record.holds.contains(&upstream)) {
+                    batch.actions.push(StagedAction::Release(program, upstream));
+                }
+            }
+            ShardCommand::Drain => self.draining = true,
+            ShardCommand::Dump(reply) => drop(reply.send(self.dump())),
+            other @ (ShardCommand::Append(..) | ShardCommand::Install(..)) => answer_moved(other),
+        }
+    }
+
+    fn stage_begin(
+        &mut self,
+        begin: ProgramBegin,
+        reply: oneshot::Sender<Option<Result<BeginReply, Refusal>>>,
+        now: SystemTime,
+        batch: &mut StagedBatch,
+    ) {
+        let program = begin.program.clone();
+        let answer = match begin_program(self.copy.book(), begin) {
+            BeginDecision::Accept(_, _) if self.draining => {
+                let detail = "the instance is shutting down";
+                Err(Refusal::not_run(RefusalKind::ShuttingDown, detail)
+                    .with_retry_after(self.context.settings.tick))
+            }
+            BeginDecision::Accept(entry, tokens) => match self.refuse_begin(&entry, now) {
+                Some(refusal) => Err(refusal),
+                None => {
+                    self.write(entry, batch);
+                    Ok(BeginReply { program, tokens })
+                }
+            },
+            BeginDecision::Known(tokens) => Ok(BeginReply { program, tokens }),
+            BeginDecision::Refuse(refusal) => Err(refusal),
+        };
+        batch.actions.push(StagedAction::Begin(reply, answer));
+    }
+
+    /// Refuses a program that could not be served; sub-agents belong to one that was accepted.
+    fn refuse_begin(&self, entry: &LogEntry, now: SystemTime) -> Option<Refusal> {
+        match entry {
+            LogEntry::Begin(begin) if begin.parent.is_none() => {
+                self.context
+                    .dispatch
+                    .admit(&begin.class, begin.deadline, now)
+            }
+            _ => None,
+        }
+    }
+
+    fn stage_end(
+        &mut self,
+        program: &ProgramId,
+        organisation: &OrganisationId,
+        reply: oneshot::Sender<Option<Result<ProgramReply, Refusal>>>,
+        now: SystemTime,
+        batch: &mut StagedBatch,
+    ) {
+        let answer = match end_program(self.copy.book(), program, organisation, now) {
+            EndDecision::Accept(entries) => {
+                for entry in entries {
+                    self.write(entry, batch);
+                }
+                self.program_reply(program, organisation)
+            }
+            EndDecision::Known => self.program_reply(program, organisation),
+            EndDecision::Refuse(refusal) => Err(refusal),
+        };
+        batch.actions.push(StagedAction::End(reply, answer));
+    }
+
+    fn visible(
+        &self,
+        program: &ProgramId,
+        organisation: &OrganisationId,
+    ) -> Result<&ProgramRecord, Refusal> {
+        self.copy
+            .book()
+            .program(program)
+            .filter(|record| record.begin.organisation == *organisation)
+            .ok_or_else(|| Refusal::not_run(RefusalKind::UnknownProgram, "no such program"))
+    }
+
+    fn program_reply(
+        &self,
+        program: &ProgramId,
+        organisation: &OrganisationId,
+    ) -> Result<ProgramReply, Refusal> {
+        let record = self.visible(program, organisation)?;
+        let status = if record.is_running() {
+            "running"
+        } else {
+            "ended"
+        };
+        Ok(ProgramReply {
+            program: program.clone(),
+            status: status.into(),
+            calls: record.finished_calls(),
+            tokens_used: record.account.used(),
+            tokens: record.account.limit,
+        })
+    }
+
+    fn answer_question(
+        &self,
+        program: &ProgramId,
+        organisation: &OrganisationId,
+        question: InspectQuestion,
+    ) {
+        match question {
+            InspectQuestion::Program(reply) => {
+                let _ = reply.send(self.program_reply(program, organisation));
+            }
+            InspectQuestion::History(reply) => {
+                let history = self
+                    .visible(program, organisation)
+                    .map(|record| HistoryReply {
+                        messages: record.history_before(SequenceNumber::MAX),
+                    });
+                let _ = reply.send(history);
+            }
+            InspectQuestion::Call(sequence, _, reply) => {
+                let _ = reply.send(self.late_answer(program, organisation, sequence));
+            }
+        }
+    }
+
+    fn late_answer(
+        &self,
+        program: &ProgramId,
+        organisation: &OrganisationId,
+        sequence: SequenceNumber,
+    ) -> CallReply {
+        let record = match self.visible(program, organisation) {
+            Ok(record) => record,
+            Err(refusal) => return CallReply::Refused(refusal),
+        };
+        let unknown = || {
+            let detail = format!("call {sequence} has not come yet");
+            CallReply::Refused(Refusal::not_run(RefusalKind::OutOfOrder, detail))
+        };
+        let Some(call) = record.call(sequence) else {
+            return unknown();
+        };
+        if let CallPhase::Finished(outcome) = &call.phase {
+            return CallReply::Outcome(outcome.clone());
+        }
+        match self.running.get(&(program.clone(), sequence)) {
+            Some(running) => CallReply::Stream(running.stream.clone()),
+            None => {
+                let detail = "the call waits to be asked for again after a change of primary";
+                CallReply::Refused(Refusal::unknown(RefusalKind::ShardUnavailable, detail))
+            }
+        }
+    }
+
+    /// Returns the tokens that an allowance for all shards leaves to this one.
+    fn share_left(&self, allowance: Option<TokenCount>, used: TokenCount) -> TokenCount {
+        let Some(allowance) = allowance else {
+            return TokenCount::MAX;
+        };
+        let shards = self
+            .context
+            .maps
+            .map(&self.shard.domain)
+            .map_or(1, |map| map.map.shards.len());
+        let parts = shards.max(1) * self.context.config.load().domain_count();
+        (allowance / parts as u64).saturating_sub(used)
+    }
+
+    fn arrival(&self, call: &CallCommand, key: &CallKey, now: SystemTime) -> CallArrival {
+        let config = self.context.config.load();
+        let book = self.copy.book();
+        let organisation = config.organisation(&call.organisation);
+        let class = book
+            .program(&call.program)
+            .map(|record| record.begin.class.clone());
+        let class = class.unwrap_or_default();
+        let class_tokens = config.class(&class).and_then(|spec| spec.class_tokens);
+        CallArrival {
+            program: call.program.clone(),
+            sequence: call.sequence,
+            digest: call.digest,
+            spec: call.spec.clone(),
+            organisation: call.organisation.clone(),
+            organisation_left: self.share_left(
+                organisation.and_then(|spec| spec.tokens),
+                book.organisation_used(&call.organisation),
+            ),
+            class_left: self.share_left(class_tokens, book.class_used(&class)),
+            epoch: self.copy.epoch(),
+            running_here: self.running.contains_key(key),
+            now,
+        }
+    }
+
+    fn stage_call(&mut self, call: CallCommand, now: SystemTime, batch: &mut StagedBatch) {
+        let key = (call.program.clone(), call.sequence);
+        let arrival = self.arrival(&call, &key, now);
+        let decision = place_call(self.copy.book(), &arrival);
+        let answer = match decision {
+            CallDecision::Accept(intent) => match self.refuse_intent(&intent) {
+                Some(refusal) => CallReply::Refused(refusal),
+                None => {
+                    self.write(LogEntry::Intent(intent.clone()), batch);
+                    self.start_call(key, intent, false, batch)
+                }
+            },
+            CallDecision::Join => match self.running.get(&key) {
+                Some(running) => CallReply::Stream(running.stream.clone()),
+                None => CallReply::Moved,
+            },
+            CallDecision::Redispatch(intent) | CallDecision::Resolve(intent) => {
+                self.start_call(key, intent, true, batch)
+            }
+            CallDecision::Replay(outcome) => CallReply::Outcome(outcome),
+            CallDecision::EndThenRefuse(end, refusal) => {
+                self.write(LogEntry::End(end), batch);
+                CallReply::Refused(refusal)
+            }
+            CallDecision::Refuse(refusal) => CallReply::Refused(refusal),
+        };
+        batch.actions.push(StagedAction::Call(call.reply, answer));
+    }
+
+    /// Refuses a new call that this primary must not begin now.
+    fn refuse_intent(&self, intent: &CallIntent) -> Option<Refusal> {
+        let wait = self.context.settings.tick;
+        if self.draining {
+            let detail = "the instance is shutting down";
+            let refusal = Refusal::not_run(RefusalKind::ShuttingDown, detail);
+            return Some(refusal.with_retry_after(wait));
+        }
+        if self.detached && !intent.spec.is_idempotent() {
+            let detail = "the failure domain is cut off, and the call must not come twice";
+            let refusal = Refusal::not_run(RefusalKind::Unprotected, detail);
+            return Some(refusal.with_retry_after(wait * 5));
+        }
+        None
+    }
+
+    fn start_call(
+        &mut self,
+        key: CallKey,
+        intent: CallIntent,
+        again: bool,
+        batch: &mut StagedBatch,
+    ) -> CallReply {
+        let stream = Arc::new(StreamBuffer::default());
+        let cancel = self.tenure.child_token();
+        let idempotent = intent.spec.is_idempotent();
+        let running = RunningCall {
+            stream: stream.clone(),
+            cancel: cancel.clone(),
+            idempotent,
+        };
+        if let Some(record) = self.copy.book().program(&key.0) {
+            let job = DispatchJob {
+                shard: self.shard.clone(),
+                epoch: self.copy.epoch(),
+                history: record.history_before(key.1),
+                class: record.begin.class.clone(),
+                organisation: record.begin.organisation.clone(),
+                began: record.begin.began,
+                deadline: record.begin.deadline,
+                attained: record.account.spent,
+                pause: intent
+                    .accepted
+                    .duration_since(record.last_finished)
+                    .unwrap_or_default(),
+                held_at: record.holds.first().cloned(),
+                redispatch: again,
+                resolve_only: again && !idempotent,
+                stream: stream.clone(),
+                done: self.sender.clone(),
+                cancel,
+                intent,
+            };
+            batch.actions.push(StagedAction::Dispatch(Box::new(job)));
+        }
+        self.running.insert(key, running);
+        CallReply::Stream(stream)
+    }
+
+    fn stage_done(&mut self, done: DispatchDone, now: SystemTime, batch: &mut StagedBatch) {
+        let key = (done.program.clone(), done.sequence);
+        let Some(running) = self.running.remove(&key) else {
+            return;
+        };
+        let result = CallResult {
+            program: done.program.clone(),
+            sequence: done.sequence,
+            outcome: done.outcome.clone(),
+            used: done.used,
+            finished: now,
+        };
+        self.write(LogEntry::Result(result), batch);
+        self.stage_hold(&done, batch);
+        batch
+            .actions
+            .push(StagedAction::Finish(running.stream, done.outcome));
+    }
+
+    /// Decides whether the engine that has just served a program keeps its prefix.
+    fn stage_hold(&mut self, done: &DispatchDone, batch: &mut StagedBatch) {
+        let Some(record) = self.copy.book().program(&done.program) else {
+            return;
+        };
+        let Some(upstream) = done.hold.clone() else {
+            return;
+        };
+        let class = record.begin.class.clone();
+        let tokens = match &done.outcome {
+            CallOutcome::Answer { usage, .. } => usage.prompt_tokens + usage.completion_tokens,
+            _ => 0,
+        };
+        let wanted =
+            record.is_running() && self.context.dispatch.wants_hold(&class, &upstream, tokens);
+        let others: Vec<UpstreamName> = record
+            .holds
+            .iter()
+            .filter(|one| **one != upstream || !wanted)
+            .cloned()
+            .collect();
+        let known = record.holds.contains(&upstream);
+        for other in others {
+            batch
+                .actions
+                .push(StagedAction::Release(done.program.clone(), other));
+        }
+        if !wanted {
+            return;
+        }
+        if !known {
+            let hold = EngineHold {
+                program: done.program.clone(),
+                upstream: upstream.clone(),
+            };
+            self.write(LogEntry::Hold(hold), batch);
+        }
+        self.holds
+            .insert((done.program.clone(), upstream.clone()), Instant::now());
+        batch
+            .actions
+            .push(StagedAction::Hold(done.program.clone(), upstream));
+    }
+
+    fn act(&mut self, action: StagedAction) {
+        // Whoever is gone does not need the answer.
+        match action {
+            StagedAction::Begin(reply, answer) => drop(reply.send(Some(answer))),
+            StagedAction::Call(reply, answer) => drop(reply.send(answer)),
+            StagedAction::End(reply, answer) => drop(reply.send(Some(answer))),
+            StagedAction::Dispatch(job) => self.dispatch(*job),
+            StagedAction::Finish(stream, outcome) => stream.finish(outcome),
+            StagedAction::Hold(program, upstream) => self.context.dispatch.hold(program, upstream),
+            StagedAction::Release(program, upstream) => self.release(program, upstream),
+        }
+    }
+
+    pub(super) fn dispatch(&mut self, job: DispatchJob) {
+        let protected = job.intent.spec.is_idempotent() || job.resolve_only || !self.detached;
+        if protected {
+            self.context.dispatch.dispatch(job);
+        } else {
+            self.parked.push(job);
+        }
+    }
+}
+
+impl StagedAction {
+    fn refuse_moved(self) {
+        match self {
+            Self::Begin(reply, _) => drop(reply.send(None)),
+            Self::Call(reply, _) => drop(reply.send(CallReply::Moved)),
+            Self::End(reply, _) => drop(reply.send(None)),
+            Self::Finish(stream, _) => stream.close(),
+            Self::Dispatch(job) => job.stream.close(),
+            Self::Hold(..) | Self::Release(..) => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/upstream/mod.rs
@@ -0,0 +1,11 @@
+//! Upstreams: reading their load, dispatching calls to them, and their caches.
+
+mod breaker;
+mod engine;
+mod poller;
+mod runner;
+mod service;
+
+pub use breaker::CircuitBreaker;
+pub use poller::{PollerSettings, run_poller};
+pub use runner::{RunnerCounters, UpstreamRunner};
