Add the experiment tool: real processes, links through the proxy, faults, audit

Cause: the promises need proof under failure, by outcomes that the instances do not count themselves. Change: samphiregrade-bench starts instance processes with stand-ins, runs open-loop load, brings faults about, and audits the stand-ins' logs against what callers were told.

--- /dev/null
+++ b/crates/samphiregrade-bench/src/audit.rs
@@ -0,0 +1,221 @@
+//! The audit: the stand-ins' own logs against what callers were told.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+use std::time::Duration;
+
+use samphiregrade::contract::RanState;
+use samphiregrade::workload::{CallNote, ProgramNote, ProgramVerdict};
+use samphiregrade_standins::engine::AuditEntry;
+use smol_str::SmolStr;
+
+use crate::cluster::Cluster;
+use crate::faults::FaultLog;
+use crate::report::{CacheCounts, ViolationCounts};
+
+/// Time after which an upstream that leaves must get no new work.
+const LEAVE_GRACE_MS: u64 = 4000;
+
+/// One execution of a call by an upstream.
+#[derive(Clone, Debug)]
+struct Execution {
+    upstream: SmolStr,
+    at_ms: u64,
+    prompt_digest: Option<u64>,
+}
+
+/// Everything that upstreams have logged, by the calls' keys.
+#[derive(Debug, Default)]
+struct ExecutionLog {
+    by_key: HashMap<SmolStr, Vec<Execution>>,
+    generated: HashMap<SmolStr, u64>,
+    requests: Vec<AuditEntry>,
+    held_sessions: HashSet<SmolStr>,
+    held_token_seconds: f64,
+}
+
+/// Splits a call's key into its program and number.
+fn split_key(key: &str) -> (&str, u32) {
+    let (program, sequence) = key.rsplit_once('/').unwrap_or((key, "0"));
+    (program, sequence.parse().unwrap_or(0))
+}
+
+impl ExecutionLog {
+    fn read(cluster: &Cluster) -> Self {
+        let mut log = Self::default();
+        for (name, engine) in &cluster.engines {
+            let audit = engine.audit();
+            log.held_token_seconds += audit.held_token_seconds;
+            log.held_sessions.extend(audit.held_sessions);
+            for entry in audit.requests {
+                if entry.finished {
+                    let tokens = entry.completion_tokens as u64;
+                    let largest = log.generated.entry(entry.request.clone()).or_default();
+                    *largest = (*largest).max(tokens);
+                }
+                log.by_key
+                    .entry(entry.request.clone())
+                    .or_default()
+                    .push(Execution {
+                        upstream: name.clone(),
+                        at_ms: entry.at_ms,
+                        prompt_digest: Some(entry.prompt_digest),
+                    });
+                log.requests.push(entry);
+            }
+        }
+        for (name, service) in &cluster.services {
+            for execution in service.executions() {
+                log.by_key
+                    .entry(execution.key.clone())
+                    .or_default()
+                    .push(Execution {
+                        upstream: name.clone(),
+                        at_ms: execution.at_ms,
+                        prompt_digest: None,
+                    });
+            }
+        }
+        log
+    }
+
+    fn executions(&self, key: &str) -> &[Execution] {
+        self.by_key.get(key).map_or(&[], Vec::as_slice)
+    }
+}
+
+/// Counts the broken promises and what became of the caches.
+#[must_use]
+pub fn audit(
+    cluster: &Cluster,
+    notes: &[ProgramNote],
+    faults: &FaultLog,
+) -> (ViolationCounts, CacheCounts) {
+    let log = ExecutionLog::read(cluster);
+    let mut counts = ViolationCounts::default();
+    for note in notes {
+        audit_program(note, &log, &mut counts);
+    }
+    counts.order = count_disorder(&log);
+    counts.work_after_leaving = count_late_work(&log, faults);
+    counts.configuration_reverted += u64::from(faults.lost_changes);
+    (counts, count_cache(&log))
+}
+
+fn audit_program(note: &ProgramNote, log: &ExecutionLog, counts: &mut ViolationCounts) {
+    counts.wrong_answer += u64::from(note.wrong_answers);
+    for call in &note.calls {
+        audit_call(call, log, counts);
+    }
+    if let Some((used, limit)) = note.tokens {
+        let generated: u64 = note
+            .calls
+            .iter()
+            .map(|call| {
+                let generated = log.generated.get(&call.key).copied().unwrap_or(0);
+                generated + call.prompt_tokens
+            })
+            .sum();
+        if used > limit || generated > limit {
+            counts.budget += 1;
+        }
+    }
+    let ended = note.verdict == ProgramVerdict::Finished;
+    if ended
+        && note
+            .program
+            .as_ref()
+            .is_some_and(|program| log.held_sessions.contains(program))
+    {
+        counts.holds_left += 1;
+    }
+}
+
+fn audit_call(call: &CallNote, log: &ExecutionLog, counts: &mut ViolationCounts) {
+    let executions = log.executions(&call.key);
+    if !call.idempotent && executions.len() > 1 {
+        counts.duplicate_non_idempotent += 1;
+    }
+    if call.told == Some(RanState::No) && !executions.is_empty() {
+        counts.false_not_run += 1;
+    }
+    let Some(wanted) = call.prompt_digest else {
+        return;
+    };
+    let others = executions
+        .iter()
+        .filter(|one| one.prompt_digest != Some(wanted));
+    counts.history += others.count() as u64;
+}
+
+/// Counts calls whose first execution came before the first one of an earlier call.
+fn count_disorder(log: &ExecutionLog) -> u64 {
+    let mut programs: HashMap<&str, BTreeMap<u32, u64>> = HashMap::new();
+    for (key, executions) in &log.by_key {
+        let (program, sequence) = split_key(key);
+        let first = executions.iter().map(|one| one.at_ms).min().unwrap_or(0);
+        programs.entry(program).or_default().insert(sequence, first);
+    }
+    let disorder = programs.values().map(|calls| {
+        let times: Vec<u64> = calls.values().copied().collect();
+        times.windows(2).filter(|pair| pair[1] < pair[0]).count() as u64
+    });
+    disorder.sum()
+}
+
+fn count_late_work(log: &ExecutionLog, faults: &FaultLog) -> u64 {
+    let mut count = 0;
+    for (name, since) in &faults.leaving {
+        let late = log
+            .by_key
+            .values()
+            .flatten()
+            .filter(|one| one.upstream == *name && one.at_ms > since + LEAVE_GRACE_MS);
+        count += late.count() as u64;
+    }
+    count
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "token counts are far below 2^52"
+)]
+fn count_cache(log: &ExecutionLog) -> CacheCounts {
+    let mut requests: Vec<&AuditEntry> = log.requests.iter().collect();
+    requests.sort_by_key(|entry| entry.at_ms);
+    let mut known: HashMap<&str, u64> = HashMap::new();
+    let mut counts = CacheCounts {
+        idle_hold_token_seconds: log.held_token_seconds,
+        ..CacheCounts::default()
+    };
+    for entry in requests {
+        let prompt = entry.prompt_tokens as u64;
+        let cached = entry.cached_tokens as u64;
+        counts.prefill_tokens += prompt - cached.min(prompt);
+        let had = known.entry(entry.session.as_str()).or_default();
+        counts.recomputed_tokens += (*had).min(prompt).saturating_sub(cached);
+        // Only whole blocks stay cached; what is shorter is always computed anew.
+        let blocks = (prompt + entry.completion_tokens as u64) / 16 * 16;
+        *had = (*had).max(blocks);
+    }
+    if counts.prefill_tokens > 0 {
+        counts.wasted_fraction = counts.recomputed_tokens as f64 / counts.prefill_tokens as f64;
+    }
+    counts
+}
+
+/// Returns from an interruption to the answer, for the calls that each one caught.
+#[must_use]
+pub fn recovery_times(notes: &[ProgramNote], faults: &FaultLog) -> Vec<Duration> {
+    let calls = notes.iter().flat_map(|note| &note.calls);
+    let caught = calls.filter(|call| call.attempts > 1);
+    caught
+        .filter_map(|call| {
+            let interruption = faults
+                .interruptions
+                .iter()
+                .filter(|at| **at <= call.ended && call.began < **at + Duration::from_secs(10))
+                .max()?;
+            Some(call.ended.duration_since(call.began.max(*interruption)))
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/samphiregrade-bench/src/cmd/mod.rs
@@ -0,0 +1,35 @@
+//! The commands, each in a file of its own with the same two functions: `arguments`, `execute`.
+
+mod run;
+
+use std::process::ExitCode;
+
+use anyhow::{Result, bail};
+use pico_args::Arguments;
+
+const USAGE: &str = "\
+samphiregrade-bench, load and experiments on real instance processes
+
+Usage: samphiregrade-bench COMMAND [OPTIONS]
+
+Commands:
+  run SCENARIO.toml [--policy NAME] [--seed N] [--json FILE] [--progress]
+
+Exit status: 0 when no promise was broken, 1 when one was, 2 on bad input.
+";
+
+/// Parses the command and runs it.
+pub fn run(mut arguments: Arguments) -> Result<ExitCode> {
+    if arguments.contains(["-h", "--help"]) {
+        print!("{USAGE}");
+        return Ok(ExitCode::SUCCESS);
+    }
+    match arguments.subcommand()?.as_deref() {
+        Some("run") => run::execute(run::arguments(arguments)?),
+        Some(other) => bail!("there is no command `{other}`; see samphiregrade-bench --help"),
+        None => {
+            print!("{USAGE}");
+            Ok(ExitCode::from(2))
+        }
+    }
+}
--- /dev/null
+++ b/crates/samphiregrade-bench/src/run.rs
@@ -0,0 +1,320 @@
+//! Running a scenario from start to audit.
+
+mod watch;
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::str::FromStr;
+use std::time::{Duration, Instant};
+
+use anyhow::Result;
+use futures_util::future::join_all;
+use samphiregrade::client::CallerClient;
+use samphiregrade::record::PolicySpec;
+use samphiregrade::workload::{Deployment, ProgramNote, ProgramVerdict, run_program};
+use samphiregrade_standins::engine::EngineSettings;
+use smol_str::{SmolStr, format_smolstr};
+
+use crate::audit::{audit, recovery_times};
+use crate::cluster::{Cluster, ClusterSettings};
+use crate::faults::{ActiveFault, FaultLog, begin_fault, end_fault, note_exit};
+use crate::load::{Arrival, draw_arrivals, engine_capacity};
+use crate::report::{ControlCost, ProgramCounts, ScenarioReport, TimeQuantiles};
+use crate::scenario::{FaultSpec, Scenario};
+use watch::ClusterWatch;
+
+/// Utilisation of a scenario that says nothing about its load.
+const DEFAULT_UTILISATION: f64 = 0.5;
+
+/// Pause after the last answer in which holds are given back.
+const SETTLE_TIME: Duration = Duration::from_secs(3);
+
+/// Pause between two looks at the faults.
+const FAULT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Composes the cluster of a scenario.
+///
+/// # Errors
+///
+/// Returns an error for an unknown deployment.
+pub fn cluster_settings(scenario: &Scenario) -> Result<ClusterSettings> {
+    let mut deployment = Deployment::from_str(&scenario.deployment)?;
+    let sizes = &scenario.cluster;
+    if let Some(instances) = sizes.instances {
+        deployment = deployment.with_instances(instances);
+    }
+    if let Some(engines) = sizes.engines {
+        deployment = deployment.with_engines(engines);
+    }
+    let engine = EngineSettings::default();
+    let engine = EngineSettings {
+        slots: sizes.engine_slots.unwrap_or(engine.slots),
+        cache_tokens: sizes.engine_cache_tokens.unwrap_or(engine.cache_tokens),
+        report_interval: sizes.report_interval.unwrap_or(engine.report_interval),
+        ..engine
+    };
+    let defaults = ClusterSettings::default();
+    Ok(ClusterSettings {
+        deployment,
+        engine,
+        policy: PolicySpec {
+            policy: scenario.policy,
+            ..PolicySpec::default()
+        },
+        shards: sizes.shards.unwrap_or(defaults.shards),
+        ..defaults
+    })
+}
+
+/// Returns the programs a second that a scenario asks for.
+#[must_use]
+pub fn arrival_rate(scenario: &Scenario, settings: &ClusterSettings) -> f64 {
+    if let Some(rate) = scenario.load.programs_per_second {
+        return rate;
+    }
+    let utilisation = scenario.load.utilisation.unwrap_or(DEFAULT_UTILISATION);
+    let deployment = &settings.deployment;
+    let engines = deployment.engines.len();
+    utilisation * engine_capacity(&deployment.classes, &settings.engine, engines)
+}
+
+/// Runs a scenario on a cluster of its own; to be called inside a running system.
+///
+/// # Errors
+///
+/// Returns what could not be started or does not fit.
+pub async fn run_scenario(
+    scenario: &Scenario,
+    settings: ClusterSettings,
+    progress: bool,
+) -> Result<ScenarioReport> {
+    let rate = arrival_rate(scenario, &settings);
+    let cluster = Cluster::start(settings).await?;
+    run_on(scenario, cluster, rate, progress).await
+}
+
+async fn run_on(
+    scenario: &Scenario,
+    mut cluster: Cluster,
+    rate: f64,
+    progress: bool,
+) -> Result<ScenarioReport> {
+    let deployment = cluster.settings.deployment.clone();
+    let domains: Vec<SmolStr> = deployment
+        .domains
+        .iter()
+        .map(|one| one.name.clone())
+        .collect();
+    let arrivals = draw_arrivals(
+        &deployment.classes,
+        rate,
+        scenario.duration,
+        domains.len(),
+        scenario.seed,
+    );
+    let patience = scenario.duration + scenario.drain;
+    let callers: Vec<CallerClient> = domains
+        .iter()
+        .map(|domain| cluster.caller(domain).with_patience(patience))
+        .map(|caller| caller.with_attempt_timeout(Duration::from_secs(10)))
+        .collect();
+    let before = cluster.key_value.stats();
+    let bytes_before = cluster.proxy.bytes(|link| link.starts_with("peer/"));
+    let cpu_before = total_cpu(&cluster);
+    let started = Instant::now();
+    let watch = ClusterWatch::start(&cluster, started);
+    let mut log = FaultLog::default();
+    let notes = {
+        let load = run_load(&arrivals, &callers, &domains, scenario, progress);
+        let faults = run_faults(&mut cluster, &scenario.faults, started, &mut log);
+        let whole = async {
+            tokio::select! {
+                notes = load => Ok(notes),
+                error = faults => Err(error),
+            }
+        };
+        whole.await?
+    };
+    let elapsed = started.elapsed().as_secs_f64();
+    let after = cluster.key_value.stats();
+    let bytes = cluster.proxy.bytes(|link| link.starts_with("peer/")) - bytes_before;
+    tokio::time::sleep(SETTLE_TIME).await;
+    let cpu = total_cpu(&cluster) - cpu_before;
+    let watched = watch.finish(&log);
+    let (mut violations, cache) = audit(&cluster, &notes, &log);
+    violations.configuration_reverted += watched.reverted;
+    violations.interrupted_by_shutdown = count_interrupted(&mut cluster, &callers, &mut log);
+    #[expect(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
+    let control = ControlCost {
+        platform_calls_per_second: (after.reads + after.writes - before.reads - before.writes)
+            as f64
+            / elapsed,
+        peer_bytes_per_second: bytes as f64 / elapsed,
+        cpu_seconds: cpu.as_secs_f64(),
+        rss_bytes_max: largest_memory(&cluster),
+    };
+    Ok(ScenarioReport {
+        scenario: scenario.name.clone(),
+        policy: scenario.policy,
+        seed: scenario.seed,
+        programs_per_second: rate,
+        programs: count_programs(&notes),
+        latency_seconds: latencies(&notes),
+        cache,
+        violations,
+        recovery_seconds: TimeQuantiles::of(recovery_times(&notes, &log)),
+        configuration_seconds: TimeQuantiles::of(watched.configuration),
+        control,
+        queue: watched.queue,
+        failures: failures(&notes),
+    })
+}
+
+/// Runs the programs, each begun at its time whatever became of the others.
+async fn run_load(
+    arrivals: &[Arrival],
+    callers: &[CallerClient],
+    domains: &[SmolStr],
+    scenario: &Scenario,
+    progress: bool,
+) -> Vec<ProgramNote> {
+    let done = Rc::new(RefCell::new(0_usize));
+    let runs = arrivals.iter().enumerate().map(|(number, arrival)| {
+        let done = done.clone();
+        async move {
+            tokio::time::sleep(arrival.at).await;
+            let key = format_smolstr!("{}-{}-{number}", scenario.name, scenario.seed);
+            let home = Some(domains[arrival.domain].clone());
+            let caller = &callers[arrival.domain];
+            let notes = run_program(caller, &arrival.plan, key, home, None).await;
+            *done.borrow_mut() += 1;
+            if progress {
+                eprintln!(
+                    "{}/{} {:?}",
+                    done.borrow(),
+                    arrivals.len(),
+                    notes[0].verdict
+                );
+            }
+            notes
+        }
+    });
+    join_all(runs).await.into_iter().flatten().collect()
+}
+
+/// Begins and ends the faults at their times; returns only with an error.
+async fn run_faults(
+    cluster: &mut Cluster,
+    faults: &[FaultSpec],
+    started: Instant,
+    log: &mut FaultLog,
+) -> anyhow::Error {
+    let mut waiting: Vec<&FaultSpec> = faults.iter().collect();
+    waiting.sort_by_key(|fault| fault.at);
+    let mut active: Vec<(Instant, ActiveFault)> = Vec::new();
+    loop {
+        tokio::time::sleep(FAULT_PAUSE).await;
+        let now = Instant::now();
+        let stopped: Vec<SmolStr> = log.stops.iter().map(|stop| stop.instance.clone()).collect();
+        for name in stopped {
+            note_exit(cluster, &name, log);
+        }
+        if waiting
+            .first()
+            .is_some_and(|fault| started + fault.at <= now)
+        {
+            let fault = waiting.remove(0);
+            match begin_fault(cluster, fault, log).await {
+                Ok(begun) => {
+                    let end = fault.lasting.map(|lasting| Instant::now() + lasting);
+                    active.extend(end.map(|end| (end, begun)));
+                }
+                Err(error) => return error,
+            }
+        }
+        let (over, still): (Vec<_>, Vec<_>) = active.into_iter().partition(|(end, _)| *end <= now);
+        active = still;
+        for (_, fault) in over {
+            if let Err(error) = end_fault(cluster, &fault, log) {
+                return error;
+            }
+        }
+    }
+}
+
+fn total_cpu(cluster: &Cluster) -> Duration {
+    cluster
+        .instances
+        .values()
+        .map(|instance| instance.usage().cpu)
+        .sum()
+}
+
+fn largest_memory(cluster: &Cluster) -> u64 {
+    let memories = cluster
+        .instances
+        .values()
+        .map(|instance| instance.usage().memory);
+    memories.max().unwrap_or(0)
+}
+
+/// Counts attempts that broke off between the begin and the end of a graceful stop.
+fn count_interrupted(cluster: &mut Cluster, callers: &[CallerClient], log: &mut FaultLog) -> u64 {
+    let stops: Vec<SmolStr> = log.stops.iter().map(|stop| stop.instance.clone()).collect();
+    for name in stops {
+        note_exit(cluster, &name, log);
+    }
+    let failures: Vec<_> = callers.iter().flat_map(CallerClient::failures).collect();
+    let mut count = 0;
+    for stop in &log.stops {
+        // The stop's end is seen late by at most two looks at the faults.
+        let end = stop
+            .ended
+            .map_or_else(Instant::now, |(at, _)| at - FAULT_PAUSE * 3);
+        let broken = failures
+            .iter()
+            .filter(|failure| failure.entry == stop.entry)
+            .filter(|failure| failure.at > stop.began && failure.at < end);
+        count += broken.count() as u64;
+        count += u64::from(stop.ended.is_some_and(|(_, status)| status != 0));
+    }
+    count
+}
+
+fn count_programs(notes: &[ProgramNote]) -> ProgramCounts {
+    let mut counts = ProgramCounts::default();
+    for note in notes {
+        counts.begun += 1;
+        match note.verdict {
+            ProgramVerdict::Finished => counts.finished += 1,
+            ProgramVerdict::RefusedNotRun => counts.refused_not_run += 1,
+            ProgramVerdict::OutcomeUnknown => counts.outcome_unknown += 1,
+            ProgramVerdict::Unanswered => counts.unanswered += 1,
+        }
+    }
+    counts
+}
+
+fn latencies(notes: &[ProgramNote]) -> BTreeMap<SmolStr, TimeQuantiles> {
+    let mut classes: BTreeMap<SmolStr, Vec<Duration>> = BTreeMap::new();
+    for note in notes {
+        classes
+            .entry(note.class.clone())
+            .or_default()
+            .push(note.latency);
+        classes.entry("all".into()).or_default().push(note.latency);
+    }
+    classes
+        .into_iter()
+        .map(|(class, times)| (class, TimeQuantiles::of(times)))
+        .collect()
+}
+
+fn failures(notes: &[ProgramNote]) -> BTreeMap<SmolStr, u64> {
+    let mut failures = BTreeMap::new();
+    for failure in notes.iter().filter_map(|note| note.failure.clone()) {
+        *failures.entry(failure).or_default() += 1;
+    }
+    failures
+}
--- a/crates/samphiregrade-standins/src/engine.rs
+++ b/crates/samphiregrade-standins/src/engine.rs
@@ -137,6 +137,28 @@
         })
     }
 
+    /// Returns the audit log.
+    #[must_use]
+    pub fn audit(&self) -> EngineAudit {
+        lock(&self.inner.state).audit(Instant::now())
+    }
+
+    /// Returns the requests that wait inside the engine at the moment.
+    #[must_use]
+    pub fn queued(&self) -> usize {
+        lock(&self.inner.state).queued()
+    }
+
+    /// Begins or ends leaving.
+    pub fn set_leaving(&self, leaving: bool) {
+        lock(&self.inner.orders).leaving = leaving;
+    }
+
+    /// Begins or ends withholding load reports and cache events.
+    pub fn set_silent(&self, silent: bool) {
+        lock(&self.inner.orders).silent = silent;
+    }
+
     async fn run_steps(&self) {
         let mut due = Instant::now();
         loop {
@@ -167,10 +189,7 @@
             ["cache", action] => self.cache_call(action, request),
             ["orders"] => self.order(request),
             ["control"] => self.control(request),
-            ["audit"] => {
-                let audit = lock(&self.inner.state).audit(Instant::now());
-                OutgoingResponse::json(200, &audit)
-            }
+            ["audit"] => OutgoingResponse::json(200, &self.audit()),
             _ => refusal(404, "no such call"),
         }
     }
--- a/crates/samphiregrade-standins/src/engine/batch.rs
+++ b/crates/samphiregrade-standins/src/engine/batch.rs
@@ -257,6 +257,11 @@
         self.running = running;
     }
 
+    /// Returns the requests that wait for a slot.
+    pub fn queued(&self) -> usize {
+        self.waiting.len()
+    }
+
     /// Returns the load as it was at the last report.
     pub fn load_report(&mut self, settings: &EngineSettings, now: Instant) -> EngineLoad {
         if let Some((at, load)) = &self.report
--- a/crates/samphiregrade-standins/src/service.rs
+++ b/crates/samphiregrade-standins/src/service.rs
@@ -97,6 +97,17 @@
         })
     }
 
+    /// Returns every call executed so far.
+    #[must_use]
+    pub fn executions(&self) -> Vec<ServiceExecution> {
+        lock(&self.state).executions.clone()
+    }
+
+    /// Replaces the faults in force.
+    pub fn set_faults(&self, faults: ServiceFaults) {
+        lock(&self.state).faults = faults;
+    }
+
     async fn handle(&self, request: IncomingRequest) -> OutgoingResponse {
         match request.segments()[..] {
             ["invoke", tool] => self.invoke(tool, &request).await,
--- a/src/client.rs
+++ b/src/client.rs
@@ -1,6 +1,7 @@
 //! A caller of the system: it retries until it has a final answer.
 
-use std::time::Duration;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
 
 use rand::Rng;
 use samphiregrade_http::{HttpPool, OutgoingRequest};
@@ -51,11 +52,22 @@
 pub struct CallerClient {
     pool: HttpPool,
     entries: Vec<SmolStr>,
+    preferred: usize,
+    failures: Arc<Mutex<Vec<AttemptFailure>>>,
     token: SmolStr,
     patience: Duration,
     attempt_timeout: Duration,
 }
 
+/// An attempt that brought no response.
+#[derive(Clone, Debug)]
+pub struct AttemptFailure {
+    /// Base URL of the instance.
+    pub entry: SmolStr,
+    /// When it failed.
+    pub at: Instant,
+}
+
 /// What one attempt brought.
 enum AttemptEnd {
     Answer(Vec<u8>),
@@ -69,13 +81,42 @@
     pub fn new(pool: HttpPool, entries: Vec<SmolStr>, token: SmolStr) -> Self {
         Self {
             pool,
+            preferred: entries.len(),
             entries,
+            failures: Arc::default(),
             token,
             patience: Duration::from_secs(120),
             attempt_timeout: Duration::from_secs(40),
         }
     }
 
+    /// Prefers the first few of the known instances; the others are for when these fail.
+    #[must_use]
+    pub fn with_preferred(mut self, preferred: usize) -> Self {
+        self.preferred = preferred;
+        self
+    }
+
+    /// Returns the attempts that brought no response.
+    #[must_use]
+    pub fn failures(&self) -> Vec<AttemptFailure> {
+        self.failures
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clone()
+    }
+
+    fn note_failure(&self, entry: &SmolStr) {
+        let failure = AttemptFailure {
+            entry: entry.clone(),
+            at: Instant::now(),
+        };
+        self.failures
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .push(failure);
+    }
+
     /// Replaces the time over which the caller retries.
     #[must_use]
     pub fn with_patience(mut self, patience: Duration) -> Self {
@@ -148,7 +189,7 @@
     {
         let started = tokio::time::Instant::now();
         let mut attempts = 0;
-        let mut entry = rand::rng().random_range(0..self.entries.len().max(1));
+        let mut entry = rand::rng().random_range(0..self.preferred.max(1));
         let mut pause = RETRY_PAUSES.0;
         loop {
             attempts += 1;
@@ -188,7 +229,10 @@
             .with_timeout(self.attempt_timeout);
         let mut response = match self.pool.send(request).await {
             Ok(response) => response,
-            Err(error) => return AttemptEnd::Failed(format_smolstr!("{error}")),
+            Err(error) => {
+                self.note_failure(base);
+                return AttemptEnd::Failed(format_smolstr!("{error}"));
+            }
         };
         let wait = response
             .header("retry-after-exact")
@@ -199,7 +243,10 @@
             .is_some_and(|content| content.starts_with("application/problem+json"));
         let bytes = match response.read_all().await {
             Ok(bytes) => bytes,
-            Err(error) => return AttemptEnd::Failed(format_smolstr!("{error}")),
+            Err(error) => {
+                self.note_failure(base);
+                return AttemptEnd::Failed(format_smolstr!("{error}"));
+            }
         };
         if !problem && response.status < 500 {
             return AttemptEnd::Answer(bytes.to_vec());
--- a/src/workload/caller.rs
+++ b/src/workload/caller.rs
@@ -4,14 +4,14 @@
 
 use futures_util::FutureExt;
 use futures_util::future::{BoxFuture, join_all};
-use samphiregrade_standins::engine::{ChatMessage as EngineMessage, answer_text};
+use samphiregrade_standins::engine::{ChatMessage as EngineMessage, answer_text, prompt_digest};
 use serde_json::Value;
 use serde_json::value::RawValue;
 use smol_str::{SmolStr, format_smolstr};
 
 use super::plan::{PlanStep, ProgramPlan, filler};
 use crate::client::{CallerClient, ClientError};
-use crate::contract::{BeginRequest, CallBody, ChatMessage, RanState};
+use crate::contract::{BeginRequest, CallBody, ChatMessage, RanState, text_tokens};
 use crate::ids::{ProgramId, SequenceNumber, TokenCount};
 use crate::program::idempotency_key;
 
@@ -39,8 +39,16 @@
     pub answered: bool,
     /// What a final refusal said.
     pub told: Option<RanState>,
-    /// Attempts made.
+    /// Attempts made; 0 where the answer was final but no success.
     pub attempts: u32,
+    /// When the first attempt was made.
+    pub began: Instant,
+    /// When the final answer came.
+    pub ended: Instant,
+    /// Digest of the conversation that the engine is to be asked with.
+    pub prompt_digest: Option<u64>,
+    /// Tokens that the call adds to the prompt.
+    pub prompt_tokens: TokenCount,
 }
 
 /// A program as its caller saw it.
@@ -179,6 +187,12 @@
         body: &CallBody,
         idempotent: bool,
     ) -> Result<Value, ClientError> {
+        let new: u64 = body
+            .messages
+            .iter()
+            .flatten()
+            .map(|one| text_tokens(&one.content))
+            .sum();
         self.sequence += 1;
         let started = Instant::now();
         let answer = self.client.call(program, self.sequence, body).await;
@@ -193,6 +207,10 @@
             answered: answer.is_ok(),
             told,
             attempts,
+            began: started,
+            ended: Instant::now(),
+            prompt_digest: body.messages.as_ref().map(|_| prompt_digest(&self.history)),
+            prompt_tokens: new,
         });
         answer.map(|answer| answer.body)
     }
