--- a/src/shard/actor.rs
+++ b/src/shard/actor.rs
@@ -1,19 +1,20 @@
 //! The task that owns one copy of a shard, in whatever role the map gives it.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
 use smol_str::ToSmolStr;
 use tokio::sync::mpsc;
+use tokio::task::JoinHandle;
 
 use super::command::{CallReply, CopyDump, InspectQuestion, ShardCommand};
 use super::context::ShardContext;
-use super::copy::{
-    AppendReply, AppendRequest, BackupRole, InstallRequest, PrimaryRole, SealedRole, ShardCopy,
-};
+use super::copy::{AppendReply, AppendRequest, BackupRole, InstallRequest, PrimaryRole, ShardCopy};
 use super::keeper::ProposeError;
 use super::map::{MapChange, ShardPlacement, VersionedMap, map_key};
 use super::primary::PrimaryState;
+use super::role::{HeldRole, RoleChange, decide_role};
 use crate::ids::{InstanceRef, ShardEpoch, ShardId};
 use crate::platform::PlatformError;
 
@@ -29,7 +30,6 @@
 enum CopyState {
     Absent,
     Backup(ShardCopy<BackupRole>),
-    Sealed(ShardCopy<SealedRole>),
     Primary(Box<PrimaryState>),
 }
 
@@ -43,17 +43,29 @@
         sender: sender.clone(),
         state: CopyState::Absent,
         suspected_since: None,
+        takeover: None,
     };
     tokio::spawn(actor.run(inbox));
     sender
 }
 
+impl CopyState {
+    fn held(&self) -> HeldRole {
+        match self {
+            Self::Absent => HeldRole::Absent,
+            Self::Backup(copy) => HeldRole::Backup(copy.epoch()),
+            Self::Primary(primary) => HeldRole::Primary(primary.epoch()),
+        }
+    }
+}
+
 struct CopyActor {
     shard: ShardId,
     context: Arc<ShardContext>,
     sender: mpsc::Sender<ShardCommand>,
     state: CopyState,
     suspected_since: Option<Instant>,
+    takeover: Option<JoinHandle<()>>,
 }
 
 impl CopyActor {
@@ -88,58 +100,39 @@
         let Some(placement) = self.context.maps.placement(&self.shard) else {
             return;
         };
-        let me = self.me();
+        let change = decide_role(self.state.held(), &placement, &self.me());
         let state = std::mem::replace(&mut self.state, CopyState::Absent);
-        if placement.primary == me {
-            self.become_primary(state, placement).await;
-            return;
-        }
-        let listed = placement.backups.contains(&me);
-        self.state = match state {
-            CopyState::Primary(primary) if primary.epoch() > placement.epoch => {
-                CopyState::Primary(primary)
+        self.state = match (change, state) {
+            (RoleChange::Keep, state) => state,
+            (RoleChange::StartEmptyBackup, _) => {
+                CopyState::Backup(ShardCopy::empty(placement.epoch))
             }
-            CopyState::Primary(primary) => {
-                let copy = primary.resign(&self.shard);
-                if listed {
-                    CopyState::Backup(copy)
-                } else {
-                    CopyState::Absent
-                }
+            (RoleChange::Adopt, CopyState::Primary(mut primary)) => {
+                primary.adopt(&placement);
+                CopyState::Primary(primary)
             }
-            CopyState::Backup(copy) if listed || copy.epoch() > placement.epoch => {
-                CopyState::Backup(copy)
+            (RoleChange::StepDown, CopyState::Primary(primary)) => {
+                CopyState::Backup(primary.resign(&self.shard))
             }
-            CopyState::Sealed(copy) if listed && placement.epoch <= copy.sealed() => {
-                CopyState::Sealed(copy)
+            (RoleChange::Drop, CopyState::Primary(primary)) => {
+                primary.resign(&self.shard);
+                CopyState::Absent
             }
-            CopyState::Sealed(copy) if listed => CopyState::Backup(copy.reopen()),
-            CopyState::Absent if listed && placement.empty_epoch == placement.epoch => {
-                CopyState::Backup(ShardCopy::empty(placement.epoch))
+            (RoleChange::Promote | RoleChange::StartEmptyPrimary, state) => {
+                return self.promote(state, &placement).await;
             }
-            CopyState::Absent | CopyState::Backup(_) | CopyState::Sealed(_) => CopyState::Absent,
+            (_, _) => CopyState::Absent,
         };
     }
 
-    async fn become_primary(&mut self, state: CopyState, placement: ShardPlacement) {
+    async fn promote(&mut self, state: CopyState, placement: &ShardPlacement) {
         let copy = match state {
-            CopyState::Primary(mut primary) => {
-                primary.adopt(&placement);
-                self.state = CopyState::Primary(primary);
-                return;
-            }
-            CopyState::Backup(copy) => copy.seal(placement.epoch - 1).promote(placement.epoch),
-            CopyState::Sealed(copy) => copy.promote(placement.epoch),
-            CopyState::Absent if placement.empty_epoch == placement.epoch => {
-                ShardCopy::empty(placement.epoch - 1)
-                    .seal(placement.epoch - 1)
-                    .promote(placement.epoch)
-            }
-            CopyState::Absent => return,
+            CopyState::Backup(copy) => copy,
+            _ => ShardCopy::empty(placement.epoch - 1),
         };
-        match copy {
-            Ok(copy) => self.start_primary(copy, &placement).await,
-            Err(sealed) => self.state = CopyState::Sealed(sealed),
+        match copy.promote(placement.epoch) {
+            Ok(copy) => self.start_primary(copy, placement).await,
+            Err(copy) => self.state = CopyState::Backup(copy),
         }
     }
 
@@ -221,27 +214,37 @@
         }
     }
 
+    /// Returns whether a newer map is known here than the epoch: its primary writes no more.
+    ///
+    /// This holds for an instance without a copy as well. Were it to take one of an old epoch, an old
+    /// primary could count on it although the shard has moved on.
+    fn is_outdated(&self, epoch: ShardEpoch) -> bool {
+        let placement = self.context.maps.placement(&self.shard);
+        placement.is_some_and(|placement| epoch < placement.epoch)
+    }
+
     fn append(&mut self, request: &AppendRequest) -> AppendReply {
+        if self.is_outdated(request.epoch) {
+            return AppendReply::Stale;
+        }
         match &mut self.state {
             CopyState::Backup(copy) => copy.append(request),
             CopyState::Absent => AppendReply::Gap,
-            CopyState::Sealed(copy) if request.epoch > copy.sealed() => AppendReply::Gap,
-            CopyState::Sealed(_) | CopyState::Primary(_) => AppendReply::Stale,
+            CopyState::Primary(_) => AppendReply::Stale,
         }
     }
 
     fn install(&mut self, request: InstallRequest) -> AppendReply {
+        if self.is_outdated(request.epoch) {
+            return AppendReply::Stale;
+        }
         match &mut self.state {
             CopyState::Backup(copy) => copy.install(request),
             CopyState::Absent => {
                 self.state = CopyState::Backup(ShardCopy::installed(request));
                 AppendReply::Stored
             }
-            CopyState::Sealed(copy) if request.epoch > copy.sealed() => {
-                self.state = CopyState::Backup(ShardCopy::installed(request));
-                AppendReply::Stored
-            }
-            CopyState::Sealed(_) | CopyState::Primary(_) => AppendReply::Stale,
+            CopyState::Primary(_) => AppendReply::Stale,
         }
     }
 
@@ -253,13 +256,12 @@
                     self.reconcile().await;
                 }
             }
-            CopyState::Backup(_) => self.look_after_primary().await,
-            CopyState::Sealed(_) => self.finish_takeover().await,
+            CopyState::Backup(_) => self.look_after_primary(),
         }
     }
 
     /// Takes the shard over where its primary does not answer any more.
-    async fn look_after_primary(&mut self) {
+    fn look_after_primary(&mut self) {
         let Some(placement) = self.context.maps.placement(&self.shard) else {
             return;
         };
@@ -267,27 +269,23 @@
         if !self.may_take_over(&placement, now) {
             return;
         }
-        // Sealing stops the old primary, so it is done only while the platform can answer.
-        if !self.refresh_map().await {
-            return;
-        }
-        let Some(fresh) = self.context.maps.placement(&self.shard) else {
-            return;
-        };
-        if fresh != placement {
-            self.reconcile().await;
+        if self
+            .takeover
+            .as_ref()
+            .is_some_and(|takeover| !takeover.is_finished())
+        {
             return;
         }
-        if let CopyState::Backup(copy) = std::mem::replace(&mut self.state, CopyState::Absent) {
-            log::info!(
-                "shard takeover begins shard={} epoch={} primary={}",
-                self.shard,
-                placement.epoch,
-                placement.primary
-            );
-            self.state = CopyState::Sealed(copy.seal(placement.epoch));
-            self.finish_takeover().await;
-        }
+        log::info!(
+            "shard takeover begins shard={} epoch={} primary={}",
+            self.shard,
+            placement.epoch,
+            placement.primary
+        );
+        let context = self.context.clone();
+        let shard = self.shard.clone();
+        // Until the map has changed this copy goes on following: the suspicion may be wrong.
+        self.takeover = Some(tokio::spawn(take_over(context, shard, placement)));
     }
 
     fn may_take_over(&mut self, placement: &ShardPlacement, now: Instant) -> bool {
@@ -322,42 +320,6 @@
         connected && silent && now.duration_since(since) > patience
     }
 
-    /// Asks the map for the shard, as often as it takes to get an answer.
-    async fn finish_takeover(&mut self) {
-        let Some(placement) = self.context.maps.placement(&self.shard) else {
-            return;
-        };
-        let me = self.me();
-        if !placement.backups.contains(&me) {
-            self.reconcile().await;
-            return;
-        }
-        let view = self.context.peers.view();
-        let now = Instant::now();
-        let without: Vec<InstanceRef> = placement
-            .members()
-            .filter(|member| **member != me && view.suspects(member, now))
-            .cloned()
-            .collect();
-        let change = MapChange::TakeOver { by: me, without };
-        let proposed = self
-            .context
-            .maps
-            .propose(&self.shard, placement.epoch, change)
-            .await;
-        match proposed {
-            Ok(_) => {
-                self.context
-                    .counters
-                    .takeovers
-                    .fetch_add(1, std::sync::atomic::Ordering::Relaxed);
-                self.reconcile().await;
-            }
-            Err(ProposeError::Conflict(_)) => self.reconcile().await,
-            Err(error) => log::info!("shard takeover waits shard={} error={error}", self.shard),
-        }
-    }
-
     /// Reads the domain's map from the platform; returns whether there was an answer.
     async fn refresh_map(&self) -> bool {
         refresh_map(&self.context, &self.shard).await.is_ok()
@@ -380,15 +342,32 @@
                 book: Some(copy.book().summary()),
                 ..empty("backup", copy.epoch(), copy.position().index)
             },
-            CopyState::Sealed(copy) => CopyDump {
-                book: Some(copy.book().summary()),
-                ..empty("sealed", copy.epoch(), copy.position().index)
-            },
             CopyState::Primary(primary) => primary.dump(),
         }
     }
 }
 
+/// Asks the map to make this instance's copy the primary's, without the members it suspects.
+async fn take_over(context: Arc<ShardContext>, shard: ShardId, placement: ShardPlacement) {
+    let view = context.peers.view();
+    let now = Instant::now();
+    let without: Vec<InstanceRef> = placement
+        .members()
+        .filter(|member| **member != view.me && view.suspects(member, now))
+        .cloned()
+        .collect();
+    let by = view.me.clone();
+    let change = MapChange::TakeOver { by, without };
+    match context.maps.propose(&shard, placement.epoch, change).await {
+        Ok(_) => {
+            context.counters.takeovers.fetch_add(1, Ordering::Relaxed);
+        }
+        // The newer map that stood in the way is known now.
+        Err(ProposeError::Conflict(_)) => {}
+        Err(error) => log::info!("shard takeover waits shard={shard} error={error}"),
+    }
+}
+
 /// Reads the map of a shard's failure domain from the platform.
 pub async fn refresh_map(context: &ShardContext, shard: &ShardId) -> Result<(), PlatformError> {
     let entry = context.platform.read_key(&map_key(&shard.domain)).await?;
--- a/src/shard/command.rs
+++ b/src/shard/command.rs
@@ -77,7 +77,7 @@
 pub struct CopyDump {
     /// The shard.
     pub shard: SmolStr,
-    /// `primary`, `backup`, `sealed` or `absent`.
+    /// `primary`, `backup` or `absent`.
     pub role: SmolStr,
     /// Epoch of the copy.
     pub epoch: ShardEpoch,
--- a/src/shard/copy.rs
+++ b/src/shard/copy.rs
@@ -1,9 +1,11 @@
 //! One copy of a shard and the rules by which copies agree.
 //!
-//! A primary exposes an effect only after every backup of its epoch has stored the entry. A backup
-//! that wants to take over seals its copy first: from then on it refuses the old epoch's entries, so
-//! the old primary can expose nothing more, however late it wakes up, and no clock is needed. The
-//! role is part of the type: only a sealed copy can be promoted.
+//! A primary exposes an effect only after every backup of its epoch has stored the entry. So each
+//! backup holds every effect that was exposed, and whichever of them the map makes primary refuses
+//! the old primary's entries from then on: the old one can expose nothing more, however late it wakes
+//! up, and no clock is needed. The role is part of the type: only a backup's copy can be promoted.
+
+use std::marker::PhantomData;
 
 use serde::{Deserialize, Serialize};
 
@@ -11,12 +13,12 @@
 use crate::program::{LogEntry, ShardBook};
 
 /// A place in a shard's log: the index with the epoch whose primary wrote the entry there.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct LogPosition {
+    /// Epoch in which the entry was written.
+    pub epoch: ShardEpoch,
     /// Index of the entry; 0 stands before the first.
     pub index: LogIndex,
-    /// Epoch in which it was written.
-    pub epoch: ShardEpoch,
 }
 
 /// Entries from a primary to a backup.
@@ -60,12 +62,6 @@
 #[derive(Clone, Copy, Debug)]
 pub struct BackupRole;
 
-/// Role of a copy that accepts no more entries of its epoch.
-#[derive(Clone, Copy, Debug)]
-pub struct SealedRole {
-    sealed: ShardEpoch,
-}
-
 /// Role of a copy that writes entries.
 #[derive(Clone, Copy, Debug)]
 pub struct PrimaryRole;
@@ -73,14 +69,15 @@
 /// One copy of a shard in some role.
 #[derive(Clone, Debug)]
 pub struct ShardCopy<Role> {
-    role: Role,
+    role: PhantomData<Role>,
+    /// Epoch of the primary that the copy was last brought in line with.
     epoch: ShardEpoch,
     position: LogPosition,
     book: ShardBook,
 }
 
 impl<Role> ShardCopy<Role> {
-    /// Returns the epoch that the copy is in.
+    /// Returns the epoch of the primary that the copy was last brought in line with.
     #[must_use]
     pub fn epoch(&self) -> ShardEpoch {
         self.epoch
@@ -98,9 +95,9 @@
         &self.book
     }
 
-    fn into_role<NewRole>(self, role: NewRole) -> ShardCopy<NewRole> {
+    fn into_role<NewRole>(self) -> ShardCopy<NewRole> {
         ShardCopy {
-            role,
+            role: PhantomData,
             epoch: self.epoch,
             position: self.position,
             book: self.book,
@@ -113,7 +110,7 @@
     #[must_use]
     pub fn empty(epoch: ShardEpoch) -> Self {
         Self {
-            role: BackupRole,
+            role: PhantomData,
             epoch,
             position: LogPosition::default(),
             book: ShardBook::default(),
@@ -124,7 +121,7 @@
     #[must_use]
     pub fn installed(request: InstallRequest) -> Self {
         Self {
-            role: BackupRole,
+            role: PhantomData,
             epoch: request.epoch,
             position: request.position,
             book: request.book,
@@ -166,56 +163,32 @@
         (same_primary && ahead > 0 && ahead <= request.entries.len()).then_some(ahead)
     }
 
-    /// Replaces the copy by a whole one, unless that is of an older epoch.
+    /// Replaces the copy by a whole one, unless that is older.
+    ///
+    /// One epoch has one primary, whose log only grows: of two copies for the same epoch the one that
+    /// reaches less far was late on its way, and taking it would lose entries that count as stored.
     pub fn install(&mut self, request: InstallRequest) -> AppendReply {
-        if request.epoch < self.epoch {
+        let late = request.epoch == self.epoch && request.position < self.position;
+        if request.epoch < self.epoch || late {
             return AppendReply::Stale;
         }
         *self = Self::installed(request);
         AppendReply::Stored
     }
 
-    /// Seals the copy for its epoch and every older one.
-    #[must_use]
-    pub fn seal(self, epoch: ShardEpoch) -> ShardCopy<SealedRole> {
-        let sealed = epoch.max(self.epoch);
-        self.into_role(SealedRole { sealed })
-    }
-}
-
-impl ShardCopy<SealedRole> {
-    /// Returns the epoch up to which the copy refuses entries.
-    #[must_use]
-    pub fn sealed(&self) -> ShardEpoch {
-        self.role.sealed
-    }
-
     /// Makes the copy the primary's, in an epoch that the map has given it.
     ///
     /// # Errors
     ///
-    /// Gives the copy back where the epoch is not newer than the seal.
-    #[expect(
-        clippy::result_large_err,
-        reason = "the copy itself goes back, once in a takeover"
-    )]
+    /// Gives the copy back where it is in that epoch, or a newer one, already.
     pub fn promote(self, epoch: ShardEpoch) -> Result<ShardCopy<PrimaryRole>, Self> {
-        if epoch <= self.role.sealed {
+        if epoch <= self.epoch {
             return Err(self);
         }
-        let mut copy = self.into_role(PrimaryRole);
+        let mut copy = self.into_role();
         copy.epoch = epoch;
         Ok(copy)
     }
-
-    /// Opens the copy again for entries of a newer epoch, after another took the shard over.
-    #[must_use]
-    pub fn reopen(self) -> ShardCopy<BackupRole> {
-        let next = self.role.sealed + 1;
-        let mut copy = self.into_role(BackupRole);
-        copy.epoch = copy.epoch.max(next);
-        copy
-    }
 }
 
 impl ShardCopy<PrimaryRole> {
@@ -249,7 +222,7 @@
     /// Hands the shard over: the copy follows the next primary from then on.
     #[must_use]
     pub fn step_down(self) -> ShardCopy<BackupRole> {
-        self.into_role(BackupRole)
+        self.into_role()
     }
 }
 
@@ -272,15 +245,13 @@
     }
 
     #[test]
-    fn sealed_copy_refuses_the_old_epoch_after_reopening() {
+    fn copy_of_a_newer_epoch_refuses_an_older_one() {
         let mut copy = ShardCopy::empty(1);
         let first = request(1, LogPosition::default(), 2);
         assert_eq!(copy.append(&first), AppendReply::Stored);
-        let mut copy = copy.seal(1).reopen();
-        let late = request(1, LogPosition { index: 2, epoch: 1 }, 1);
-        assert_eq!(copy.append(&late), AppendReply::Stale);
-        let next = request(2, LogPosition { index: 2, epoch: 1 }, 1);
-        assert_eq!(copy.append(&next), AppendReply::Stored);
+        let reached = LogPosition { index: 2, epoch: 1 };
+        assert_eq!(copy.append(&request(2, reached, 0)), AppendReply::Stored);
+        assert_eq!(copy.append(&request(1, reached, 1)), AppendReply::Stale);
     }
 
     #[test]
@@ -300,10 +271,25 @@
         assert_eq!(copy.append(&shorter), AppendReply::Gap);
     }
 
+    #[test]
+    fn late_copy_of_the_same_primary_is_refused() {
+        let mut copy = ShardCopy::empty(1);
+        let whole = |index| InstallRequest {
+            shard: request(1, LogPosition::default(), 0).shard,
+            epoch: 2,
+            position: LogPosition { index, epoch: 2 },
+            book: ShardBook::default(),
+        };
+        assert_eq!(copy.install(whole(5)), AppendReply::Stored);
+        assert_eq!(copy.install(whole(4)), AppendReply::Stale);
+        assert_eq!(copy.position().index, 5);
+    }
+
     #[test]
     fn only_a_newer_epoch_promotes() {
-        let sealed = ShardCopy::empty(3).seal(3);
-        let sealed = sealed.promote(3).expect_err("the seal covers epoch 3");
-        assert!(sealed.promote(4).is_ok());
+        let copy = ShardCopy::empty(3)
+            .promote(3)
+            .expect_err("epoch 3 is not newer");
+        assert!(copy.promote(4).is_ok());
     }
 }
--- a/src/shard/map.rs
+++ b/src/shard/map.rs
@@ -62,7 +62,7 @@
 /// A change of one shard's placement.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum MapChange {
-    /// A backup with a sealed copy becomes primary; the listed instances lose their copies.
+    /// A backup becomes primary; the listed instances lose their copies.
     TakeOver {
         /// The backup.
         by: InstanceRef,
--- /dev/null
+++ b/src/shard/role.rs
@@ -0,0 +1,63 @@
+//! What the role of a copy becomes when a map is learned: a pure decision.
+
+use super::map::ShardPlacement;
+use crate::ids::{InstanceRef, ShardEpoch};
+
+/// Role of a copy with the epochs that the decision looks at.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum HeldRole {
+    /// No copy.
+    Absent,
+    /// A backup's copy in an epoch.
+    Backup(ShardEpoch),
+    /// A primary's copy in an epoch.
+    Primary(ShardEpoch),
+}
+
+/// What becomes of a copy.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RoleChange {
+    /// It stays as it is.
+    Keep,
+    /// It is dropped.
+    Drop,
+    /// It starts empty and follows the primary.
+    StartEmptyBackup,
+    /// It starts empty and writes.
+    StartEmptyPrimary,
+    /// It becomes the primary's.
+    Promote,
+    /// It stays the primary's, with the backups of the newer map.
+    Adopt,
+    /// It ceases to be the primary's and follows the next one.
+    StepDown,
+}
+
+/// Decides what becomes of an instance's copy under a placement.
+///
+/// A copy of a newer epoch than the placement's is kept: its instance knows of a newer map already,
+/// or was sent the copy before the map could list it.
+#[must_use]
+pub fn decide_role(held: HeldRole, placement: &ShardPlacement, me: &InstanceRef) -> RoleChange {
+    let begins_empty = placement.empty_epoch == placement.epoch;
+    if placement.primary == *me {
+        return match held {
+            HeldRole::Primary(_) => RoleChange::Adopt,
+            HeldRole::Backup(epoch) if epoch >= placement.epoch => RoleChange::Keep,
+            HeldRole::Backup(_) => RoleChange::Promote,
+            HeldRole::Absent if begins_empty => RoleChange::StartEmptyPrimary,
+            HeldRole::Absent => RoleChange::Keep,
+        };
+    }
+    let listed = placement.backups.contains(me);
+    match held {
+        HeldRole::Primary(epoch) | HeldRole::Backup(epoch) if epoch > placement.epoch => {
+            RoleChange::Keep
+        }
+        HeldRole::Absent if listed && begins_empty => RoleChange::StartEmptyBackup,
+        HeldRole::Absent => RoleChange::Keep,
+        _ if !listed => RoleChange::Drop,
+        HeldRole::Primary(_) => RoleChange::StepDown,
+        HeldRole::Backup(_) => RoleChange::Keep,
+    }
+}
