Compare policies on paired arrivals, with an oracle as the limit

Change: `compare` runs a scenario under several policies and seeds and writes a table, JSON and one page with plots; an oracle with true shapes and full caches gives the limit.

--- a/crates/samphiregrade-bench/src/cmd/mod.rs
+++ b/crates/samphiregrade-bench/src/cmd/mod.rs
@@ -1,5 +1,6 @@
 //! The commands, each in a file of its own with the same two functions: `arguments`, `execute`.
 
+mod compare;
 mod run;
 
 use std::process::ExitCode;
@@ -14,6 +15,8 @@
 
 Commands:
   run SCENARIO.toml [--policy NAME] [--seed N] [--json FILE] [--progress]
+  compare SCENARIO.toml --policy A --policy B ... [--seeds N] [--without MECHANISM ...]
+          [--json FILE] [--html FILE]
 
 Exit status: 0 when no promise was broken, 1 when one was, 2 on bad input.
 ";
@@ -26,6 +29,7 @@
     }
     match arguments.subcommand()?.as_deref() {
         Some("run") => run::execute(&run::arguments(arguments)?),
+        Some("compare") => compare::execute(&compare::arguments(arguments)?),
         Some(other) => bail!("there is no command `{other}`; see samphiregrade-bench --help"),
         None => {
             print!("{USAGE}");
--- a/crates/samphiregrade-bench/src/lib.rs
+++ b/crates/samphiregrade-bench/src/lib.rs
@@ -7,8 +7,10 @@
 
 pub mod audit;
 pub mod cluster;
+pub mod compare;
 pub mod faults;
 pub mod load;
+pub mod oracle;
 pub mod report;
 pub mod run;
 pub mod scenario;
--- a/src/record/schema.rs
+++ b/src/record/schema.rs
@@ -487,6 +487,30 @@
     }
 }
 
+impl PolicySpec {
+    /// Switches a mechanism off, by the name of its field.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error for a name that is no mechanism.
+    pub fn switch_off(&mut self, mechanism: &str) -> Result<(), RecordError> {
+        let switch = match mechanism {
+            "program-order" => &mut self.program_order,
+            "cache-placement" => &mut self.cache_placement,
+            "retention" => &mut self.retention,
+            "admission" => &mut self.admission,
+            _ => {
+                let problem =
+                    "has to be program-order, cache-placement, retention or admission".into();
+                let field = "mechanism";
+                return Err(RecordError::BadField { field, problem });
+            }
+        };
+        *switch = false;
+        Ok(())
+    }
+}
+
 /// Whether a failure domain still exists.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "kebab-case")]
--- a/tests/testsuite/bad_input.rs
+++ b/tests/testsuite/bad_input.rs
@@ -27,8 +27,8 @@
     with_cluster(settings, |cluster| async move {
         let pool = cluster.pool.clone();
         let begin = json!({"key": "k", "class": "dossier"});
-        let begun = send(&pool, caller_post(&cluster, ENTRY, "/v1/programs", &begin)).await;
-        let program = begun.json()["program"]
+        let accepted = send(&pool, caller_post(&cluster, ENTRY, "/v1/programs", &begin)).await;
+        let program = accepted.json()["program"]
             .as_str()
             .expect("a program id")
             .to_owned();
@@ -125,7 +125,7 @@
         slow_client_is_cut_off(&base);
 
         let again = send(&pool, caller_post(&cluster, ENTRY, "/v1/programs", &begin)).await;
-        assert_eq!(again.body, begun.body);
+        assert_eq!(again.body, accepted.body);
     });
 }
 
@@ -156,8 +156,8 @@
         };
         cluster.put_record(&other).await.expect("a stored record");
         let begin = json!({"key": "k", "class": "dossier"});
-        let begun = send(&pool, caller_post(&cluster, ENTRY, "/v1/programs", &begin)).await;
-        let program = begun.json()["program"]
+        let accepted = send(&pool, caller_post(&cluster, ENTRY, "/v1/programs", &begin)).await;
+        let program = accepted.json()["program"]
             .as_str()
             .expect("a program id")
             .to_owned();
--- a/tests/testsuite/callers.rs
+++ b/tests/testsuite/callers.rs
@@ -45,11 +45,11 @@
     with_cluster(small_settings(), |cluster| async move {
         let pool = cluster.pool.clone();
         let begin = json!({"key": "k1", "class": "dossier", "home": "bilbao-b"});
-        let begun = send(&pool, caller_post(&cluster, ENTRY, "/v1/programs", &begin)).await;
-        assert_eq!(begun.status, 200, "{}", begun.text());
+        let accepted = send(&pool, caller_post(&cluster, ENTRY, "/v1/programs", &begin)).await;
+        assert_eq!(accepted.status, 200, "{}", accepted.text());
         let again = send(&pool, caller_post(&cluster, OTHER, "/v1/programs", &begin)).await;
-        assert_eq!(begun.body, again.body);
-        let program = begun.json()["program"]
+        assert_eq!(accepted.body, again.body);
+        let program = accepted.json()["program"]
             .as_str()
             .expect("a program id")
             .to_owned();
@@ -121,8 +121,8 @@
     with_cluster(small_settings(), |cluster| async move {
         let pool = cluster.pool.clone();
         let begin = json!({"key": "k2", "class": "dossier"});
-        let begun = send(&pool, caller_post(&cluster, ENTRY, "/v1/programs", &begin)).await;
-        let program = begun.json()["program"]
+        let accepted = send(&pool, caller_post(&cluster, ENTRY, "/v1/programs", &begin)).await;
+        let program = accepted.json()["program"]
             .as_str()
             .expect("a program id")
             .to_owned();
@@ -149,8 +149,8 @@
     with_cluster(small_settings(), |cluster| async move {
         let pool = cluster.pool.clone();
         let begin = json!({"key": "k3", "class": "dossier", "tokens": 30});
-        let begun = send(&pool, caller_post(&cluster, ENTRY, "/v1/programs", &begin)).await;
-        let program = begun.json()["program"]
+        let accepted = send(&pool, caller_post(&cluster, ENTRY, "/v1/programs", &begin)).await;
+        let program = accepted.json()["program"]
             .as_str()
             .expect("a program id")
             .to_owned();
@@ -179,8 +179,8 @@
     with_cluster(small_settings(), |cluster| async move {
         let pool = cluster.pool.clone();
         let begin = json!({"key": "k4", "class": "dossier"});
-        let begun = send(&pool, caller_post(&cluster, ENTRY, "/v1/programs", &begin)).await;
-        let program = begun.json()["program"]
+        let accepted = send(&pool, caller_post(&cluster, ENTRY, "/v1/programs", &begin)).await;
+        let program = accepted.json()["program"]
             .as_str()
             .expect("a program id")
             .to_owned();
