--- a/crates/samphiregrade-bench/src/cluster.rs
+++ b/crates/samphiregrade-bench/src/cluster.rs
@@ -11,7 +11,7 @@
 
 use anyhow::{Context, Result, ensure};
 use samphiregrade::client::CallerClient;
-use samphiregrade::ids::{DomainId, InstanceName, UpstreamName};
+use samphiregrade::ids::{DomainId, InstanceName, ShardId, UpstreamName};
 use samphiregrade::link::{make_authority, make_identity};
 use samphiregrade::platform::{EtcdGateway, PlatformStore, SwapOutcome};
 use samphiregrade::record::{CURRENT_SCHEMA, PolicySpec, RecordEnvelope, RecordKind, record_key};
@@ -122,6 +122,7 @@
     /// Client for the harness's own requests.
     pub pool: HttpPool,
     key_value_address: SocketAddr,
+    upstream_addresses: BTreeMap<UpstreamName, SmolStr>,
     folder: TempDir,
     runtime: Option<Runtime>,
 }
@@ -177,11 +178,13 @@
             instances: BTreeMap::new(),
             pool: HttpPool::start(2),
             key_value_address,
+            upstream_addresses: BTreeMap::new(),
             folder: TempDir::with_prefix("samphiregrade-")?,
             runtime: Some(runtime),
             settings,
         };
-        let addresses = cluster.start_upstreams()?;
+        cluster.upstream_addresses = cluster.start_upstreams()?;
+        let addresses = cluster.upstream_addresses.clone();
         let address = |name: &str| addresses.get(name).cloned().unwrap_or_default();
         for record in deployment_records(&cluster.settings.deployment, address) {
             cluster.put_record(&record).await?;
@@ -471,6 +474,30 @@
         CallerClient::new(self.pool.clone(), entries, token).with_preferred(preferred)
     }
 
+    /// Returns an upstream's base URL, behind its link.
+    #[must_use]
+    pub fn direct_address(&self, upstream: &str) -> Option<SmolStr> {
+        self.upstream_addresses.get(upstream).cloned()
+    }
+
+    /// Returns the base URL of a program's primary, as the first instance that tells knows it.
+    pub async fn primary_entry(&self, program: &str) -> Option<SmolStr> {
+        let shard = ShardId::of_program(program).ok()?;
+        for name in self.instances.keys() {
+            let Ok(dump) = self.dump(name).await else {
+                continue;
+            };
+            let maps = dump["maps"].as_array().cloned().unwrap_or_default();
+            let map = maps
+                .iter()
+                .find(|map| map["map"]["domain"] == shard.domain.as_str())?;
+            let primary = &map["map"]["shards"][usize::from(shard.index)]["primary"]["name"];
+            let primary = self.instances.get(primary.as_str()?)?;
+            return Some(primary.entry.clone());
+        }
+        None
+    }
+
     /// Returns the instance that is primary of the most shards, as any instance tells.
     pub async fn busiest_primary(&self) -> Option<InstanceName> {
         let mut best = None;
--- /dev/null
+++ b/crates/samphiregrade-bench/src/cmd/measure.rs
@@ -0,0 +1,49 @@
+//! `samphiregrade-bench capacity` and `overhead`: slopes and costs.
+
+use std::fs;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use anyhow::{Context, Result};
+use pico_args::Arguments;
+use samphiregrade_bench::capacity::measure_all;
+use samphiregrade_bench::overhead::measure_overhead;
+use samphiregrade_http::run_system;
+use serde::Serialize;
+
+/// Arguments of the commands.
+pub struct MeasureArguments {
+    json: Option<PathBuf>,
+}
+
+/// Reads the arguments.
+pub fn arguments(mut arguments: Arguments) -> Result<MeasureArguments> {
+    let json = arguments.opt_value_from_str("--json")?;
+    Ok(MeasureArguments { json })
+}
+
+/// Runs `capacity`.
+pub fn execute_capacity(arguments: &MeasureArguments) -> Result<ExitCode> {
+    let series = run_system(async { measure_all().await })?;
+    write_report(arguments, &series)
+}
+
+/// Runs `overhead`.
+pub fn execute_overhead(arguments: &MeasureArguments) -> Result<ExitCode> {
+    let report = run_system(async { measure_overhead().await })?;
+    write_report(arguments, &report)
+}
+
+fn write_report<Report>(arguments: &MeasureArguments, report: &Report) -> Result<ExitCode>
+where
+    Report: Serialize,
+{
+    let text = serde_json::to_string_pretty(report)?;
+    match &arguments.json {
+        Some(path) => {
+            fs::write(path, text).with_context(|| format!("writing {}", path.display()))?;
+        }
+        None => println!("{text}"),
+    }
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/samphiregrade-bench/src/cmd/mod.rs
+++ b/crates/samphiregrade-bench/src/cmd/mod.rs
@@ -1,6 +1,7 @@
 //! The commands, each in a file of its own with the same two functions: `arguments`, `execute`.
 
 mod compare;
+mod measure;
 mod run;
 
 use std::process::ExitCode;
@@ -17,6 +18,8 @@
   run SCENARIO.toml [--policy NAME] [--seed N] [--json FILE] [--progress]
   compare SCENARIO.toml --policy A --policy B ... [--seeds N] [--without MECHANISM ...]
           [--json FILE] [--html FILE]
+  capacity [--json FILE]    slopes of the cost of control, for docs/CAPACITY.md
+  overhead [--json FILE]    what an instance adds to a call, and how many it carries
 
 Exit status: 0 when no promise was broken, 1 when one was, 2 on bad input.
 ";
@@ -30,6 +33,8 @@
     match arguments.subcommand()?.as_deref() {
         Some("run") => run::execute(&run::arguments(arguments)?),
         Some("compare") => compare::execute(&compare::arguments(arguments)?),
+        Some("capacity") => measure::execute_capacity(&measure::arguments(arguments)?),
+        Some("overhead") => measure::execute_overhead(&measure::arguments(arguments)?),
         Some(other) => bail!("there is no command `{other}`; see samphiregrade-bench --help"),
         None => {
             print!("{USAGE}");
--- a/crates/samphiregrade-bench/src/lib.rs
+++ b/crates/samphiregrade-bench/src/lib.rs
@@ -6,11 +6,13 @@
 //! logs against what the callers were told.
 
 pub mod audit;
+pub mod capacity;
 pub mod cluster;
 pub mod compare;
 pub mod faults;
 pub mod load;
 pub mod oracle;
+pub mod overhead;
 pub mod report;
 pub mod run;
 pub mod scenario;
--- a/crates/samphiregrade-bench/src/oracle.rs
+++ b/crates/samphiregrade-bench/src/oracle.rs
@@ -69,7 +69,7 @@
     let slots = engine.slots * engines;
     let parts: Vec<Vec<Part>> = arrivals
         .iter()
-        .map(|arrival| program_parts(&arrival.plan, engine, true))
+        .map(|arrival| program_parts(&arrival.plan, engine))
         .collect();
     let left = parts.iter().map(|parts| engine_time(parts)).collect();
     let mut run = OracleRun {
@@ -105,7 +105,7 @@
 }
 
 #[expect(clippy::cast_precision_loss, reason = "numbers of tokens are small")]
-fn program_parts(plan: &ProgramPlan, engine: &EngineSettings, shared_cached: bool) -> Vec<Part> {
+fn program_parts(plan: &ProgramPlan, engine: &EngineSettings) -> Vec<Part> {
     let slots = u32::try_from(engine.slots).unwrap_or(u32::MAX);
     let step = engine.step_base
         + engine.step_per_request * (slots / 2).max(1)
@@ -124,7 +124,7 @@
                 // They run at the same time: the longest of them counts.
                 let longest = plans
                     .iter()
-                    .map(|plan| program_parts(plan, engine, shared_cached))
+                    .map(|plan| program_parts(plan, engine))
                     .max_by(|one, other| total_time(one).total_cmp(&total_time(other)));
                 parts.extend(longest.unwrap_or_default());
             }
--- a/tests/protocol_model/main.rs
+++ b/tests/protocol_model/main.rs
@@ -32,6 +32,10 @@
     None
 }
 
+#[expect(
+    clippy::needless_pass_by_value,
+    reason = "the library passes random inputs by value"
+)]
 fn keeps_promises(choices: Vec<u32>) -> TestResult {
     match run(ModelGuards::default(), &choices) {
         None => TestResult::passed(),
