Keep copies on disk where an instance has one, and go on from them

A shard all of whose processes have ended goes on from the disk of a member of its last placement, its own failure domain's before others; a damaged database is put aside and the copies come from the others; a full disk is given up and what is on it removed, since it is incomplete from then on. Backups are put on an instance with a disk first. The instance list is read more often at the start: the first map was made before the other failure domains were known, so that no shard had a remote backup for the first seconds.

--- a/crates/samphiregrade-bench/src/cluster.rs
+++ b/crates/samphiregrade-bench/src/cluster.rs
@@ -132,6 +132,11 @@
         for instance in self.instances.values_mut() {
             instance.kill();
         }
+        if std::thread::panicking() {
+            for name in self.instances.keys() {
+                eprintln!("last lines of {name}:\n{}", self.log_tail(name));
+            }
+        }
         if let Some(runtime) = self.runtime.take() {
             runtime.shutdown_background();
         }
@@ -474,6 +479,12 @@
         CallerClient::new(self.pool.clone(), entries, token).with_preferred(preferred)
     }
 
+    /// Returns the folder of the cluster's files.
+    #[must_use]
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+
     /// Returns an upstream's base URL, behind its link.
     #[must_use]
     pub fn direct_address(&self, upstream: &str) -> Option<SmolStr> {
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -11,20 +11,22 @@
 mod records;
 mod shards;
 
+use std::collections::HashMap;
 use std::io;
 use std::net::{TcpListener, UdpSocket};
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use arc_swap::ArcSwap;
 use samphiregrade_http::{HttpPool, HttpServer, IncomingRequest, OutgoingResponse, ServerSettings};
+use thiserror::Error;
 use tokio::runtime::Handle;
 use tokio::sync::{Semaphore, mpsc};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::AbortOnDropHandle;
 
-use crate::ids::InstanceRef;
+use crate::ids::{InstanceRef, ShardId};
 use crate::link::{IdentityError, LinkIdentity, LinkNetwork};
 use crate::membership::{PeerTable, run_membership};
 use crate::platform::{InstanceList, PlatformClient, PlatformLimits, PlatformStore};
@@ -32,6 +34,7 @@
 use crate::scheduler::CallQueue;
 use crate::settings::Settings;
 use crate::shard::{MapKeeper, ShardContext, ShardCounters};
+use crate::storage::{BulkStore, RecoveredCopy, StorageError};
 use crate::upstream::{UpstreamRunner, run_poller};
 
 use metrics::MetricsExporter;
@@ -71,6 +74,17 @@
     }
 }
 
+/// Why an instance can't start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// The certificates or the peers' socket can't be used.
+    #[error(transparent)]
+    Identity(#[from] IdentityError),
+    /// The data folder can't be used.
+    #[error(transparent)]
+    Storage(#[from] StorageError),
+}
+
 /// What the parts of an instance share.
 #[derive(Debug)]
 pub(crate) struct InstanceState {
@@ -106,8 +120,9 @@
     ///
     /// # Errors
     ///
-    /// Returns [`IdentityError`] where the certificates or the peers' socket can't be used.
-    pub fn start(parts: InstanceParts) -> Result<Self, IdentityError> {
+    /// Returns [`StartError`] where the certificates, the peers' socket or the data folder can't be
+    /// used.
+    pub fn start(parts: InstanceParts) -> Result<Self, StartError> {
         let stop = CancellationToken::new();
         let runtime = Handle::current();
         let settings = parts.settings;
@@ -132,7 +147,10 @@
         let config = Arc::new(ArcSwap::from_pointee(ConfigView::default()));
         let queue = Arc::new(CallQueue::new(domain, me.incarnation));
         let runner = UpstreamRunner::new(queue.clone(), parts.pool.clone(), config.clone());
+        let (store, recovered) = open_store(&settings)?;
         let context = Arc::new(ShardContext {
+            store,
+            recovered: Mutex::new(recovered),
             settings: settings.shards.copy_settings(),
             peers: peers.clone(),
             network: network.clone(),
@@ -335,6 +353,22 @@
     }
 }
 
+type RecoveredCopies = HashMap<ShardId, RecoveredCopy>;
+
+fn open_store(settings: &Settings) -> Result<(Option<BulkStore>, RecoveredCopies), StorageError> {
+    let Some(folder) = &settings.instance.data_folder else {
+        return Ok((None, RecoveredCopies::new()));
+    };
+    let (store, copies) = BulkStore::open(folder)?;
+    log::info!(
+        "disk opened folder={} copies={}",
+        folder.display(),
+        copies.len()
+    );
+    let copies = copies.into_iter().map(|copy| (copy.shard.clone(), copy));
+    Ok((Some(store), copies.collect()))
+}
+
 /// Number of this process: later processes of the same instance have higher ones.
 fn start_number() -> u64 {
     let since = SystemTime::now()
--- a/src/instance/news.rs
+++ b/src/instance/news.rs
@@ -49,6 +49,7 @@
             map_revisions: self.maps.revisions(),
             copies: u32::try_from(self.own_copies()).unwrap_or(u32::MAX),
             primaries: u32::try_from(self.own_primaries()).unwrap_or(u32::MAX),
+            has_disk: self.shards.has_disk(),
             heard: if gossip { heard.collect() } else { Vec::new() },
             loads: self.queue.digests(&view.me.name),
         }
--- a/src/instance/overseer.rs
+++ b/src/instance/overseer.rs
@@ -8,12 +8,16 @@
 
 use super::InstanceState;
 use crate::ids::{InstanceRef, ShardId};
+use crate::link::{LinkError, PeerReply, PeerRequest};
 use crate::platform::SwapOutcome;
-use crate::shard::{MapChange, VersionedMap, initial_map, map_key};
+use crate::shard::{LogPosition, MapChange, ShardPlacement, VersionedMap, initial_map, map_key};
 
 /// Time between two looks.
 const OVERSEE_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Longest wait for a peer to tell what is on its disk.
+const DISK_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Time after the start for the other instances of the failure domain to be found.
 const GATHER_TIME: Duration = Duration::from_millis(1500);
 
@@ -92,7 +96,7 @@
     }
 }
 
-/// Begins those shards empty again all of whose copies have certainly ended.
+/// Goes on with those shards all of whose processes have certainly ended: from a disk, or empty.
 async fn restart_lost_shards(state: &InstanceState) {
     let view = state.peers.view();
     let Some(map) = state.maps.map(&view.domain) else {
@@ -106,17 +110,68 @@
             domain: view.domain.clone(),
             index: u16::try_from(index).unwrap_or(u16::MAX),
         };
-        log::error!("shard lost all copies and begins empty shard={shard}");
-        let change = MapChange::Reset(view.me.clone());
-        match state.maps.propose(&shard, placement.epoch, change).await {
-            Ok(_) => {
+        let change = match find_on_disk(state, &shard, placement).await {
+            Ok(Some(holder)) => MapChange::Restore(holder),
+            Ok(None) => {
+                log::error!("shard lost all copies and begins empty shard={shard}");
                 state
                     .shards
                     .counters()
                     .resets
                     .fetch_add(1, Ordering::Relaxed);
+                MapChange::Reset(view.me.clone())
+            }
+            // A member that may have a disk has not answered yet.
+            Err(error) => {
+                log::info!("shard not restarted shard={shard} error={error}");
+                continue;
             }
-            Err(error) => log::info!("shard not begun again shard={shard} error={error}"),
+        };
+        if let Err(error) = state.maps.propose(&shard, placement.epoch, change).await {
+            log::info!("shard not restarted shard={shard} error={error}");
+        }
+    }
+}
+
+/// Finds the instance whose disk has the shard's copy: one of the own failure domain before others.
+///
+/// Another domain's disk may lack what was stored while the own domain was cut off.
+async fn find_on_disk(
+    state: &InstanceState,
+    shard: &ShardId,
+    placement: &ShardPlacement,
+) -> Result<Option<InstanceRef>, LinkError> {
+    let view = state.peers.view();
+    let mut best: Option<(bool, LogPosition, InstanceRef)> = None;
+    for member in placement.members() {
+        let found = if member.name == view.me.name {
+            let position = state.shards.recovered(shard);
+            position.map(|position| (true, position, view.me.clone()))
+        } else {
+            let Some(record) = view.peers().find(|one| one.instance.name == member.name) else {
+                continue;
+            };
+            let request = PeerRequest::RecoveredRead(shard.clone());
+            let reply = state
+                .network
+                .call(record.address, &request, DISK_TIMEOUT)
+                .await?;
+            let PeerReply::Recovered(Some(position)) = reply else {
+                continue;
+            };
+            Some((
+                record.domain == view.domain,
+                position,
+                record.instance.clone(),
+            ))
+        };
+        let better = |(local, position, _): &(bool, LogPosition, InstanceRef)| {
+            best.as_ref()
+                .is_none_or(|best| (*local, *position) > (best.0, best.1))
+        };
+        if let Some(found) = found.filter(better) {
+            best = Some(found);
         }
     }
+    Ok(best.map(|(_, _, holder)| holder))
 }
--- a/src/instance/peers.rs
+++ b/src/instance/peers.rs
@@ -36,6 +36,9 @@
             PeerRequest::MapRead(domain) => {
                 PeerReply::Map(state.maps.map(&domain).map(|map| (*map).clone()))
             }
+            PeerRequest::RecoveredRead(shard) => {
+                PeerReply::Recovered(state.shards.recovered(&shard))
+            }
             PeerRequest::RecordsRead(revision) => {
                 PeerReply::Records(state.records.changes_since(revision))
             }
--- a/src/instance/shards.rs
+++ b/src/instance/shards.rs
@@ -8,7 +8,7 @@
 
 use super::InstanceState;
 use crate::ids::{InstanceRef, ProgramId, ShardId, UpstreamName};
-use crate::shard::{CopyDump, ShardCommand, ShardContext, ShardCounters, spawn_copy};
+use crate::shard::{CopyDump, LogPosition, ShardCommand, ShardContext, ShardCounters, spawn_copy};
 
 type CopySenders = HashMap<ShardId, mpsc::Sender<ShardCommand>>;
 
@@ -31,6 +31,21 @@
         }
     }
 
+    /// Returns whether copies are kept on a disk.
+    pub fn has_disk(&self) -> bool {
+        self.context
+            .store
+            .as_ref()
+            .is_some_and(|store| !store.has_failed())
+    }
+
+    /// Returns how far a shard's copy reaches that was found on the disk.
+    pub fn recovered(&self, shard: &ShardId) -> Option<LogPosition> {
+        self.context
+            .recovered_position(shard)
+            .map(|(_, position)| position)
+    }
+
     /// Returns the counters of all copies.
     pub fn counters(&self) -> &ShardCounters {
         &self.context.counters
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 //! * [`instance`] is one process: it listens for callers, operators and other instances.
 //! * [`record`] and [`platform`] bring the operators' configuration from the key-value service.
 //! * [`shard`] keeps programs in several copies and decides which of them may answer.
+//! * [`storage`] keeps copies on the disks of the instances that have one.
 //! * [`program`] is the pure part of that: log entries, budgets and decisions.
 //! * [`scheduler`] orders and places calls; [`upstream`] carries them out.
 //! * [`membership`] and [`link`] connect the instances.
@@ -38,6 +39,7 @@
 pub mod scheduler;
 pub mod settings;
 pub mod shard;
+pub mod storage;
 pub mod upstream;
 pub mod workload;
 
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -7,10 +7,11 @@
 use smol_str::SmolStr;
 
 use crate::ids::{
-    DomainId, InstanceName, InstanceRef, OrganisationId, ProgramId, RevisionNumber, UpstreamName,
+    DomainId, InstanceName, InstanceRef, OrganisationId, ProgramId, RevisionNumber, ShardId,
+    UpstreamName,
 };
 use crate::record::RecordDelta;
-use crate::shard::{AppendReply, AppendRequest, InstallRequest, VersionedMap};
+use crate::shard::{AppendReply, AppendRequest, InstallRequest, LogPosition, VersionedMap};
 
 /// An upstream's own report of its load.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -67,6 +68,8 @@
     pub copies: u32,
     /// Shards it is primary of.
     pub primaries: u32,
+    /// Whether it keeps its copies on a disk.
+    pub has_disk: bool,
     /// Instances that it has lately heard of, directly or not, with the age of the news.
     pub heard: Vec<(InstanceRef, Duration)>,
     /// Loads of upstreams.
@@ -112,6 +115,8 @@
     MapUpdate(VersionedMap),
     /// Asks for the shard map of a failure domain.
     MapRead(DomainId),
+    /// Asks how far a shard's copy reaches that was found on the disk.
+    RecoveredRead(ShardId),
     /// Asks for the records changed after a revision.
     RecordsRead(RevisionNumber),
     /// Records that the sender has just learned of.
@@ -131,6 +136,8 @@
     Append(AppendReply),
     /// What became of the copy.
     Install(AppendReply),
+    /// How far a shard's copy on the disk reaches, where there is one.
+    Recovered(Option<LogPosition>),
     /// A shard map, where one is known.
     Map(Option<VersionedMap>),
     /// Records.
--- a/src/membership/prober.rs
+++ b/src/membership/prober.rs
@@ -15,6 +15,9 @@
 use crate::link::{LinkNetwork, PeerReply, PeerRequest, ProbeMessage};
 use crate::platform::InstanceList;
 
+/// Time after the start in which the list is read more often, to find the others soon.
+const YOUNG_TIME: Duration = Duration::from_secs(5);
+
 /// How instances look after each other.
 #[derive(Clone, Debug)]
 pub struct MembershipSettings {
@@ -65,14 +68,21 @@
 ) {
     let mut ticks = tokio::time::interval(settings.probe_interval);
     ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
-    let mut list_due = Instant::now();
+    let started = Instant::now();
+    let mut list_due = started;
     loop {
         tokio::select! {
             _ = ticks.tick() => {}
             () = stop.cancelled() => return,
         }
         if Instant::now() >= list_due {
-            list_due = Instant::now() + settings.list_interval;
+            let young = started.elapsed() < YOUNG_TIME;
+            let interval = if young {
+                settings.probe_interval
+            } else {
+                settings.list_interval
+            };
+            list_due = Instant::now() + interval;
             let list = list.clone();
             let table = table.clone();
             tokio::spawn(async move { read_list(&list, &table).await });
--- a/src/membership/table.rs
+++ b/src/membership/table.rs
@@ -30,6 +30,8 @@
     pub copies: u32,
     /// Shards it is primary of.
     pub primaries: u32,
+    /// Whether it keeps its copies on a disk.
+    pub has_disk: bool,
 }
 
 /// The instances at one moment.
@@ -181,6 +183,7 @@
                             told: None,
                             copies: 0,
                             primaries: 0,
+                            has_disk: false,
                         });
                 record.address = instance.peer_address;
                 record.leaving |= instance.leaving;
@@ -225,5 +228,6 @@
         self.heard = Some(now);
         self.copies = probe.copies;
         self.primaries = probe.primaries;
+        self.has_disk = probe.has_disk;
     }
 }
--- a/src/shard/actor.rs
+++ b/src/shard/actor.rs
@@ -91,6 +91,14 @@
         }
     }
 
+    fn held(&self) -> HeldRole {
+        let recovered = self.context.recovered_position(&self.shard);
+        match (&self.state, recovered) {
+            (CopyState::Absent, Some((epoch, _))) => HeldRole::Recovered(epoch),
+            (state, _) => state.held(),
+        }
+    }
+
     fn me(&self) -> InstanceRef {
         self.context.peers.view().me.clone()
     }
@@ -100,12 +108,13 @@
         let Some(placement) = self.context.maps.placement(&self.shard) else {
             return;
         };
-        let change = decide_role(self.state.held(), &placement, &self.me());
+        let change = decide_role(self.held(), &placement, &self.me());
         let state = std::mem::replace(&mut self.state, CopyState::Absent);
         self.state = match (change, state) {
             (RoleChange::Keep, state) => state,
             (RoleChange::StartEmptyBackup, _) => {
-                CopyState::Backup(ShardCopy::empty(placement.epoch))
+                self.state = CopyState::Backup(ShardCopy::empty(placement.epoch));
+                return self.persist_copy().await;
             }
             (RoleChange::Adopt, CopyState::Primary(mut primary)) => {
                 primary.adopt(&placement);
@@ -114,13 +123,27 @@
             (RoleChange::StepDown, CopyState::Primary(primary)) => {
                 CopyState::Backup(primary.resign(&self.shard))
             }
-            (RoleChange::Drop, CopyState::Primary(primary)) => {
-                primary.resign(&self.shard);
+            (RoleChange::Drop, state) => {
+                if let CopyState::Primary(primary) = state {
+                    primary.resign(&self.shard);
+                }
+                self.context.take_recovered(&self.shard);
+                if let Some(store) = &self.context.store {
+                    store.remove(&self.shard).await;
+                }
                 CopyState::Absent
             }
             (RoleChange::Promote | RoleChange::StartEmptyPrimary, state) => {
                 return self.promote(state, &placement).await;
             }
+            (RoleChange::Restore, _) => {
+                let Some(copy) = self.context.take_recovered(&self.shard) else {
+                    return;
+                };
+                log::info!("shard restored from disk shard={}", self.shard);
+                let state = CopyState::Backup(ShardCopy::recovered(copy));
+                return self.promote(state, &placement).await;
+            }
             (_, _) => CopyState::Absent,
         };
     }
@@ -163,7 +186,7 @@
     async fn handle(&mut self, commands: Vec<ShardCommand>) {
         let CopyState::Primary(primary) = &mut self.state else {
             for command in commands {
-                self.handle_as_follower(command);
+                self.handle_as_follower(command).await;
             }
             return;
         };
@@ -193,18 +216,22 @@
             self.refresh_map().await;
             self.reconcile().await;
         }
-        self.handle_as_follower(command);
+        self.handle_as_follower(command).await;
     }
 
-    fn handle_as_follower(&mut self, command: ShardCommand) {
+    async fn handle_as_follower(&mut self, command: ShardCommand) {
         match command {
             ShardCommand::Append(request, reply) => {
                 let verdict = self.append(&request);
+                self.persist_entries(&request, verdict).await;
                 // A primary that is gone does not need the answer.
                 let _ = reply.send(verdict);
             }
             ShardCommand::Install(request, reply) => {
                 let verdict = self.install(*request);
+                if verdict == AppendReply::Stored {
+                    self.persist_copy().await;
+                }
                 let _ = reply.send(verdict);
             }
             ShardCommand::Dump(reply) => {
@@ -214,6 +241,42 @@
         }
     }
 
+    /// Puts entries that were stored here on the disk, before they are acknowledged.
+    async fn persist_entries(&mut self, request: &AppendRequest, verdict: AppendReply) {
+        let Some(store) = self.context.store.clone() else {
+            return;
+        };
+        let CopyState::Backup(copy) = &self.state else {
+            return;
+        };
+        if verdict != AppendReply::Stored || request.entries.is_empty() {
+            return;
+        }
+        store
+            .append(
+                &self.shard,
+                request.previous,
+                request.epoch,
+                &request.entries,
+            )
+            .await;
+        if copy.position().index % ENTRIES_PER_COPY < request.entries.len() as u64 {
+            self.persist_copy().await;
+        }
+    }
+
+    /// Puts the whole copy on the disk.
+    async fn persist_copy(&self) {
+        let (Some(store), CopyState::Backup(copy)) = (&self.context.store, &self.state) else {
+            return;
+        };
+        // What was found at the start is out of date now.
+        self.context.take_recovered(&self.shard);
+        store
+            .replace(&self.shard, copy.epoch(), copy.position(), copy.book())
+            .await;
+    }
+
     /// Returns whether a newer map is known here than the epoch: its primary writes no more.
     ///
     /// This holds for an instance without a copy as well. Were it to take one of an old epoch, an old
@@ -408,5 +471,8 @@
     }
 }
 
+/// Entries after which the disk gets a whole copy in their place.
+pub const ENTRIES_PER_COPY: u64 = 4096;
+
 /// Pause between two tries of an append that some backup has not stored.
 pub const APPEND_PAUSE: Duration = Duration::from_millis(25);
--- a/src/shard/context.rs
+++ b/src/shard/context.rs
@@ -1,8 +1,9 @@
 //! What the task of a copy needs from the rest of the instance.
 
+use std::collections::HashMap;
 use std::fmt;
-use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, SystemTime};
 
 use arc_swap::ArcSwap;
@@ -11,6 +12,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::command::ShardCommand;
+use super::copy::LogPosition;
 use super::keeper::MapKeeper;
 use super::stream::StreamBuffer;
 use crate::contract::{ChatMessage, Refusal};
@@ -20,6 +22,7 @@
 use crate::platform::PlatformClient;
 use crate::program::CallIntent;
 use crate::record::ConfigView;
+use crate::storage::{BulkStore, RecoveredCopy};
 
 /// How copies are kept.
 #[derive(Clone, Debug)]
@@ -143,6 +146,10 @@
     pub config: Arc<ArcSwap<ConfigView>>,
     /// Where dispatches go.
     pub dispatch: Arc<dyn DispatchSink>,
+    /// The disk, where the instance has one.
+    pub store: Option<BulkStore>,
+    /// Copies found on it at the start, until they are used or out of date.
+    pub recovered: Mutex<HashMap<ShardId, RecoveredCopy>>,
     /// Whole copies that may be sent at the same time.
     pub install_permits: Semaphore,
     /// Counters.
@@ -158,3 +165,22 @@
             .finish_non_exhaustive()
     }
 }
+
+impl ShardContext {
+    /// Returns the epoch and place of a shard's copy that was found on the disk.
+    pub fn recovered_position(&self, shard: &ShardId) -> Option<(ShardEpoch, LogPosition)> {
+        let recovered = self
+            .recovered
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        recovered.get(shard).map(|copy| (copy.epoch, copy.position))
+    }
+
+    /// Takes the copy of a shard that was found on the disk.
+    pub fn take_recovered(&self, shard: &ShardId) -> Option<RecoveredCopy> {
+        self.recovered
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .remove(shard)
+    }
+}
--- a/src/shard/copy.rs
+++ b/src/shard/copy.rs
@@ -11,6 +11,7 @@
 
 use crate::ids::{LogIndex, ShardEpoch, ShardId};
 use crate::program::{LogEntry, ShardBook};
+use crate::storage::RecoveredCopy;
 
 /// A place in a shard's log: the index with the epoch whose primary wrote the entry there.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
@@ -128,6 +129,17 @@
         }
     }
 
+    /// Starts a copy from one that was found on a disk.
+    #[must_use]
+    pub fn recovered(copy: RecoveredCopy) -> Self {
+        Self {
+            role: PhantomData,
+            epoch: copy.epoch,
+            position: copy.position,
+            book: copy.book,
+        }
+    }
+
     /// Stores entries of the primary.
     ///
     /// Entries of an older epoch are refused. Entries that are here already are passed over, so that
--- a/src/shard/map.rs
+++ b/src/shard/map.rs
@@ -75,6 +75,8 @@
     AddBackup(InstanceRef),
     /// The primary and a backup exchange their roles.
     HandOver(InstanceRef),
+    /// Every process with a copy has ended; an instance goes on with its complete copy from disk.
+    Restore(InstanceRef),
     /// No copy is left: the shard begins empty at an instance.
     Reset(InstanceRef),
 }
@@ -126,6 +128,13 @@
                 };
                 next.backups[place] = std::mem::replace(&mut next.primary, to.clone());
             }
+            MapChange::Restore(to) => {
+                if !self.members().any(|member| member.name == to.name) {
+                    return Err(MapConflict::WrongMember);
+                }
+                next.primary = to.clone();
+                next.backups.clear();
+            }
             MapChange::Reset(to) => {
                 next.primary = to.clone();
                 next.backups.clear();
--- a/src/shard/primary/replicate.rs
+++ b/src/shard/primary/replicate.rs
@@ -6,13 +6,14 @@
 use futures_util::future::join_all;
 
 use super::{DeposedError, PrimaryState};
-use crate::ids::InstanceRef;
+use crate::ids::{InstanceRef, ShardEpoch, ShardId};
 use crate::link::{LinkError, PeerReply, PeerRequest};
 use crate::program::LogEntry;
-use crate::shard::actor::{APPEND_PAUSE, refresh_map};
+use crate::shard::actor::{APPEND_PAUSE, ENTRIES_PER_COPY, refresh_map};
 use crate::shard::copy::{AppendReply, AppendRequest, LogPosition};
 use crate::shard::keeper::ProposeError;
 use crate::shard::map::MapChange;
+use crate::storage::BulkStore;
 
 /// Longest wait for a backup to take a whole copy.
 const INSTALL_TIMEOUT: Duration = Duration::from_secs(10);
@@ -27,6 +28,24 @@
         &mut self,
         previous: LogPosition,
         entries: Vec<LogEntry>,
+    ) -> Result<(), DeposedError> {
+        let disk = persist(
+            self.context.store.clone(),
+            self.shard.clone(),
+            previous,
+            self.copy.epoch(),
+            entries.clone(),
+        );
+        let (sent, ()) = futures_util::join!(self.replicate_to_backups(previous, entries), disk);
+        sent?;
+        self.persist_copy_now_and_then(previous).await;
+        Ok(())
+    }
+
+    async fn replicate_to_backups(
+        &mut self,
+        previous: LogPosition,
+        entries: Vec<LogEntry>,
     ) -> Result<(), DeposedError> {
         let mut request = AppendRequest {
             shard: self.shard.clone(),
@@ -58,6 +77,29 @@
         }
     }
 
+    /// Puts a whole copy on the disk in place of the entries, once there are many.
+    async fn persist_copy_now_and_then(&self, previous: LogPosition) {
+        let position = self.copy.position();
+        let Some(store) = &self.context.store else {
+            return;
+        };
+        if position.index / ENTRIES_PER_COPY != previous.index / ENTRIES_PER_COPY {
+            store
+                .replace(&self.shard, self.copy.epoch(), position, self.copy.book())
+                .await;
+        }
+    }
+
+    /// Puts the whole copy on the disk at the begin of a tenure.
+    pub(super) async fn persist_whole(&self) {
+        if let Some(store) = &self.context.store {
+            let position = self.copy.position();
+            store
+                .replace(&self.shard, self.copy.epoch(), position, self.copy.book())
+                .await;
+        }
+    }
+
     /// Returns the backups that have to store an entry now.
     fn required_backups(&self) -> Vec<InstanceRef> {
         if !self.detached {
@@ -216,3 +258,17 @@
         }
     }
 }
+
+/// Puts entries on the disk, where there is one.
+async fn persist(
+    store: Option<BulkStore>,
+    shard: ShardId,
+    previous: LogPosition,
+    epoch: ShardEpoch,
+    entries: Vec<LogEntry>,
+) {
+    let Some(store) = store.filter(|_| !entries.is_empty()) else {
+        return;
+    };
+    store.append(&shard, previous, epoch, &entries).await;
+}
--- a/src/shard/primary/tenure.rs
+++ b/src/shard/primary/tenure.rs
@@ -36,6 +36,7 @@
     pub async fn begin_tenure(&mut self) -> Result<(), DeposedError> {
         self.replicate(self.copy.position(), Vec::new()).await?;
         self.staged_from = self.copy.position();
+        self.persist_whole().await;
         let now = Instant::now();
         let mut ended = Vec::new();
         for (program, record) in self.copy.book().programs() {
@@ -257,9 +258,16 @@
             let text = format!("{}{}", self.shard, record.instance.name);
             blake3::hash(text.as_bytes()).as_bytes()[0]
         };
+        let on_disk = self.context.store.is_some()
+            || self
+                .backups
+                .iter()
+                .filter_map(|one| view.record(one))
+                .any(|one| one.has_disk);
         view.peers()
             .filter(fits)
-            .min_by_key(|record| (record.copies, spread(record)))
+            // The first copy on a disk comes before an even spread.
+            .min_by_key(|record| (!record.has_disk && !on_disk, record.copies, spread(record)))
             .map(|record| record.instance.clone())
     }
 
--- a/src/shard/role.rs
+++ b/src/shard/role.rs
@@ -8,6 +8,8 @@
 pub enum HeldRole {
     /// No copy.
     Absent,
+    /// No copy of this process, but a complete one of an earlier process on the disk.
+    Recovered(ShardEpoch),
     /// A backup's copy in an epoch.
     Backup(ShardEpoch),
     /// A primary's copy in an epoch.
@@ -27,6 +29,8 @@
     StartEmptyPrimary,
     /// It becomes the primary's.
     Promote,
+    /// The copy from the disk becomes the primary's.
+    Restore,
     /// It stays the primary's, with the backups of the newer map.
     Adopt,
     /// It ceases to be the primary's and follows the next one.
@@ -45,8 +49,11 @@
             HeldRole::Primary(_) => RoleChange::Adopt,
             HeldRole::Backup(epoch) if epoch >= placement.epoch => RoleChange::Keep,
             HeldRole::Backup(_) => RoleChange::Promote,
-            HeldRole::Absent if begins_empty => RoleChange::StartEmptyPrimary,
-            HeldRole::Absent => RoleChange::Keep,
+            HeldRole::Absent | HeldRole::Recovered(_) if begins_empty => {
+                RoleChange::StartEmptyPrimary
+            }
+            HeldRole::Recovered(epoch) if epoch < placement.epoch => RoleChange::Restore,
+            HeldRole::Absent | HeldRole::Recovered(_) => RoleChange::Keep,
         };
     }
     let listed = placement.backups.contains(me);
@@ -54,8 +61,13 @@
         HeldRole::Primary(epoch) | HeldRole::Backup(epoch) if epoch > placement.epoch => {
             RoleChange::Keep
         }
-        HeldRole::Absent if listed && begins_empty => RoleChange::StartEmptyBackup,
-        HeldRole::Absent => RoleChange::Keep,
+        HeldRole::Absent | HeldRole::Recovered(_) if listed && begins_empty => {
+            RoleChange::StartEmptyBackup
+        }
+        HeldRole::Recovered(_) if !placement.members().any(|one| one.name == me.name) => {
+            RoleChange::Drop
+        }
+        HeldRole::Absent | HeldRole::Recovered(_) => RoleChange::Keep,
         _ if !listed => RoleChange::Drop,
         HeldRole::Primary(_) => RoleChange::StepDown,
         HeldRole::Backup(_) => RoleChange::Keep,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod bad_input;
 mod callers;
 mod commands;
+mod disk;
 mod failures;
 mod process;
 mod records;
