--- a/crates/samphiregrade-bench/src/cmd/measure.rs
+++ b/crates/samphiregrade-bench/src/cmd/measure.rs
@@ -1,4 +1,4 @@
-//! `samphiregrade-bench capacity` and `overhead`: slopes and costs.
+//! `samphiregrade-bench capacity`, `detectors` and `overhead`: slopes, detectors and costs.
 
 use std::fs;
 use std::path::PathBuf;
@@ -7,6 +7,7 @@
 use anyhow::{Context, Result};
 use pico_args::Arguments;
 use samphiregrade_bench::capacity::measure_all;
+use samphiregrade_bench::detectors::compare_detectors;
 use samphiregrade_bench::overhead::measure_overhead;
 use samphiregrade_http::run_system;
 use serde::Serialize;
@@ -28,6 +29,12 @@
     write_report(arguments, &series)
 }
 
+/// Runs `detectors`.
+pub fn execute_detectors(arguments: &MeasureArguments) -> Result<ExitCode> {
+    let results = run_system(async { compare_detectors().await })?;
+    write_report(arguments, &results)
+}
+
 /// Runs `overhead`.
 pub fn execute_overhead(arguments: &MeasureArguments) -> Result<ExitCode> {
     let report = run_system(async { measure_overhead().await })?;
--- a/crates/samphiregrade-bench/src/cmd/mod.rs
+++ b/crates/samphiregrade-bench/src/cmd/mod.rs
@@ -19,6 +19,7 @@
   compare SCENARIO.toml --policy A --policy B ... [--seeds N] [--without MECHANISM ...]
           [--json FILE] [--html FILE]
   capacity [--json FILE]    slopes of the cost of control, for docs/CAPACITY.md
+  detectors [--json FILE]   failure detectors on the same recorded delays
   overhead [--json FILE]    what an instance adds to a call, and how many it carries
 
 Exit status: 0 when no promise was broken, 1 when one was, 2 on bad input.
@@ -34,6 +35,7 @@
         Some("run") => run::execute(&run::arguments(arguments)?),
         Some("compare") => compare::execute(&compare::arguments(arguments)?),
         Some("capacity") => measure::execute_capacity(&measure::arguments(arguments)?),
+        Some("detectors") => measure::execute_detectors(&measure::arguments(arguments)?),
         Some("overhead") => measure::execute_overhead(&measure::arguments(arguments)?),
         Some(other) => bail!("there is no command `{other}`; see samphiregrade-bench --help"),
         None => {
--- a/crates/samphiregrade-bench/src/lib.rs
+++ b/crates/samphiregrade-bench/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod capacity;
 pub mod cluster;
 pub mod compare;
+pub mod detectors;
 pub mod faults;
 pub mod load;
 pub mod oracle;
--- a/crates/samphiregrade-bench/src/load.rs
+++ b/crates/samphiregrade-bench/src/load.rs
@@ -13,6 +13,9 @@
 /// Steps that a call takes beside its prefill and its tokens.
 const STEPS_PER_CALL: f64 = 2.0;
 
+/// Thousands of tokens of context that a request has on average.
+pub const TYPICAL_CONTEXT: u32 = 4;
+
 /// A program with the time of its begin.
 #[derive(Clone, Debug)]
 pub struct Arrival {
@@ -63,14 +66,19 @@
         .sum();
     let per_program = total / SAMPLE as f64;
     let slots = u32::try_from(engine.slots).unwrap_or(u32::MAX);
-    // A typical context is a thousand tokens a request.
-    let step = engine.step_base
-        + engine.step_per_request * slots
-        + engine.step_per_thousand_context * slots;
+    let step = full_step(engine);
     let steps_per_second = f64::from(slots) / step.as_secs_f64();
     steps_per_second * engines as f64 / per_program
 }
 
+/// Time of a step with every slot in use.
+fn full_step(engine: &EngineSettings) -> Duration {
+    let slots = u32::try_from(engine.slots).unwrap_or(u32::MAX);
+    engine.step_base
+        + engine.step_per_request * slots
+        + engine.step_per_thousand_context * slots * TYPICAL_CONTEXT
+}
+
 #[expect(clippy::cast_precision_loss, reason = "numbers of tokens are small")]
 fn slot_steps(plan: &ProgramPlan, engine: &EngineSettings) -> f64 {
     let prefill = engine.prefill_per_step as f64;
--- a/crates/samphiregrade-bench/src/oracle.rs
+++ b/crates/samphiregrade-bench/src/oracle.rs
@@ -10,14 +10,11 @@
 use samphiregrade::workload::{PlanStep, ProgramPlan};
 use samphiregrade_standins::engine::EngineSettings;
 
-use crate::load::Arrival;
+use crate::load::{Arrival, TYPICAL_CONTEXT};
 
 /// Time of a service call that meets nobody else.
 const SERVICE_TIME: Duration = Duration::from_millis(20);
 
-/// Tokens of context that a request has on average.
-const TYPICAL_CONTEXT: u32 = 1;
-
 /// A part of a program in a row: engine time, or time outside of the engines.
 #[derive(Clone, Copy, Debug)]
 enum Part {
--- a/crates/samphiregrade-standins/src/engine.rs
+++ b/crates/samphiregrade-standins/src/engine.rs
@@ -45,6 +45,8 @@
     pub step_per_request: Duration,
     /// Additional step time for each 1,000 tokens of context in the batch.
     pub step_per_thousand_context: Duration,
+    /// Additional step time for each 1,000 prompt tokens prefilled in the step.
+    pub step_per_thousand_prefill: Duration,
     /// Prompt tokens prefilled in one step.
     pub prefill_per_step: usize,
     /// How old a load report may get.
@@ -63,11 +65,12 @@
     fn default() -> Self {
         Self {
             slots: 8,
-            cache_tokens: 16_384,
+            cache_tokens: 49_152,
             step_base: Duration::from_millis(4),
             step_per_request: Duration::from_micros(300),
             step_per_thousand_context: Duration::from_micros(100),
-            prefill_per_step: 256,
+            step_per_thousand_prefill: Duration::from_millis(5),
+            prefill_per_step: 192,
             report_interval: Duration::from_millis(200),
             event_lag: Duration::from_millis(100),
             event_loss: 0.02,
--- a/crates/samphiregrade-standins/src/engine/batch.rs
+++ b/crates/samphiregrade-standins/src/engine/batch.rs
@@ -144,12 +144,14 @@
         if self.running.is_empty() {
             return None;
         }
-        let context = self.advance(settings, now);
+        let (context, prefilled) = self.advance(settings, now);
         let requests = u32::try_from(self.running.len()).unwrap_or(u32::MAX);
         let thousands = u32::try_from(context / 1000).unwrap_or(u32::MAX);
+        let prefilled = u32::try_from(prefilled).unwrap_or(u32::MAX);
         let pause = settings.step_base
             + settings.step_per_request * requests
-            + settings.step_per_thousand_context * thousands;
+            + settings.step_per_thousand_context * thousands
+            + settings.step_per_thousand_prefill * prefilled / 1000;
         self.retire(now);
         Some(pause)
     }
@@ -201,8 +203,8 @@
         }
     }
 
-    /// Prefills and generates; returns the context tokens carried.
-    fn advance(&mut self, settings: &EngineSettings, now: Instant) -> usize {
+    /// Prefills and generates; returns the context tokens carried and the tokens prefilled.
+    fn advance(&mut self, settings: &EngineSettings, now: Instant) -> (usize, usize) {
         let mut prefill = settings.prefill_per_step;
         let mut context = 0;
         for id in &self.running {
@@ -232,7 +234,7 @@
                 RequestPhase::Waiting | RequestPhase::Finished => {}
             }
         }
-        context
+        (context, settings.prefill_per_step - prefill)
     }
 
     fn retire(&mut self, now: Instant) {
--- a/src/cmd/demo.rs
+++ b/src/cmd/demo.rs
@@ -1,5 +1,6 @@
 //! `samphiregrade demo`: runs a whole small deployment in this process.
 
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -14,12 +15,18 @@
 Runs three failure domains with their instances, engines and services in this process on loopback,
 runs some programs through them and prints a summary.
 
-Usage: samphiregrade demo [--deployment cantabrica|agrovision] [--programs N] [--seed N]
+Usage: samphiregrade demo [--deployment cantabrica|agrovision] [--programs N] [--seed N] [--stay]
+
+With --stay the deployment goes on after the summary, on 127.0.0.1:7070, until SIGINT.
 ";
 
+/// Address for callers of a demo that stays.
+const STAY_ADDRESS: SocketAddr = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 7070);
+
 /// Arguments of the command.
 pub struct DemoArguments {
     settings: DemoSettings,
+    stay: bool,
 }
 
 /// Reads the arguments.
@@ -35,30 +42,41 @@
     settings.seed = arguments
         .opt_value_from_str("--seed")?
         .unwrap_or(settings.seed);
+    let stay = arguments.contains("--stay");
+    if stay {
+        settings.listen = Some(STAY_ADDRESS);
+    }
     super::finish(arguments)?;
-    Ok(DemoArguments { settings })
+    Ok(DemoArguments { settings, stay })
 }
 
 /// Runs the command.
 pub fn execute(arguments: DemoArguments) -> Result<ExitCode> {
     super::install_crypto();
     let runtime = Runtime::new().context("starting the runtime")?;
-    let report = run_system(async move {
-        let report = run_demo(arguments.settings, &runtime, |note| {
+    run_system(async move {
+        let token = arguments.settings.deployment.token.clone();
+        let demo = run_demo(arguments.settings, &runtime, |note| {
             let program = note.program.as_deref().unwrap_or("-");
             let seconds = note.latency.as_secs_f64();
             println!("{:?} {} {program} {seconds:.2} s", note.verdict, note.class);
         });
-        let report = report.await;
+        let demo = demo.await?;
+        print_summary(&demo.report);
+        if arguments.stay {
+            println!("serving on http://{STAY_ADDRESS} with the token {token}; end with Ctrl-C");
+            tokio::signal::ctrl_c()
+                .await
+                .context("waiting for SIGINT")?;
+        }
+        let whole = demo.report.failures.is_empty() && demo.report.wrong_answers == 0;
+        demo.stop().await;
         runtime.shutdown_background();
-        report
-    })?;
-    print_summary(&report);
-    let whole = report.failures.is_empty() && report.wrong_answers == 0;
-    Ok(if whole {
-        ExitCode::SUCCESS
-    } else {
-        ExitCode::FAILURE
+        Ok(if whole {
+            ExitCode::SUCCESS
+        } else {
+            ExitCode::FAILURE
+        })
     })
 }
 
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::io;
-use std::net::{TcpListener, UdpSocket};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -48,6 +48,8 @@
     pub programs: usize,
     /// Seed of the programs' shapes.
     pub seed: u64,
+    /// Address of the first instance's listener for callers; any free one where it is left out.
+    pub listen: Option<SocketAddr>,
 }
 
 impl Default for DemoSettings {
@@ -56,6 +58,7 @@
             deployment: Deployment::cantabrica().with_instances(2).with_engines(6),
             programs: 30,
             seed: 1,
+            listen: None,
         }
     }
 }
@@ -86,6 +89,29 @@
     pub processes: usize,
     /// Time over all programs.
     pub elapsed: Duration,
+    /// Base URLs of the instances for callers.
+    pub entries: Vec<SmolStr>,
+}
+
+/// A demo whose instances still run.
+#[derive(Debug)]
+pub struct RunningDemo {
+    /// What the programs came to.
+    pub report: DemoReport,
+    instances: Vec<Instance>,
+    servers: Vec<Server>,
+}
+
+impl RunningDemo {
+    /// Stops the instances and stand-ins.
+    pub async fn stop(self) {
+        for instance in &self.instances {
+            instance.stop();
+        }
+        for server in self.servers {
+            server.stop(false).await;
+        }
+    }
 }
 
 struct DemoInstance {
@@ -104,7 +130,7 @@
     settings: DemoSettings,
     runtime: &Runtime,
     progress: Progress,
-) -> Result<DemoReport>
+) -> Result<RunningDemo>
 where
     Progress: Fn(&ProgramNote),
 {
@@ -113,27 +139,26 @@
     let store: Arc<dyn PlatformStore> = Arc::new(MemoryStore::default());
     let (mut servers, addresses) = start_upstreams(deployment).context("starting the stand-ins")?;
     write_records(deployment, &addresses, store.as_ref()).await?;
-    let started = start_instances(deployment, &store, &pool, runtime);
+    let started = start_instances(&settings, &store, &pool, runtime);
     let (instances, entries, listeners) = started.context("starting the instances")?;
     servers.extend(listeners);
     wait_until_ready(&instances).await?;
-    let client = CallerClient::new(pool, entries, deployment.token.clone());
+    let client = CallerClient::new(pool, entries.clone(), deployment.token.clone());
     let started = Instant::now();
     let mut report = DemoReport {
         processes: instances.len() + addresses.len(),
+        entries,
         ..DemoReport::default()
     };
     for note in run_programs(&settings, &client, &progress).await {
         report.add(note);
     }
     report.elapsed = started.elapsed();
-    for instance in &instances {
-        instance.stop();
-    }
-    for server in servers {
-        server.stop(false).await;
-    }
-    Ok(report)
+    Ok(RunningDemo {
+        report,
+        instances,
+        servers,
+    })
 }
 
 type StartedUpstreams = (Vec<Server>, BTreeMap<SmolStr, SmolStr>);
@@ -189,18 +214,20 @@
 }
 
 fn start_instances(
-    deployment: &Deployment,
+    settings: &DemoSettings,
     store: &Arc<dyn PlatformStore>,
     pool: &HttpPool,
     runtime: &Runtime,
 ) -> Result<(Vec<Instance>, Vec<SmolStr>, Vec<Server>)> {
     let (authority, authority_key) = make_authority()?;
+    let mut first_address = settings.listen;
     let mut prepared = Vec::new();
     let mut listed = Vec::new();
-    for domain in &deployment.domains {
+    for domain in &settings.deployment.domains {
         for index in 0..domain.instances {
             let name = format_smolstr!("{}-{index}", domain.name);
-            let instance = prepare_instance(name.clone(), domain.name.clone())?;
+            let instance =
+                prepare_instance(name.clone(), domain.name.clone(), first_address.take())?;
             listed.push(ListedInstance {
                 name,
                 failure_domain: domain.name.clone(),
@@ -232,8 +259,13 @@
     Ok((instances, entries, servers))
 }
 
-fn prepare_instance(name: SmolStr, domain: SmolStr) -> Result<DemoInstance> {
-    let callers = TcpListener::bind("127.0.0.1:0")?;
+fn prepare_instance(
+    name: SmolStr,
+    domain: SmolStr,
+    listen: Option<SocketAddr>,
+) -> Result<DemoInstance> {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let callers = TcpListener::bind(listen.unwrap_or(any)).context("listening for callers")?;
     let operators = TcpListener::bind("127.0.0.1:0")?;
     let peers = UdpSocket::bind("127.0.0.1:0")?;
     let settings = Settings {
--- a/src/workload/plan.rs
+++ b/src/workload/plan.rs
@@ -83,12 +83,12 @@
             latency_weight,
             share: 1.0,
             tokens: 60_000,
-            shared_prompt: 400,
+            shared_prompt: 1200,
             turns: (1, 1),
-            prompt: (40, 200),
+            prompt: (60, 400),
             answer: (20, 60),
-            pause_ms: (50, 300),
-            tail: 0.05,
+            pause_ms: (30, 200),
+            tail: 0.03,
             tool_chance: 0.0,
             agent_chance: 0.0,
             service: SmolStr::default(),
@@ -111,9 +111,9 @@
         Self {
             share: 0.5,
             turns: (3, 8),
-            prompt: (60, 500),
+            prompt: (200, 1500),
             answer: (30, 120),
-            pause_ms: (100, 900),
+            pause_ms: (40, 400),
             tool_chance: 0.5,
             agent_chance: 0.1,
             ..Self::new(name, priority, latency_weight)
@@ -126,10 +126,10 @@
         Self {
             share: 0.55,
             turns: (4, 10),
-            prompt: (100, 600),
+            prompt: (300, 1800),
             answer: (60, 200),
-            pause_ms: (150, 1500),
-            tail: 0.1,
+            pause_ms: (50, 600),
+            tail: 0.05,
             tool_chance: 0.2,
             ..Self::new(name, priority, latency_weight)
         }
