--- a/src/record/schema.rs
+++ b/src/record/schema.rs
@@ -488,6 +488,21 @@
 }
 
 impl PolicySpec {
+    /// Returns the mechanisms that are in force: a baseline has none of them.
+    #[must_use]
+    pub fn in_force(&self) -> Self {
+        if self.policy == PolicyName::Default {
+            return self.clone();
+        }
+        Self {
+            policy: self.policy,
+            program_order: false,
+            cache_placement: false,
+            retention: false,
+            admission: false,
+        }
+    }
+
     /// Switches a mechanism off, by the name of its field.
     ///
     /// # Errors
--- a/src/scheduler/place.rs
+++ b/src/scheduler/place.rs
@@ -13,8 +13,11 @@
 /// Share by which two costs may differ and still count as equal.
 const EQUAL_SHARE: f64 = 0.1;
 
-/// How strongly wasted cache counts beyond its time, for work whose latency has no weight.
-const WASTE_FACTOR: f64 = 6.0;
+/// Weight of prefill for work whose latency alone counts: what is computed again delays others too.
+const PREFILL_WEIGHT: f64 = 2.0;
+
+/// How strongly wasted cache counts beyond that, for work whose latency has no weight.
+const WASTE_FACTOR: f64 = 8.0;
 
 /// What the parts of the cost weigh.
 #[derive(Clone, Debug)]
@@ -34,7 +37,7 @@
         Self {
             cache: true,
             wait: true,
-            prefill: 1.0 + WASTE_FACTOR * (1.0 - job.latency_weight),
+            prefill: PREFILL_WEIGHT + WASTE_FACTOR * (1.0 - job.latency_weight),
         }
     }
 }
--- a/src/scheduler/queue.rs
+++ b/src/scheduler/queue.rs
@@ -445,7 +445,7 @@
         config: &ConfigView,
     ) -> Option<Refusal> {
         let spec = config.class(class)?;
-        if !config.policy().admission {
+        if !config.policy().in_force().admission {
             return None;
         }
         let now = Instant::now();
@@ -476,7 +476,7 @@
         tokens: TokenCount,
         config: &ConfigView,
     ) -> bool {
-        if !config.policy().retention {
+        if !config.policy().in_force().retention {
             return false;
         }
         let now = Instant::now();
--- /dev/null
+++ b/tests/testsuite/guide.rs
@@ -0,0 +1,89 @@
+//! The guide has a line for every key, command and metric.
+
+use std::collections::BTreeSet;
+use std::fs;
+use std::path::Path;
+
+use samphiregrade::record::RecordKind;
+use samphiregrade::settings::{LimitSection, MembershipSection, ShardSection, UpstreamSection};
+use samphiregrade_http::OutgoingRequest;
+use serde::Serialize;
+
+use crate::support::{send, small_settings, with_cluster};
+
+fn page(name: &str) -> String {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("guide/src")
+        .join(name);
+    fs::read_to_string(path).expect("a page of the guide")
+}
+
+/// Keys of a settings section.
+fn keys<Section>(section: &Section) -> Vec<String>
+where
+    Section: Serialize,
+{
+    let value = toml::Value::try_from(section).expect("a section that can be written");
+    let table = value.as_table().expect("a table");
+    table.keys().cloned().collect()
+}
+
+#[test]
+fn every_settings_key_has_its_line() {
+    let text = page("settings.md");
+    let mut all = keys(&ShardSection::default());
+    all.extend(keys(&MembershipSection::default()));
+    all.extend(keys(&UpstreamSection::default()));
+    all.extend(keys(&LimitSection::default()));
+    let missing: Vec<_> = all
+        .iter()
+        .filter(|key| !text.contains(&format!("| `{key}` |")))
+        .collect();
+    assert!(missing.is_empty(), "{missing:?}");
+}
+
+#[test]
+fn every_record_kind_has_its_section() {
+    let text = page("records.md");
+    for kind in RecordKind::ALL {
+        assert!(text.contains(&format!("## `{kind}`")), "{kind}");
+    }
+}
+
+#[test]
+fn every_page_is_listed() {
+    let summary = page("SUMMARY.md");
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("guide/src");
+    for entry in fs::read_dir(folder).expect("the guide's folder") {
+        let name = entry
+            .expect("a file")
+            .file_name()
+            .to_string_lossy()
+            .into_owned();
+        assert!(
+            name == "SUMMARY.md" || summary.contains(&format!("({name})")),
+            "{name}"
+        );
+    }
+}
+
+#[test]
+fn every_metric_has_its_line() {
+    with_cluster(small_settings(), |cluster| async move {
+        let instance = cluster.instances.values().next().expect("an instance");
+        let url = format!("{}/metrics", instance.operators);
+        let metrics = send(&cluster.pool, OutgoingRequest::get(&url)).await.text();
+        let lines = metrics
+            .lines()
+            .filter(|line| line.starts_with("samphiregrade_"));
+        let names: BTreeSet<&str> = lines
+            .filter_map(|line| line.split(['{', ' ']).next())
+            .collect();
+        let text = page("metrics.md");
+        let missing: Vec<_> = names
+            .iter()
+            .filter(|name| !text.contains(&format!("| `{name}` |")))
+            .collect();
+        assert!(names.len() > 15 && missing.is_empty(), "{missing:?}");
+    });
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod commands;
 mod disk;
 mod failures;
+mod guide;
 mod process;
 mod records;
 mod support;
