Order engines to load models: leased, fenced, at the weight store's rate

Change: one orderer in each failure domain by a lease; a fencing number that goes up with each holder; engines that ignore it get no order until the holder's before can no longer be in flight; the weight store is asked first. Calls go only to engines that report the model. Measured: the test saw no order before, one after.

--- a/crates/samphiregrade-bench/src/cluster.rs
+++ b/crates/samphiregrade-bench/src/cluster.rs
@@ -26,6 +26,7 @@
 use samphiregrade_standins::keyvalue::{KeyValueSettings, KeyValueStandin};
 use samphiregrade_standins::proxy::{FaultLink, FaultProxy};
 use samphiregrade_standins::service::{ServiceSettings, ServiceStandin};
+use samphiregrade_standins::weights::WeightStandin;
 use serde_json::Value;
 use smol_str::{SmolStr, format_smolstr};
 use tempfile::TempDir;
@@ -37,6 +38,9 @@
 /// Longest wait for the instances to become ready.
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Time between two models that the weight store hands out.
+const WEIGHT_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Pause between two looks.
 const READY_PAUSE: Duration = Duration::from_millis(100);
 
@@ -123,6 +127,7 @@
     pub pool: HttpPool,
     key_value_address: SocketAddr,
     upstream_addresses: BTreeMap<UpstreamName, SmolStr>,
+    weight_store: Option<SmolStr>,
     folder: TempDir,
     runtime: Option<Runtime>,
 }
@@ -184,10 +189,12 @@
             pool: HttpPool::start(2),
             key_value_address,
             upstream_addresses: BTreeMap::new(),
+            weight_store: None,
             folder: TempDir::with_prefix("samphiregrade-")?,
             runtime: Some(runtime),
             settings,
         };
+        cluster.weight_store = Some(cluster.start_weight_store()?);
         cluster.upstream_addresses = cluster.start_upstreams()?;
         let addresses = cluster.upstream_addresses.clone();
         let address = |name: &str| addresses.get(name).cloned().unwrap_or_default();
@@ -204,6 +211,16 @@
         Ok(cluster)
     }
 
+    fn start_weight_store(&self) -> Result<SmolStr> {
+        let listener = TcpListener::bind(loopback(0))?;
+        let target = listener.local_addr()?;
+        WeightStandin::new(WEIGHT_INTERVAL).start(listener)?;
+        Ok(format_smolstr!(
+            "http://{}",
+            self.tcp_link("weight-store", target)?
+        ))
+    }
+
     fn start_upstreams(&mut self) -> Result<BTreeMap<UpstreamName, SmolStr>> {
         let deployment = self.settings.deployment.clone();
         let mut addresses = BTreeMap::new();
@@ -392,6 +409,7 @@
                 key_value: format_smolstr!("http://{key_value}"),
                 instance_list: Some(format_smolstr!("http://{list}/instances")),
                 instances: Vec::new(),
+                weight_store: self.weight_store.clone(),
                 calls_per_second: 20.0,
                 call_burst: 60.0,
             },
--- a/crates/samphiregrade-bench/src/faults.rs
+++ b/crates/samphiregrade-bench/src/faults.rs
@@ -234,6 +234,7 @@
     }
     let choice = match fault.target.as_str() {
         "instance-list" => LinkChoice::Prefix("instance-list/".into()),
+        "weight-store" => LinkChoice::Prefix("weight-store".into()),
         target => match target.strip_prefix("upstream:") {
             Some(name) => LinkChoice::Prefix(format_smolstr!("upstream/{name}")),
             None => LinkChoice::Around(target_instances(cluster, target).await?),
--- a/crates/samphiregrade-standins/src/engine.rs
+++ b/crates/samphiregrade-standins/src/engine.rs
@@ -152,6 +152,18 @@
         lock(&self.inner.state).queued()
     }
 
+    /// Returns the models loaded.
+    #[must_use]
+    pub fn models(&self) -> Vec<SmolStr> {
+        lock(&self.inner.orders).models.clone()
+    }
+
+    /// Returns the number of orders accepted.
+    #[must_use]
+    pub fn accepted_orders(&self) -> u64 {
+        lock(&self.inner.orders).accepted
+    }
+
     /// Begins or ends leaving.
     pub fn set_leaving(&self, leaving: bool) {
         lock(&self.inner.orders).leaving = leaving;
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -284,6 +284,7 @@
             key_value: "http://127.0.0.1".into(),
             instance_list: None,
             instances: Vec::new(),
+            weight_store: None,
             calls_per_second: 20.0,
             call_burst: 60.0,
         },
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -35,7 +35,7 @@
 use crate::settings::Settings;
 use crate::shard::{MapKeeper, ShardContext, ShardCounters};
 use crate::storage::{BulkStore, RecoveredCopy, StorageError};
-use crate::upstream::{UpstreamRunner, run_poller};
+use crate::upstream::{OrderContext, UpstreamRunner, run_orders, run_poller};
 
 use metrics::MetricsExporter;
 use news::NewsSource;
@@ -216,6 +216,16 @@
             holds,
             stop,
         ));
+        let orders = OrderContext {
+            me: state.peers.view().me.clone(),
+            domain: state.settings.instance.failure_domain.clone(),
+            platform: state.platform.clone(),
+            config: state.config.clone(),
+            queue: state.queue.clone(),
+            pool: state.pool.clone(),
+            weight_store: state.settings.platform.weight_store.clone(),
+        };
+        tokio::spawn(run_orders(orders, state.stop.clone()));
         tokio::spawn(shards::audit_holds(state.clone(), found));
         tokio::spawn(records::follow_platform(state.clone()));
         tokio::spawn(overseer::oversee_maps(state.clone()));
--- a/src/scheduler/queue.rs
+++ b/src/scheduler/queue.rs
@@ -99,6 +99,12 @@
         (now.duration_since(*at) < REPORT_AGE).then_some(report)
     }
 
+    /// Returns whether the last report lacks the model; `None` without a report.
+    fn lacks_model(&self, model: &str, now: Instant) -> Option<bool> {
+        let report = self.fresh_report(now)?;
+        Some(!report.models.iter().any(|loaded| loaded == model))
+    }
+
     fn slots(&self, now: Instant) -> u32 {
         let reported = self.fresh_report(now).map_or(0, |report| report.slots);
         if reported == 0 {
@@ -507,14 +513,20 @@
         state.place_program(program, None);
     }
 
-    /// Returns whether an upstream has told that it is leaving.
-    pub fn is_leaving(&self, upstream: &str) -> bool {
+    /// Returns whether an engine has reported lately.
+    #[must_use]
+    pub fn has_report(&self, upstream: &str) -> bool {
         let state = self.state();
-        let report = state
-            .upstreams
-            .get(upstream)
-            .and_then(|entry| entry.report.as_ref());
-        report.is_some_and(|(report, _)| report.leaving)
+        let entry = state.upstreams.get(upstream);
+        entry.is_some_and(|entry| entry.fresh_report(Instant::now()).is_some())
+    }
+
+    /// Returns whether an engine has reported that the model is loaded.
+    #[must_use]
+    pub fn has_model(&self, upstream: &str, model: &str) -> bool {
+        let state = self.state();
+        let entry = state.upstreams.get(upstream);
+        entry.is_some_and(|entry| entry.lacks_model(model, Instant::now()) == Some(false))
     }
 
     /// Returns the state for a dump.
@@ -660,6 +672,10 @@
             .upstreams()
             .filter(|(_, spec)| spec.kind == UpstreamKind::Engine && spec.models.contains(&model))
             .filter(|(name, spec)| self.usable(name, spec, now))
+            .filter(|(name, _)| {
+                let entry = self.upstreams.get(*name);
+                entry.and_then(|entry| entry.lacks_model(&model, now)) != Some(true)
+            })
             .map(|(name, spec)| (name.clone(), spec.clone()))
             .collect();
         let others: Vec<_> = candidates
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -110,6 +110,9 @@
     /// Fixed list of instances, where there is no URL.
     #[serde(default)]
     pub instances: Vec<ListedInstance>,
+    /// Base URL of the weight store, where models are loaded by order.
+    #[serde(default)]
+    pub weight_store: Option<SmolStr>,
     /// Calls a second that this instance allows itself.
     #[serde(default = "default_calls")]
     pub calls_per_second: f64,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -6,6 +6,7 @@
 mod disk;
 mod failures;
 mod guide;
+mod orders;
 mod process;
 mod records;
 mod support;
