--- a/src/instance/metrics.rs
+++ b/src/instance/metrics.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Weak};
 
-use opentelemetry::metrics::{Meter, MeterProvider};
+use opentelemetry::metrics::{AsyncInstrument, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 use samphiregrade_http::OutgoingResponse;
@@ -170,10 +170,12 @@
     pub fn observe(&self, state: &Arc<InstanceState>) {
         let meter = self.provider.meter("samphiregrade");
         for (name, meaning, reading) in COUNTERS {
-            observe_counter(&meter, name, meaning, Arc::downgrade(state), reading);
+            let counter = meter.u64_observable_counter(name).with_description(meaning);
+            counter.with_callback(observe(state, reading)).build();
         }
         for (name, meaning, reading) in GAUGES {
-            observe_gauge(&meter, name, meaning, Arc::downgrade(state), reading);
+            let gauge = meter.u64_observable_gauge(name).with_description(meaning);
+            gauge.with_callback(observe(state, reading)).build();
         }
     }
 
@@ -188,42 +190,17 @@
     }
 }
 
-fn observe_counter(
-    meter: &Meter,
-    name: &'static str,
-    meaning: &'static str,
-    state: Weak<InstanceState>,
+/// Makes a callback that reads a value, as long as the instance exists.
+fn observe(
+    state: &Arc<InstanceState>,
     reading: Reading,
-) {
-    let callback = move |observer: &dyn opentelemetry::metrics::AsyncInstrument<u64>| {
+) -> impl Fn(&dyn AsyncInstrument<u64>) + Send + Sync + 'static {
+    let state: Weak<InstanceState> = Arc::downgrade(state);
+    move |observer| {
         if let Some(state) = state.upgrade() {
             observer.observe(reading(&state), &[]);
         }
-    };
-    let builder = meter.u64_observable_counter(name);
-    builder
-        .with_description(meaning)
-        .with_callback(callback)
-        .build();
-}
-
-fn observe_gauge(
-    meter: &Meter,
-    name: &'static str,
-    meaning: &'static str,
-    state: Weak<InstanceState>,
-    reading: Reading,
-) {
-    let callback = move |observer: &dyn opentelemetry::metrics::AsyncInstrument<u64>| {
-        if let Some(state) = state.upgrade() {
-            observer.observe(reading(&state), &[]);
-        }
-    };
-    let builder = meter.u64_observable_gauge(name);
-    builder
-        .with_description(meaning)
-        .with_callback(callback)
-        .build();
+    }
 }
 
 impl InstanceState {
--- a/src/record/mod.rs
+++ b/src/record/mod.rs
@@ -1,13 +1,14 @@
 //! Operators' records: their kinds and schema versions, and the configuration they add up to.
 
 mod schema;
+mod spec;
 mod store;
 mod view;
 
-pub use schema::{
-    CURRENT_SCHEMA, DomainSpec, DomainState, ModelSpec, OrganisationSpec, PolicyName, PolicySpec,
-    ProgramClassSpec, RecordEnvelope, RecordError, RecordKind, RecordSpec, UpstreamKind,
-    UpstreamSpec, token_hash,
+pub use schema::{CURRENT_SCHEMA, RecordEnvelope, RecordError, RecordKind, RecordSpec};
+pub use spec::{
+    DomainSpec, DomainState, ModelSpec, OrganisationSpec, PolicyName, PolicySpec, ProgramClassSpec,
+    UpstreamKind, UpstreamSpec, token_hash,
 };
 pub use store::{RecordChange, RecordDelta, RecordStore, StoredRecord, record_diff, record_key};
 pub use view::{ConfigView, RecordProblem};
--- a/src/record/view.rs
+++ b/src/record/view.rs
@@ -6,8 +6,9 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 
-use super::schema::{
-    DomainSpec, DomainState, ModelSpec, OrganisationSpec, PolicySpec, ProgramClassSpec, RecordSpec,
+use super::schema::RecordSpec;
+use super::spec::{
+    DomainSpec, DomainState, ModelSpec, OrganisationSpec, PolicySpec, ProgramClassSpec,
     UpstreamKind, UpstreamSpec, token_hash,
 };
 use crate::ids::{ClassName, DomainId, ModelName, OrganisationId, RevisionNumber, UpstreamName};
--- a/src/shard/primary/replicate.rs
+++ b/src/shard/primary/replicate.rs
@@ -12,7 +12,7 @@
 use crate::shard::actor::{APPEND_PAUSE, ENTRIES_PER_COPY, refresh_map};
 use crate::shard::copy::{AppendReply, AppendRequest, LogPosition};
 use crate::shard::keeper::ProposeError;
-use crate::shard::map::MapChange;
+use crate::shard::map::{MapChange, ShardPlacement};
 use crate::storage::BulkStore;
 
 /// Longest wait for a backup to take a whole copy.
@@ -64,6 +64,9 @@
                 let _ = refresh_map(&self.context, &self.shard).await;
             }
             self.follow_map()?;
+            if stale {
+                self.settle_additions(&missing).await?;
+            }
             request.epoch = self.copy.epoch();
             missing.retain(|one| self.backups.contains(one));
             if missing.is_empty() {
@@ -100,6 +103,37 @@
         }
     }
 
+    /// Asks for a change of the placement that this copy is in.
+    pub(super) async fn ask_map(&self, change: MapChange) -> Result<ShardPlacement, ProposeError> {
+        let maps = &self.context.maps;
+        maps.propose(&self.shard, self.copy.epoch(), change).await
+    }
+
+    /// Takes those out of the map, for certain, whose addition never got an answer.
+    ///
+    /// Such a backup is in the epoch that its addition would have begun and refuses this one; until
+    /// the map says which of the two it is, no entry can be stored.
+    async fn settle_additions(&mut self, missing: &[InstanceRef]) -> Result<(), DeposedError> {
+        let placement = self.context.maps.placement(&self.shard);
+        let Some(placement) = placement.filter(|one| one.epoch == self.copy.epoch()) else {
+            return Ok(());
+        };
+        let doubtful: Vec<InstanceRef> = missing
+            .iter()
+            .filter(|one| !placement.holds(one))
+            .cloned()
+            .collect();
+        if doubtful.is_empty() {
+            return Ok(());
+        }
+        match self.ask_map(MapChange::DropBackups(doubtful)).await {
+            Ok(placement) => self.adopt(&placement),
+            Err(ProposeError::Conflict(_)) => self.follow_map()?,
+            Err(error) => log::debug!("addition in doubt shard={} error={error}", self.shard),
+        }
+        Ok(())
+    }
+
     /// Returns the backups that have to store an entry now.
     fn required_backups(&self) -> Vec<InstanceRef> {
         if !self.detached {
@@ -225,11 +259,7 @@
             return Ok(false);
         }
         let change = MapChange::DropBackups(suspected.clone());
-        let proposed = self
-            .context
-            .maps
-            .propose(&self.shard, self.copy.epoch(), change)
-            .await;
+        let proposed = self.ask_map(change).await;
         match proposed {
             Ok(placement) => {
                 log::info!(
--- a/src/shard/primary/tenure.rs
+++ b/src/shard/primary/tenure.rs
@@ -5,6 +5,7 @@
 use super::{DeposedError, PrimaryState};
 use crate::ids::{InstanceRef, ProgramId, UpstreamName};
 use crate::membership::PeerRecord;
+use crate::platform::PlatformError;
 use crate::program::{ProgramRecord, sweep_expired};
 use crate::shard::actor::refresh_map;
 use crate::shard::command::ShardCommand;
@@ -178,11 +179,7 @@
 
     /// Changes the map; an unanswered change is looked at again later.
     async fn propose(&mut self, change: MapChange) -> Result<(), DeposedError> {
-        let proposed = self
-            .context
-            .maps
-            .propose(&self.shard, self.copy.epoch(), change)
-            .await;
+        let proposed = self.ask_map(change).await;
         match proposed {
             Ok(placement) => self.adopt(&placement),
             Err(ProposeError::Conflict(_)) => self.follow_map()?,
@@ -204,11 +201,7 @@
             return Ok(());
         }
         let change = MapChange::AddBackup(candidate.clone());
-        let proposed = self
-            .context
-            .maps
-            .propose(&self.shard, self.copy.epoch(), change)
-            .await;
+        let proposed = self.ask_map(change).await;
         match proposed {
             Ok(placement) => {
                 log::info!("shard backup added shard={} backup={candidate}", self.shard);
@@ -216,11 +209,16 @@
                 Ok(())
             }
             Err(ProposeError::Conflict(_)) => self.follow_map(),
-            Err(_) => {
+            Err(ProposeError::Platform(PlatformError::NoAnswer(_))) => {
                 // The map may list it: from now on it has to store every entry as well.
                 self.backups.push(candidate);
                 Ok(())
             }
+            // The map was certainly not changed.
+            Err(error) => {
+                log::debug!("backup not added shard={} error={error}", self.shard);
+                Ok(())
+            }
         }
     }
 
@@ -309,11 +307,7 @@
     /// Hands the shard to a backup that has every entry.
     async fn hand_over(&mut self, to: InstanceRef) -> Result<(), DeposedError> {
         let change = MapChange::HandOver(to);
-        let proposed = self
-            .context
-            .maps
-            .propose(&self.shard, self.copy.epoch(), change)
-            .await;
+        let proposed = self.ask_map(change).await;
         match proposed {
             Ok(_) => Err(DeposedError),
             Err(ProposeError::Conflict(_)) => self.follow_map(),
