Run an instance on two threads unless told otherwise

Cause: the runtime took a thread for each core of the machine; entry instances are small, and each hop between threads costs a wake-up. Change: `listen.runtime-threads`, 2 by default. The service stand-in does not sleep for no delay: a timer rounded that up to a millisecond and hid what an instance adds.

--- a/crates/samphiregrade-bench/src/cluster.rs
+++ b/crates/samphiregrade-bench/src/cluster.rs
@@ -404,6 +404,7 @@
                 operators: plan.operators,
                 peers: plan.peers,
                 workers: 1,
+                runtime_threads: 2,
             },
             platform: PlatformSection {
                 key_value: format_smolstr!("http://{key_value}"),
--- a/crates/samphiregrade-standins/src/service.rs
+++ b/crates/samphiregrade-standins/src/service.rs
@@ -135,7 +135,10 @@
         if self.settings.checks_fencing && !self.pass_fence(request) {
             return refusal(412, "the fencing number is old");
         }
-        tokio::time::sleep(self.settings.delay).await;
+        // A timer would round no delay up to a millisecond.
+        if !self.settings.delay.is_zero() {
+            tokio::time::sleep(self.settings.delay).await;
+        }
         let arguments = request.json::<Value>().unwrap_or(Value::Null);
         let result = json!({"tool": tool, "key": key, "arguments": arguments});
         let faults = self.execute(key, tool, result.clone());
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -11,7 +11,7 @@
 use samphiregrade::platform::{EtcdGateway, InstanceList};
 use samphiregrade::{Instance, InstanceParts, Settings};
 use samphiregrade_http::{HttpPool, run_system};
-use tokio::runtime::Runtime;
+use tokio::runtime::{Builder, Runtime};
 use tokio::signal::unix::{SignalKind, signal};
 
 pub const USAGE: &str = "\
@@ -36,7 +36,11 @@
 pub fn execute(arguments: &ServeArguments) -> Result<ExitCode> {
     super::install_crypto();
     let settings = Settings::read(&arguments.settings)?;
-    let runtime = Runtime::new().context("starting the runtime")?;
+    let runtime = Builder::new_multi_thread()
+        .worker_threads(settings.listen.runtime_threads)
+        .enable_all()
+        .build()
+        .context("starting the runtime")?;
     run_system(serve(settings, runtime))
 }
 
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -279,6 +279,7 @@
             operators: operators.local_addr()?,
             peers: peers.local_addr()?,
             workers: 1,
+            runtime_threads: 2,
         },
         platform: PlatformSection {
             key_value: "http://127.0.0.1".into(),
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -92,6 +92,13 @@
     /// Event-loop threads for callers.
     #[serde(default = "default_workers")]
     pub workers: usize,
+    /// Threads for everything that is not an event loop.
+    #[serde(default = "default_runtime_threads")]
+    pub runtime_threads: usize,
+}
+
+fn default_runtime_threads() -> usize {
+    2
 }
 
 fn default_workers() -> usize {
@@ -338,8 +345,11 @@
                 "has to have letters, digits, `-` or `_` only",
             );
         }
-        if self.listen.workers == 0 {
-            return wrong("listen.workers", "has to be at least 1");
+        if self.listen.workers == 0 || self.listen.runtime_threads == 0 {
+            return wrong(
+                "listen.workers",
+                "has to be at least 1, as has listen.runtime-threads",
+            );
         }
         if !self.platform.key_value.starts_with("http://") {
             return wrong(
