Tell the larger part of the news to two instances a round; let idle links end

Change: a probe is short; map revisions, who was heard and loads go to one instance of the own failure domain and one of all in each round; reports only while they are news, and of the own domain's upstreams. Links have no keep-alive and 512 streams.

--- a/crates/samphiregrade-bench/src/report.rs
+++ b/crates/samphiregrade-bench/src/report.rs
@@ -152,6 +152,8 @@
     pub control: ControlCost,
     /// Requests waiting at the engines over time: seconds, and the mean over the engines.
     pub queue: Vec<(f64, f64)>,
+    /// Mean over time of the busiest engine's requests less the idlest one's.
+    pub engine_spread: f64,
     /// Reasons for programs that did not finish, each once with its number.
     pub failures: BTreeMap<SmolStr, u64>,
 }
--- a/crates/samphiregrade-bench/src/run.rs
+++ b/crates/samphiregrade-bench/src/run.rs
@@ -170,6 +170,7 @@
         configuration_seconds: TimeQuantiles::of(watched.configuration),
         control,
         queue: watched.queue,
+        engine_spread: watched.spread,
         failures: failures(&notes),
     })
 }
--- a/crates/samphiregrade-bench/src/run/watch.rs
+++ b/crates/samphiregrade-bench/src/run/watch.rs
@@ -35,6 +35,7 @@
     sights: BTreeMap<SmolStr, Vec<RevisionSight>>,
     reverted: u64,
     queue: Vec<(f64, f64)>,
+    spread: Vec<f64>,
 }
 
 /// Watches a cluster until it is finished.
@@ -52,12 +53,19 @@
     pub configuration: Vec<Duration>,
     /// Requests waiting at the engines over time.
     pub queue: Vec<(f64, f64)>,
+    /// Mean over time of the busiest engine's requests less the idlest one's.
+    pub spread: f64,
 }
 
 fn lock<Value>(mutex: &Mutex<Value>) -> MutexGuard<'_, Value> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+#[expect(clippy::cast_precision_loss, reason = "a few thousand values")]
+fn mean(values: &[f64]) -> f64 {
+    values.iter().sum::<f64>() / values.len().max(1) as f64
+}
+
 fn metric(text: &str, name: &str) -> Option<u64> {
     let line = text.lines().find(|line| line.starts_with(name))?;
     line.rsplit(' ').next()?.parse::<f64>().ok().map(whole)
@@ -109,6 +117,7 @@
             reverted: state.reverted,
             configuration,
             queue: state.queue.clone(),
+            spread: mean(&state.spread),
         }
     }
 }
@@ -161,7 +170,9 @@
 fn note_queue(engines: &[EngineStandin], started: Instant, state: &Mutex<WatchState>) {
     let queued: usize = engines.iter().map(EngineStandin::queued).sum();
     let mean = queued as f64 / engines.len().max(1) as f64;
-    lock(state)
-        .queue
-        .push((started.elapsed().as_secs_f64(), mean));
+    let requests = || engines.iter().map(EngineStandin::in_flight);
+    let spread = requests().max().unwrap_or(0) - requests().min().unwrap_or(0);
+    let mut state = lock(state);
+    state.queue.push((started.elapsed().as_secs_f64(), mean));
+    state.spread.push(spread as f64);
 }
--- a/crates/samphiregrade-standins/src/engine.rs
+++ b/crates/samphiregrade-standins/src/engine.rs
@@ -152,6 +152,12 @@
         lock(&self.inner.state).queued()
     }
 
+    /// Returns the requests that run or wait at the moment.
+    #[must_use]
+    pub fn in_flight(&self) -> usize {
+        lock(&self.inner.state).in_flight()
+    }
+
     /// Returns the models loaded.
     #[must_use]
     pub fn models(&self) -> Vec<SmolStr> {
--- a/crates/samphiregrade-standins/src/engine/batch.rs
+++ b/crates/samphiregrade-standins/src/engine/batch.rs
@@ -264,6 +264,11 @@
         self.waiting.len()
     }
 
+    /// Returns the requests that run or wait.
+    pub fn in_flight(&self) -> usize {
+        self.running.len() + self.waiting.len()
+    }
+
     /// Returns the load as it was at the last report.
     pub fn load_report(&mut self, settings: &EngineSettings, now: Instant) -> EngineLoad {
         if let Some((at, load)) = &self.report
--- a/src/instance/news.rs
+++ b/src/instance/news.rs
@@ -9,7 +9,7 @@
 
 use super::InstanceState;
 use crate::ids::InstanceRef;
-use crate::link::{PeerReply, PeerRequest, ProbeMessage};
+use crate::link::{GossipNews, PeerReply, PeerRequest, ProbeMessage};
 use crate::membership::ProbeSource;
 
 /// Most instances told of in one probe.
@@ -32,26 +32,33 @@
 }
 
 impl InstanceState {
-    /// Composes a probe.
+    /// Composes a probe, with the larger part of the news for few.
     pub(super) fn probe(&self, gossip: bool) -> ProbeMessage {
         let view = self.peers.view();
-        let now = Instant::now();
-        let heard = view
-            .peers()
-            .filter_map(|peer| Some((peer.instance.clone(), now.duration_since(peer.heard?))))
-            .filter(|(_, age)| *age < view.suspect_after)
-            .take(HEARD_LIMIT);
         ProbeMessage {
             from: view.me.clone(),
             domain: view.domain.clone(),
             leaving: self.is_draining(),
             config_revision: self.records.revision(),
-            map_revisions: self.maps.revisions(),
             copies: u32::try_from(self.own_copies()).unwrap_or(u32::MAX),
             primaries: u32::try_from(self.own_primaries()).unwrap_or(u32::MAX),
             has_disk: self.shards.has_disk(),
-            heard: if gossip { heard.collect() } else { Vec::new() },
-            loads: self.queue.digests(&view.me.name),
+            gossip: gossip.then(|| self.gossip_news()),
+        }
+    }
+
+    fn gossip_news(&self) -> GossipNews {
+        let view = self.peers.view();
+        let now = Instant::now();
+        let heard = view
+            .peers()
+            .filter_map(|peer| Some((peer.instance.clone(), now.duration_since(peer.heard?))))
+            .filter(|(_, age)| *age < view.suspect_after)
+            .take(HEARD_LIMIT);
+        GossipNews {
+            map_revisions: self.maps.revisions(),
+            heard: heard.collect(),
+            loads: self.queue.digests(&view.me.name, &self.config.load()),
         }
     }
 
@@ -74,7 +81,8 @@
 
     /// Takes news: loads at once, newer records and maps by asking for them.
     pub(super) async fn take_news(&self, probe: ProbeMessage) {
-        self.queue.take_digests(&probe.loads, Instant::now());
+        let gossip = probe.gossip.unwrap_or_default();
+        self.queue.take_digests(&gossip.loads, Instant::now());
         let Some(address) = self.peers.view().address(&probe.from) else {
             return;
         };
@@ -85,7 +93,7 @@
                 self.records.merge(&delta);
             }
         }
-        for (domain, revision) in probe.map_revisions {
+        for (domain, revision) in gossip.map_revisions {
             let known = self.maps.map(&domain).map_or(0, |map| map.revision);
             if revision <= known {
                 continue;
--- a/src/instance/peers.rs
+++ b/src/instance/peers.rs
@@ -57,9 +57,11 @@
 
     fn probe(&self, probe: ProbeMessage) -> PeerReply {
         self.state.peers.merge_probe(&probe, Instant::now());
+        // News is exchanged both ways: who tells a lot is told a lot.
+        let reply = self.state.probe(probe.gossip.is_some());
         let state = self.state.clone();
         tokio::spawn(async move { state.take_news(probe).await });
-        PeerReply::Probe(self.state.probe(false))
+        PeerReply::Probe(reply)
     }
 
     async fn append(&self, request: AppendRequest) -> AppendReply {
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -51,6 +51,17 @@
     pub age: Duration,
 }
 
+/// The larger part of the news, which goes to few instances in each round.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct GossipNews {
+    /// Revisions of the shard maps that the sender knows.
+    pub map_revisions: Vec<(DomainId, RevisionNumber)>,
+    /// Instances that it has lately heard of, with the age of the news.
+    pub heard: Vec<(InstanceRef, Duration)>,
+    /// Loads of upstreams.
+    pub loads: Vec<UpstreamDigest>,
+}
+
 /// What instances tell each other all the time.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct ProbeMessage {
@@ -62,18 +73,14 @@
     pub leaving: bool,
     /// Revision of its configuration.
     pub config_revision: RevisionNumber,
-    /// Revisions of the shard maps it knows.
-    pub map_revisions: Vec<(DomainId, RevisionNumber)>,
     /// Shard copies it holds.
     pub copies: u32,
     /// Shards it is primary of.
     pub primaries: u32,
     /// Whether it keeps its copies on a disk.
     pub has_disk: bool,
-    /// Instances that it has lately heard of, directly or not, with the age of the news.
-    pub heard: Vec<(InstanceRef, Duration)>,
-    /// Loads of upstreams.
-    pub loads: Vec<UpstreamDigest>,
+    /// The larger part, where the receiver is one of the few.
+    pub gossip: Option<GossipNews>,
 }
 
 /// A caller's request on its one hop to the primary.
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -6,6 +6,7 @@
 
 pub use identity::{IdentityError, LinkIdentity, make_authority, make_identity};
 pub use message::{
-    ForwardHead, ForwardedRequest, LoadReport, PeerReply, PeerRequest, ProbeMessage, UpstreamDigest,
+    ForwardHead, ForwardedRequest, GossipNews, LoadReport, PeerReply, PeerRequest, ProbeMessage,
+    UpstreamDigest,
 };
 pub use network::{LinkCounters, LinkError, LinkNetwork, PeerAnswer, PeerHandler, ReplyStream};
--- a/src/link/network.rs
+++ b/src/link/network.rs
@@ -25,15 +25,15 @@
 /// Largest accepted frame in bytes; a shard's snapshot has to fit.
 const FRAME_LIMIT: usize = 256 << 20;
 
-/// Requests that one connection carries at once.
-const STREAM_LIMIT: u32 = 8192;
+/// Requests that one connection carries at once; each takes memory on every connection.
+const STREAM_LIMIT: u32 = 512;
 
 /// Silence after which a connection is given up.
+///
+/// Nothing keeps it alive but requests: probes do for the instances that share shards, and those to
+/// others must not add up to one for each instance of the fleet.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// Pause after which an idle connection sends a sign of life.
-const KEEP_ALIVE: Duration = Duration::from_secs(1);
-
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -110,7 +110,6 @@
     let mut transport = TransportConfig::default();
     transport
         .max_concurrent_bidi_streams(VarInt::from_u32(STREAM_LIMIT))
-        .keep_alive_interval(Some(KEEP_ALIVE))
         .max_idle_timeout(IDLE_TIMEOUT.try_into().ok());
     Arc::new(transport)
 }
--- a/src/membership/prober.rs
+++ b/src/membership/prober.rs
@@ -87,11 +87,10 @@
             let table = table.clone();
             tokio::spawn(async move { read_list(&list, &table).await });
         }
-        for (position, peer) in choose_peers(&table, &source.partners(), &settings)
-            .into_iter()
-            .enumerate()
-        {
-            let probe = source.compose(position == 0);
+        let chosen = choose_peers(&table, &source.partners(), &settings);
+        let gossip = choose_gossip(&table, &chosen);
+        for (position, peer) in chosen.into_iter().enumerate() {
+            let probe = source.compose(gossip.contains(&position));
             let source = source.clone();
             let table = table.clone();
             let network = network.clone();
@@ -115,7 +114,7 @@
     }
 }
 
-/// Chooses whom to probe: some others first, so that the first one gets the gossip.
+/// Chooses whom to probe: those that share shards, and a few others.
 fn choose_peers(
     table: &PeerTable,
     partners: &[InstanceRef],
@@ -130,8 +129,18 @@
     let mut chosen: Vec<PeerRecord> = others.into_iter().take(settings.others).collect();
     chosen.extend(partners);
     chosen.truncate(settings.most);
-    if chosen.len() > 1 && rand::random_bool(0.5) {
-        chosen.swap(0, 1);
-    }
     chosen
 }
+
+/// Chooses who gets the larger part of the news: one of the own failure domain, and one of all.
+fn choose_gossip(table: &PeerTable, chosen: &[PeerRecord]) -> Vec<usize> {
+    let view = table.view();
+    let mut places: Vec<usize> = (0..chosen.len()).collect();
+    places.shuffle(&mut rand::rng());
+    let local = places
+        .iter()
+        .find(|place| chosen[**place].domain == view.domain);
+    let mut gossip: Vec<usize> = local.copied().into_iter().collect();
+    gossip.extend(places.into_iter().find(|place| !gossip.contains(place)));
+    gossip
+}
--- a/src/membership/table.rs
+++ b/src/membership/table.rs
@@ -204,7 +204,8 @@
             if let Some(record) = view.peers.get_mut(&probe.from.name) {
                 record.merge(probe, now);
             }
-            for (instance, age) in &probe.heard {
+            let heard = probe.gossip.iter().flat_map(|gossip| &gossip.heard);
+            for (instance, age) in heard {
                 let Some(record) = view.peers.get_mut(&instance.name) else {
                     continue;
                 };
--- a/src/scheduler/queue.rs
+++ b/src/scheduler/queue.rs
@@ -12,7 +12,7 @@
 use serde::Serialize;
 
 use state::{ProgramCache, QueueState, WaitingJob, prefix_hash, prefix_tokens};
-use upstreams::{PeerShare, REPORT_AGE, blend};
+use upstreams::{PeerShare, blend};
 
 pub use state::wanted_model;
 
@@ -26,6 +26,12 @@
 use crate::record::{ConfigView, PolicySpec, UpstreamSpec};
 use crate::shard::DispatchJob;
 
+/// Age up to which a report is news for others.
+const NEWS_AGE: Duration = Duration::from_millis(750);
+
+/// Upstreams told of in one probe.
+const DIGEST_LIMIT: usize = 48;
+
 /// Waiting calls looked at in one pass.
 const PASS_LIMIT: usize = 128;
 
@@ -277,25 +283,39 @@
         }
     }
 
-    /// Composes what to tell other instances.
-    pub fn digests(&self, me: &InstanceName) -> Vec<UpstreamDigest> {
+    /// Composes what to tell other instances: the own calls, and new reports of the own domain.
+    #[must_use]
+    pub fn digests(&self, me: &InstanceName, config: &ConfigView) -> Vec<UpstreamDigest> {
         let now = Instant::now();
         let state = self.state();
-        let digests = state.upstreams.iter().map(|(name, entry)| {
+        let local = |name: &UpstreamName| {
+            config
+                .upstream(name)
+                .is_some_and(|spec| spec.failure_domain == self.domain)
+        };
+        let mut digests = Vec::new();
+        for (name, entry) in &state.upstreams {
             let (report, age) = match &entry.report {
-                Some((report, at)) => (Some(report.clone()), now.duration_since(*at)),
+                Some((report, at)) => (Some(report), now.duration_since(*at)),
                 None => (None, Duration::ZERO),
             };
-            UpstreamDigest {
+            let report = report.filter(|_| age < NEWS_AGE && local(name)).cloned();
+            if report.is_none() && entry.in_flight == 0 && entry.resident == 0 {
+                continue;
+            }
+            digests.push(UpstreamDigest {
                 upstream: name.clone(),
                 instance: me.clone(),
                 in_flight: entry.in_flight,
                 resident_tokens: entry.resident,
-                report: report.filter(|_| age < REPORT_AGE),
+                report,
                 age,
+            });
+            if digests.len() == DIGEST_LIMIT {
+                break;
             }
-        });
-        digests.collect()
+        }
+        digests
     }
 
     /// Takes an engine's word on how much of a program's prefix it has cached.
--- a/src/scheduler/queue/upstreams.rs
+++ b/src/scheduler/queue/upstreams.rs
@@ -11,7 +11,7 @@
 const DIGEST_AGE: Duration = Duration::from_secs(5);
 
 /// Age from which an upstream's report counts no more.
-pub(super) const REPORT_AGE: Duration = Duration::from_secs(15);
+const REPORT_AGE: Duration = Duration::from_secs(15);
 
 /// Slots of an engine that has not reported yet.
 const UNKNOWN_SLOTS: u32 = 4;
