Send what changed of a shard map, not the whole

Change: an instance that knows one of the last eight revisions gets the changed placements only. Conclusion: the rate no longer grows with the number of shards.

--- a/src/instance/news.rs
+++ b/src/instance/news.rs
@@ -98,10 +98,11 @@
             if revision <= known {
                 continue;
             }
-            let request = PeerRequest::MapRead(domain);
-            let answer = self.network.call(address, &request, READ_TIMEOUT).await;
-            if let Ok(PeerReply::Map(Some(map))) = answer {
-                self.maps.adopt(map);
+            let request = PeerRequest::MapRead(domain, known);
+            match self.network.call(address, &request, READ_TIMEOUT).await {
+                Ok(PeerReply::Map(Some(map))) => drop(self.maps.adopt(map)),
+                Ok(PeerReply::MapDelta(delta)) => drop(self.maps.adopt_delta(&delta)),
+                _ => {}
             }
         }
     }
--- a/src/instance/peers.rs
+++ b/src/instance/peers.rs
@@ -33,8 +33,11 @@
                 state.maps.adopt(map);
                 PeerReply::Done
             }
-            PeerRequest::MapRead(domain) => {
-                PeerReply::Map(state.maps.map(&domain).map(|map| (*map).clone()))
+            PeerRequest::MapRead(domain, revision) => {
+                match state.maps.changes_since(&domain, revision) {
+                    Some(delta) => PeerReply::MapDelta(delta),
+                    None => PeerReply::Map(state.maps.map(&domain).map(|map| (*map).clone())),
+                }
             }
             PeerRequest::RecoveredRead(shard) => {
                 PeerReply::Recovered(state.shards.recovered(&shard))
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -11,7 +11,9 @@
     UpstreamName,
 };
 use crate::record::RecordDelta;
-use crate::shard::{AppendReply, AppendRequest, InstallRequest, LogPosition, VersionedMap};
+use crate::shard::{
+    AppendReply, AppendRequest, InstallRequest, LogPosition, MapDelta, VersionedMap,
+};
 
 /// An upstream's own report of its load.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -120,8 +122,8 @@
     Install(InstallRequest),
     /// A newer shard map.
     MapUpdate(VersionedMap),
-    /// Asks for the shard map of a failure domain.
-    MapRead(DomainId),
+    /// Asks for a failure domain's shard map, or for its changes since a revision.
+    MapRead(DomainId, RevisionNumber),
     /// Asks how far a shard's copy reaches that was found on the disk.
     RecoveredRead(ShardId),
     /// Asks for the records changed after a revision.
@@ -147,6 +149,8 @@
     Recovered(Option<LogPosition>),
     /// A shard map, where one is known.
     Map(Option<VersionedMap>),
+    /// The changes of a shard map.
+    MapDelta(MapDelta),
     /// Records.
     Records(RecordDelta),
     /// Head of the answer to a forwarded request.
--- a/src/scheduler/queue/upstreams.rs
+++ b/src/scheduler/queue/upstreams.rs
@@ -7,8 +7,8 @@
 use crate::link::LoadReport;
 use crate::upstream::CircuitBreaker;
 
-/// Age from which another instance's digest counts no more.
-const DIGEST_AGE: Duration = Duration::from_secs(5);
+/// Age from which another instance's digest counts no more: then the upstream's report is newer.
+const DIGEST_AGE: Duration = Duration::from_millis(700);
 
 /// Age from which an upstream's report counts no more.
 const REPORT_AGE: Duration = Duration::from_secs(15);
--- a/src/shard/keeper.rs
+++ b/src/shard/keeper.rs
@@ -3,7 +3,7 @@
 //! Changes that come close together go into one swap, so that the platform's rate grows with the
 //! number of failures and not with the number of shards.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -13,7 +13,9 @@
 use tokio::sync::{Notify, mpsc, oneshot, watch};
 use tokio_util::sync::CancellationToken;
 
-use super::map::{DomainMap, MapChange, MapConflict, ShardPlacement, VersionedMap, map_key};
+use super::map::{
+    DomainMap, MapChange, MapConflict, MapDelta, ShardPlacement, VersionedMap, map_key,
+};
 use crate::ids::{DomainId, RevisionNumber, ShardEpoch, ShardId};
 use crate::platform::{PlatformClient, PlatformError, SwapOutcome};
 
@@ -49,11 +51,17 @@
 
 type KnownMaps = HashMap<DomainId, Arc<VersionedMap>>;
 
+/// Older maps of each failure domain that are kept to tell what has changed since.
+const KEPT_MAPS: usize = 8;
+
+type OlderMaps = HashMap<DomainId, VecDeque<Arc<VersionedMap>>>;
+
 /// The maps that this instance knows.
 #[derive(Debug)]
 pub struct MapKeeper {
     maps: ArcSwap<KnownMaps>,
-    writer: Mutex<()>,
+    /// Older maps, oldest first; the lock is held by whoever stores a newer one.
+    older: Mutex<OlderMaps>,
     version: watch::Sender<u64>,
     proposals: mpsc::Sender<MapProposal>,
     fresh: Notify,
@@ -75,7 +83,7 @@
         let (proposals, receiver) = mpsc::channel(1024);
         let keeper = Arc::new(Self {
             maps: ArcSwap::default(),
-            writer: Mutex::new(()),
+            older: Mutex::default(),
             version: watch::Sender::new(0),
             proposals,
             fresh: Notify::new(),
@@ -96,6 +104,26 @@
         self.maps.load().get(domain).cloned()
     }
 
+    /// Returns what has changed since a revision; `None` where that map is not kept any more.
+    #[must_use]
+    pub fn changes_since(&self, domain: &str, revision: RevisionNumber) -> Option<MapDelta> {
+        let newest = self.map(domain)?;
+        let older = self.older.lock().unwrap_or_else(PoisonError::into_inner);
+        let base = older
+            .get(domain)?
+            .iter()
+            .find(|map| map.revision == revision)?;
+        Some(newest.delta_from(base))
+    }
+
+    /// Takes changes that start from the known map; returns whether they did.
+    pub fn adopt_delta(&self, delta: &MapDelta) -> bool {
+        let newer = self
+            .map(&delta.domain)
+            .and_then(|known| known.with_delta(delta));
+        newer.is_some_and(|newer| self.adopt(newer))
+    }
+
     /// Returns the placement of a shard.
     #[must_use]
     pub fn placement(&self, shard: &ShardId) -> Option<ShardPlacement> {
@@ -126,12 +154,19 @@
 
     /// Takes a map, unless a newer one is known; returns whether it was newer.
     pub fn adopt(&self, map: VersionedMap) -> bool {
-        let _writer = self.writer.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut older = self.older.lock().unwrap_or_else(PoisonError::into_inner);
         let maps = self.maps.load();
-        let known = maps.get(&map.map.domain).map_or(0, |known| known.revision);
-        if map.revision <= known {
+        let known = maps.get(&map.map.domain);
+        if known.is_some_and(|known| map.revision <= known.revision) {
             return false;
         }
+        if let Some(known) = known {
+            let kept = older.entry(map.map.domain.clone()).or_default();
+            kept.push_back(known.clone());
+            if kept.len() > KEPT_MAPS {
+                kept.pop_front();
+            }
+        }
         let mut next = KnownMaps::clone(&maps);
         next.insert(map.map.domain.clone(), Arc::new(map));
         self.maps.store(Arc::new(next));
--- a/src/shard/map.rs
+++ b/src/shard/map.rs
@@ -59,6 +59,56 @@
     pub map: DomainMap,
 }
 
+/// The placements that changed between two revisions of a map.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct MapDelta {
+    /// The failure domain.
+    pub domain: DomainId,
+    /// Revision that the changes start from.
+    pub base: RevisionNumber,
+    /// Revision that they lead to.
+    pub revision: RevisionNumber,
+    /// Unique to the swap that stored the newer map.
+    pub attempt: SmolStr,
+    /// The changed placements with their shards' numbers.
+    pub changes: Vec<(u16, ShardPlacement)>,
+}
+
+impl VersionedMap {
+    /// Returns what changed from an older map, whose shards have the same numbers.
+    #[must_use]
+    pub fn delta_from(&self, older: &Self) -> MapDelta {
+        let pairs = self.map.shards.iter().zip(&older.map.shards);
+        let changes = pairs
+            .zip(0..)
+            .filter(|((newer, older), _)| newer != older)
+            .map(|((newer, _), number)| (number, newer.clone()))
+            .collect();
+        MapDelta {
+            domain: self.map.domain.clone(),
+            base: older.revision,
+            revision: self.revision,
+            attempt: self.map.attempt.clone(),
+            changes,
+        }
+    }
+
+    /// Returns the newer map, where the changes start from this one.
+    #[must_use]
+    pub fn with_delta(&self, delta: &MapDelta) -> Option<Self> {
+        if delta.base != self.revision || delta.domain != self.map.domain {
+            return None;
+        }
+        let mut newer = self.clone();
+        newer.revision = delta.revision;
+        newer.map.attempt = delta.attempt.clone();
+        for (number, placement) in &delta.changes {
+            *newer.map.shards.get_mut(usize::from(*number))? = placement.clone();
+        }
+        Some(newer)
+    }
+}
+
 /// A change of one shard's placement.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum MapChange {
@@ -213,6 +263,26 @@
         assert_eq!(backups.len(), 2);
     }
 
+    #[test]
+    fn delta_leads_to_the_newer_map() {
+        let local: Vec<_> = ["a", "b", "c"].map(instance).to_vec();
+        let older = VersionedMap {
+            revision: 5,
+            map: initial_map(&"d".into(), 6, &local, &[]),
+        };
+        let mut newer = older.clone();
+        newer.revision = 8;
+        newer.map.attempt = "x".into();
+        let change = MapChange::HandOver(older.map.shards[2].backups[0].clone());
+        newer.map.shards[2] = older.map.shards[2]
+            .changed(1, &change)
+            .expect("a fitting change");
+        let delta = newer.delta_from(&older);
+        assert_eq!(delta.changes.len(), 1);
+        assert_eq!(older.with_delta(&delta), Some(newer.clone()));
+        assert_eq!(newer.with_delta(&delta), None);
+    }
+
     #[test]
     fn change_of_an_old_epoch_is_refused() {
         let local: Vec<_> = ["a", "b"].map(instance).to_vec();
--- a/src/shard/mod.rs
+++ b/src/shard/mod.rs
@@ -21,8 +21,8 @@
 };
 pub use keeper::{MapKeeper, ProposeError};
 pub use map::{
-    DomainMap, MAP_PREFIX, MapChange, MapConflict, ShardPlacement, VersionedMap, initial_map,
-    map_key,
+    DomainMap, MAP_PREFIX, MapChange, MapConflict, MapDelta, ShardPlacement, VersionedMap,
+    initial_map, map_key,
 };
 pub use role::{HeldRole, RoleChange, decide_role};
 pub use stream::{StreamBuffer, StreamRead, StreamReader};
