Tell the own calls in every probe, by short names

Change: every probe carries the sender's own calls at upstreams, each named by four bytes; reports stay in the larger part. Whom the sender has heard is no longer told: nothing used it. Conclusion: what decides has to be fresh; what is large need not be.

--- a/src/instance/news.rs
+++ b/src/instance/news.rs
@@ -12,9 +12,6 @@
 use crate::link::{GossipNews, PeerReply, PeerRequest, ProbeMessage};
 use crate::membership::ProbeSource;
 
-/// Most instances told of in one probe.
-const HEARD_LIMIT: usize = 16;
-
 /// Longest wait for records or a map from a peer.
 const READ_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -43,22 +40,15 @@
             copies: u32::try_from(self.own_copies()).unwrap_or(u32::MAX),
             primaries: u32::try_from(self.own_primaries()).unwrap_or(u32::MAX),
             has_disk: self.shards.has_disk(),
+            shares: self.queue.shares(),
             gossip: gossip.then(|| self.gossip_news()),
         }
     }
 
     fn gossip_news(&self) -> GossipNews {
-        let view = self.peers.view();
-        let now = Instant::now();
-        let heard = view
-            .peers()
-            .filter_map(|peer| Some((peer.instance.clone(), now.duration_since(peer.heard?))))
-            .filter(|(_, age)| *age < view.suspect_after)
-            .take(HEARD_LIMIT);
         GossipNews {
             map_revisions: self.maps.revisions(),
-            heard: heard.collect(),
-            loads: self.queue.digests(&view.me.name, &self.config.load()),
+            reports: self.queue.report_news(&self.config.load()),
         }
     }
 
@@ -82,7 +72,9 @@
     /// Takes news: loads at once, newer records and maps by asking for them.
     pub(super) async fn take_news(&self, probe: ProbeMessage) {
         let gossip = probe.gossip.unwrap_or_default();
-        self.queue.take_digests(&gossip.loads, Instant::now());
+        let now = Instant::now();
+        self.queue.take_shares(&probe.from.name, &probe.shares, now);
+        self.queue.take_report_news(&gossip.reports, now);
         let Some(address) = self.peers.view().address(&probe.from) else {
             return;
         };
--- a/src/link/message.rs
+++ b/src/link/message.rs
@@ -7,8 +7,7 @@
 use smol_str::SmolStr;
 
 use crate::ids::{
-    DomainId, InstanceName, InstanceRef, OrganisationId, ProgramId, RevisionNumber, ShardId,
-    UpstreamName,
+    DomainId, InstanceRef, OrganisationId, ProgramId, RevisionNumber, ShardId, UpstreamName,
 };
 use crate::record::RecordDelta;
 use crate::shard::{
@@ -36,32 +35,46 @@
     pub models: Vec<SmolStr>,
 }
 
-/// What an instance tells of an upstream.
-#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct UpstreamDigest {
+/// Short name of an upstream in probes: the begin of a hash of its name.
+pub type UpstreamTag = u32;
+
+/// What the sender of a probe has under way at an upstream.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub struct UpstreamShare {
     /// The upstream.
-    pub upstream: UpstreamName,
-    /// Instance that tells of its own calls.
-    pub instance: InstanceName,
-    /// Calls that the instance has under way at the upstream.
+    pub upstream: UpstreamTag,
+    /// Calls under way.
     pub in_flight: u32,
-    /// Tokens of the running programs that the instance serves there.
+    /// Tokens of the running programs that the sender serves there.
     pub resident_tokens: u64,
-    /// The last report read, where the instance reads them.
-    pub report: Option<LoadReport>,
+}
+
+/// An upstream's report that is news.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ReportNews {
+    /// The upstream.
+    pub upstream: UpstreamName,
+    /// Its report.
+    pub report: LoadReport,
     /// Age of the report.
     pub age: Duration,
 }
 
+/// Computes the short name of an upstream.
+#[must_use]
+pub fn upstream_tag(name: &str) -> UpstreamTag {
+    let hash = blake3::hash(name.as_bytes());
+    let [first, second, third, fourth, ..] = *hash.as_bytes();
+    UpstreamTag::from_be_bytes([first, second, third, fourth])
+}
+
 /// The larger part of the news, which goes to few instances in each round.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct GossipNews {
     /// Revisions of the shard maps that the sender knows.
     pub map_revisions: Vec<(DomainId, RevisionNumber)>,
-    /// Instances that it has lately heard of, with the age of the news.
-    pub heard: Vec<(InstanceRef, Duration)>,
-    /// Loads of upstreams.
-    pub loads: Vec<UpstreamDigest>,
+    /// Reports of upstreams of the sender's failure domain.
+    pub reports: Vec<ReportNews>,
 }
 
 /// What instances tell each other all the time.
@@ -81,6 +94,8 @@
     pub primaries: u32,
     /// Whether it keeps its copies on a disk.
     pub has_disk: bool,
+    /// The sender's calls at upstreams; it has none at the others.
+    pub shares: Vec<UpstreamShare>,
     /// The larger part, where the receiver is one of the few.
     pub gossip: Option<GossipNews>,
 }
--- a/src/link/mod.rs
+++ b/src/link/mod.rs
@@ -7,6 +7,6 @@
 pub use identity::{IdentityError, LinkIdentity, make_authority, make_identity};
 pub use message::{
     ForwardHead, ForwardedRequest, GossipNews, LoadReport, PeerReply, PeerRequest, ProbeMessage,
-    UpstreamDigest,
+    ReportNews, UpstreamShare, UpstreamTag, upstream_tag,
 };
 pub use network::{LinkCounters, LinkError, LinkNetwork, PeerAnswer, PeerHandler, ReplyStream};
--- a/src/membership/table.rs
+++ b/src/membership/table.rs
@@ -24,8 +24,6 @@
     pub leaving: bool,
     /// When it answered last.
     pub heard: Option<Instant>,
-    /// When some instance has heard it last, as others tell.
-    pub told: Option<Instant>,
     /// Shard copies it holds.
     pub copies: u32,
     /// Shards it is primary of.
@@ -180,7 +178,6 @@
                             address: instance.peer_address,
                             leaving: false,
                             heard: None,
-                            told: None,
                             copies: 0,
                             primaries: 0,
                             has_disk: false,
@@ -204,16 +201,6 @@
             if let Some(record) = view.peers.get_mut(&probe.from.name) {
                 record.merge(probe, now);
             }
-            let heard = probe.gossip.iter().flat_map(|gossip| &gossip.heard);
-            for (instance, age) in heard {
-                let Some(record) = view.peers.get_mut(&instance.name) else {
-                    continue;
-                };
-                let at = now.checked_sub(*age);
-                if record.instance.incarnation == instance.incarnation && at > record.told {
-                    record.told = at;
-                }
-            }
         });
     }
 }
--- a/src/scheduler/queue.rs
+++ b/src/scheduler/queue.rs
@@ -22,15 +22,18 @@
 use super::retain::{CacheState, wants_hold};
 use crate::contract::{Refusal, TokenUsage};
 use crate::ids::{ClassName, DomainId, InstanceName, ProgramId, TokenCount, UpstreamName};
-use crate::link::{LoadReport, UpstreamDigest};
+use crate::link::{LoadReport, ReportNews, UpstreamShare, upstream_tag};
 use crate::record::{ConfigView, PolicySpec, UpstreamSpec};
 use crate::shard::DispatchJob;
 
 /// Age up to which a report is news for others.
 const NEWS_AGE: Duration = Duration::from_millis(750);
 
-/// Upstreams told of in one probe.
-const DIGEST_LIMIT: usize = 48;
+/// Upstreams with own calls that are told of in one probe.
+const SHARE_LIMIT: usize = 64;
+
+/// Reports told in one round of news.
+const REPORT_LIMIT: usize = 48;
 
 /// Waiting calls looked at in one pass.
 const PASS_LIMIT: usize = 128;
@@ -265,27 +268,50 @@
         entry.sent_since_report = 0;
     }
 
-    /// Takes what another instance tells of upstreams.
-    pub fn take_digests(&self, digests: &[UpstreamDigest], now: Instant) {
-        for digest in digests {
-            let at = now.checked_sub(digest.age).unwrap_or(now);
-            if let Some(report) = &digest.report {
-                self.take_report(&digest.upstream, report.clone(), at);
-            }
-            let mut state = self.state();
-            let entry = state.upstreams.entry(digest.upstream.clone()).or_default();
-            let share = PeerShare {
-                in_flight: digest.in_flight,
-                resident_tokens: digest.resident_tokens,
-                at: now,
-            };
-            entry.peers.insert(digest.instance.clone(), share);
+    /// Takes what another instance has under way; it has nothing at upstreams that it does not name.
+    pub fn take_shares(&self, from: &InstanceName, shares: &[UpstreamShare], now: Instant) {
+        let mut state = self.state();
+        for (name, entry) in &mut state.upstreams {
+            let tag = upstream_tag(name);
+            let share = shares.iter().find(|share| share.upstream == tag);
+            entry.peers.insert(
+                from.clone(),
+                PeerShare {
+                    in_flight: share.map_or(0, |share| share.in_flight),
+                    resident_tokens: share.map_or(0, |share| share.resident_tokens),
+                    at: now,
+                },
+            );
         }
     }
 
-    /// Composes what to tell other instances: the own calls, and new reports of the own domain.
+    /// Takes reports that another instance has read or heard of.
+    pub fn take_report_news(&self, reports: &[ReportNews], now: Instant) {
+        for news in reports {
+            let at = now.checked_sub(news.age).unwrap_or(now);
+            self.take_report(&news.upstream, news.report.clone(), at);
+        }
+    }
+
+    /// Composes what this instance has under way.
+    #[must_use]
+    pub fn shares(&self) -> Vec<UpstreamShare> {
+        let state = self.state();
+        let busy = state
+            .upstreams
+            .iter()
+            .filter(|(_, entry)| entry.in_flight > 0 || entry.resident > 0);
+        let shares = busy.map(|(name, entry)| UpstreamShare {
+            upstream: upstream_tag(name),
+            in_flight: entry.in_flight,
+            resident_tokens: entry.resident,
+        });
+        shares.take(SHARE_LIMIT).collect()
+    }
+
+    /// Composes the reports of the own failure domain that are news.
     #[must_use]
-    pub fn digests(&self, me: &InstanceName, config: &ConfigView) -> Vec<UpstreamDigest> {
+    pub fn report_news(&self, config: &ConfigView) -> Vec<ReportNews> {
         let now = Instant::now();
         let state = self.state();
         let local = |name: &UpstreamName| {
@@ -293,29 +319,16 @@
                 .upstream(name)
                 .is_some_and(|spec| spec.failure_domain == self.domain)
         };
-        let mut digests = Vec::new();
-        for (name, entry) in &state.upstreams {
-            let (report, age) = match &entry.report {
-                Some((report, at)) => (Some(report), now.duration_since(*at)),
-                None => (None, Duration::ZERO),
-            };
-            let report = report.filter(|_| age < NEWS_AGE && local(name)).cloned();
-            if report.is_none() && entry.in_flight == 0 && entry.resident == 0 {
-                continue;
-            }
-            digests.push(UpstreamDigest {
+        let news = state.upstreams.iter().filter_map(|(name, entry)| {
+            let (report, at) = entry.report.as_ref()?;
+            let age = now.duration_since(*at);
+            (age < NEWS_AGE && local(name)).then(|| ReportNews {
                 upstream: name.clone(),
-                instance: me.clone(),
-                in_flight: entry.in_flight,
-                resident_tokens: entry.resident,
-                report,
+                report: report.clone(),
                 age,
-            });
-            if digests.len() == DIGEST_LIMIT {
-                break;
-            }
-        }
-        digests
+            })
+        });
+        news.take(REPORT_LIMIT).collect()
     }
 
     /// Takes an engine's word on how much of a program's prefix it has cached.
--- a/src/scheduler/queue/upstreams.rs
+++ b/src/scheduler/queue/upstreams.rs
@@ -7,8 +7,8 @@
 use crate::link::LoadReport;
 use crate::upstream::CircuitBreaker;
 
-/// Age from which another instance's digest counts no more: then the upstream's report is newer.
-const DIGEST_AGE: Duration = Duration::from_millis(700);
+/// Age from which another instance's word counts no more.
+const SHARE_AGE: Duration = Duration::from_millis(1500);
 
 /// Age from which an upstream's report counts no more.
 const REPORT_AGE: Duration = Duration::from_secs(15);
@@ -83,7 +83,7 @@
     }
 
     pub fn peer_shares(&self, now: Instant) -> impl Iterator<Item = &PeerShare> {
-        let fresh = move |share: &&PeerShare| now.duration_since(share.at) < DIGEST_AGE;
+        let fresh = move |share: &&PeerShare| now.duration_since(share.at) < SHARE_AGE;
         self.peers.values().filter(fresh)
     }
 
