Count a report's requests only while it is new; call a prefix lost late rather than early

Cause: with fewer news, own calls since an old report counted again after they had ended, and engines looked full; calls went elsewhere and computed their prefix again. Tried and reverted: learning from answers after how many inserted tokens a prefix is gone. Change: reports count for 300 ms, then what instances tell of their own calls; a prefix counts as lost after one and a half caches have been inserted, not seven eighths.

--- a/src/scheduler/queue.rs
+++ b/src/scheduler/queue.rs
@@ -12,7 +12,7 @@
 use serde::Serialize;
 
 use state::{ProgramCache, QueueState, WaitingJob, prefix_hash, prefix_tokens};
-use upstreams::{PeerShare, blend};
+use upstreams::PeerShare;
 
 pub use state::wanted_model;
 
@@ -38,9 +38,6 @@
 /// Waiting calls looked at in one pass.
 const PASS_LIMIT: usize = 128;
 
-/// Shortest first message that counts as a prefix shared between programs.
-const SHARED_PREFIX: TokenCount = 32;
-
 /// A call with the upstream chosen for it.
 #[derive(Debug)]
 pub struct ChosenJob {
@@ -209,32 +206,12 @@
         state
             .learner
             .answered(&job.class, usage.completion_tokens, total);
-        let prefix = prefix_hash(job);
-        let prefix_tokens = prefix_tokens(job);
         let entry = state.upstreams.entry(upstream.clone()).or_default();
         entry.in_flight = entry.in_flight.saturating_sub(1);
         entry.breaker.succeeded();
-        blend(&mut entry.call_time, total);
-        let missing = usage.prompt_tokens.saturating_sub(usage.cached_tokens);
-        if missing > 64 {
-            blend(
-                &mut entry.prefill_time,
-                first_token / u32::try_from(missing).unwrap_or(u32::MAX),
-            );
-        }
-        let tokens = u32::try_from(usage.completion_tokens.max(1)).unwrap_or(u32::MAX);
-        blend(
-            &mut entry.token_time,
-            total.saturating_sub(first_token) / tokens,
-        );
-        // Other instances fill the cache as well, about in proportion to their calls there.
-        let own = u64::from(entry.in_flight.max(1));
-        let share = (u64::from(entry.total_in_flight(now)) / own).clamp(1, 16);
-        entry.inserted += (missing + usage.completion_tokens) * share;
+        entry.note_answer(usage, first_token, total, now);
+        entry.note_prefix(prefix_hash(job), prefix_tokens(job));
         let mark = entry.inserted;
-        if prefix_tokens >= SHARED_PREFIX {
-            entry.prefixes.insert(prefix, (prefix_tokens, mark));
-        }
         let cache = ProgramCache {
             engine: upstream.clone(),
             tokens: usage.prompt_tokens + usage.completion_tokens,
--- a/src/scheduler/queue/upstreams.rs
+++ b/src/scheduler/queue/upstreams.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use crate::contract::TokenUsage;
 use crate::ids::{InstanceName, TokenCount};
 use crate::link::LoadReport;
 use crate::upstream::CircuitBreaker;
@@ -10,12 +11,24 @@
 /// Age from which another instance's word counts no more.
 const SHARE_AGE: Duration = Duration::from_millis(1500);
 
+/// Age up to which a report's requests count.
+const REPORT_FRESH: Duration = Duration::from_millis(300);
+
 /// Age from which an upstream's report counts no more.
 const REPORT_AGE: Duration = Duration::from_secs(15);
 
 /// Slots of an engine that has not reported yet.
 const UNKNOWN_SLOTS: u32 = 4;
 
+/// Shortest first message that counts as a prefix shared between programs.
+const SHARED_PREFIX: TokenCount = 32;
+
+/// First messages remembered for an upstream.
+const PREFIX_LIMIT: usize = 256;
+
+/// Fewest prefilled tokens whose time says something about the time of one.
+const LEAST_PREFILL: TokenCount = 64;
+
 /// Weight of the newest measured time.
 const NEWEST: f64 = 0.1;
 
@@ -87,13 +100,20 @@
         self.peers.values().filter(fresh)
     }
 
-    /// Estimates the requests there, from the last report and from what the instances have sent.
+    /// Estimates the requests there.
+    ///
+    /// What the instances tell of their own calls is newer than most reports. A report counts while it
+    /// is new itself: later, own calls sent since may have ended again, and would count too often.
     pub fn total_in_flight(&self, now: Instant) -> u32 {
         let peers: u32 = self.peer_shares(now).map(|share| share.in_flight).sum();
         let told = self.in_flight + peers;
-        let reported = self.fresh_report(now).map_or(0, |report| {
-            report.running + report.queued + self.sent_since_report
-        });
+        let reported = self
+            .report
+            .as_ref()
+            .filter(|(_, at)| now.duration_since(*at) < REPORT_FRESH)
+            .map_or(0, |(report, _)| {
+                report.running + report.queued + self.sent_since_report
+            });
         told.max(reported)
     }
 
@@ -105,11 +125,53 @@
     /// Returns whether something inserted at the mark has probably been put out since.
     pub fn is_stale(&self, mark: TokenCount, now: Instant) -> bool {
         let size = self.cache_tokens(now);
-        size > 0 && self.inserted.saturating_sub(mark) > size - size / 8
+        // What others insert is only estimated: a prefix counts as lost late rather than early.
+        size > 0 && self.inserted.saturating_sub(mark) > size + size / 2
+    }
+
+    /// Takes the times of an answer, and what it has put into the cache.
+    pub fn note_answer(
+        &mut self,
+        usage: TokenUsage,
+        first_token: Duration,
+        total: Duration,
+        now: Instant,
+    ) {
+        blend(&mut self.call_time, total);
+        let missing = usage.prompt_tokens.saturating_sub(usage.cached_tokens);
+        if missing > LEAST_PREFILL {
+            let count = u32::try_from(missing).unwrap_or(u32::MAX);
+            blend(&mut self.prefill_time, first_token / count);
+        }
+        let count = u32::try_from(usage.completion_tokens.max(1)).unwrap_or(u32::MAX);
+        blend(
+            &mut self.token_time,
+            total.saturating_sub(first_token) / count,
+        );
+        // Other instances fill the cache as well, about in proportion to their calls there.
+        let own = u64::from(self.in_flight) + 1;
+        let all = u64::from(self.total_in_flight(now)) + 1;
+        self.inserted += (missing + usage.completion_tokens) * all.div_ceil(own);
+    }
+
+    /// Notes that the first message of a program is cached; the oldest are forgotten.
+    pub fn note_prefix(&mut self, prefix: u64, tokens: TokenCount) {
+        if tokens < SHARED_PREFIX {
+            return;
+        }
+        let mark = self.inserted;
+        self.prefixes.insert(prefix, (tokens, mark));
+        if self.prefixes.len() <= PREFIX_LIMIT {
+            return;
+        }
+        let oldest = self.prefixes.iter().min_by_key(|(_, (_, mark))| *mark);
+        if let Some(oldest) = oldest.map(|(prefix, _)| *prefix) {
+            self.prefixes.remove(&oldest);
+        }
     }
 }
 
 /// Moves a mean a little towards a value.
-pub(super) fn blend(mean: &mut Duration, value: Duration) {
+fn blend(mean: &mut Duration, value: Duration) {
     *mean = mean.mul_f64(1.0 - NEWEST) + value.mul_f64(NEWEST);
 }
