--- a/src/contract/refusal.rs
+++ b/src/contract/refusal.rs
@@ -55,6 +55,8 @@
     UpstreamUnavailable,
     /// The upstream gave no answer in time.
     UpstreamTimeout,
+    /// The upstreams failed the call again and again.
+    UpstreamFailed,
     /// The outcome of a call that must not be repeated can't be known.
     OutcomeUnknown,
     /// The instance is shutting down.
@@ -80,6 +82,7 @@
             | Self::UpstreamUnavailable
             | Self::ShuttingDown => 503,
             Self::UpstreamTimeout => 504,
+            Self::UpstreamFailed => 502,
             Self::OutcomeUnknown => 424,
         }
     }
@@ -109,6 +112,9 @@
             | Self::UpstreamUnavailable
             | Self::ShuttingDown
             | Self::UpstreamTimeout => "ask again after the time in Retry-After",
+            Self::UpstreamFailed => {
+                "make another call, or ask the operators to look at the upstream"
+            }
             Self::Unprotected => "ask again once the failure domain is connected",
             Self::OutcomeUnknown => "ask the service itself whether the call took effect",
         }
--- a/src/membership/prober.rs
+++ b/src/membership/prober.rs
@@ -39,8 +39,8 @@
             probe_interval: Duration::from_millis(250),
             suspect_after: Duration::from_millis(1200),
             list_interval: Duration::from_secs(2),
-            others: 2,
-            most: 12,
+            others: 1,
+            most: 8,
         }
     }
 }
--- a/src/program/decide.rs
+++ b/src/program/decide.rs
@@ -142,7 +142,8 @@
 #[must_use]
 pub fn place_call(book: &ShardBook, arrival: &CallArrival) -> CallDecision {
     let Some(program) = visible(book, &arrival.program, &arrival.organisation) else {
-        let refusal = Refusal::not_run(RefusalKind::UnknownProgram, "no such program");
+        // It may have been forgotten, and the call may have run before that.
+        let refusal = Refusal::unknown(RefusalKind::UnknownProgram, "no such program");
         return CallDecision::Refuse(refusal);
     };
     if let Some(known) = program.call(arrival.sequence) {
--- a/src/scheduler/queue.rs
+++ b/src/scheduler/queue.rs
@@ -138,6 +138,12 @@
         });
     }
 
+    /// Returns whether no call waits.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.state().waiting.is_empty()
+    }
+
     /// Takes out the calls whose wait has ended: cancelled ones and those past their deadline.
     pub fn take_expired(&self, now: SystemTime) -> Vec<DispatchJob> {
         let mut state = self.state();
--- a/src/shard/context.rs
+++ b/src/shard/context.rs
@@ -82,6 +82,8 @@
     pub pause: Duration,
     /// Engine that held the prefix over the pause.
     pub held_at: Option<UpstreamName>,
+    /// Times that an upstream has failed the call here.
+    pub failures: u32,
     /// Whether an earlier process may have dispatched the call.
     pub redispatch: bool,
     /// Whether the call must not be dispatched again, but its outcome asked for.
--- a/src/shard/primary/stage.rs
+++ b/src/shard/primary/stage.rs
@@ -219,7 +219,7 @@
             .book()
             .program(program)
             .filter(|record| record.begin.organisation == *organisation)
-            .ok_or_else(|| Refusal::not_run(RefusalKind::UnknownProgram, "no such program"))
+            .ok_or_else(|| Refusal::unknown(RefusalKind::UnknownProgram, "no such program"))
     }
 
     fn program_reply(
@@ -411,6 +411,7 @@
                     .duration_since(record.last_finished)
                     .unwrap_or_default(),
                 held_at: record.holds.first().cloned(),
+                failures: 0,
                 redispatch: again,
                 resolve_only: again && !idempotent,
                 stream: stream.clone(),
--- a/src/upstream/runner.rs
+++ b/src/upstream/runner.rs
@@ -22,9 +22,12 @@
 use crate::scheduler::{CallQueue, ChosenJob};
 use crate::shard::{DispatchDone, DispatchJob, DispatchSink, ShardCommand};
 
-/// Longest time between two passes over the waiting calls.
+/// Longest time between two passes while calls wait.
 const PASS_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Longest time between two passes while none waits.
+const IDLE_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Tries to learn the outcome of a call that must not be repeated.
 const OUTCOME_TRIES: u32 = 8;
 
@@ -40,6 +43,9 @@
 /// Retries allowed after a quiet time.
 const RETRY_BURST: f64 = 50.0;
 
+/// Failures after which a call is given up.
+const FAILURE_LIMIT: u32 = 12;
+
 /// Pause of a call whose retry is not allowed yet.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
@@ -111,9 +117,11 @@
     /// Sends waiting calls until the token is cancelled.
     pub async fn run(self, stop: CancellationToken) {
         loop {
+            let idle = self.inner.queue.is_idle();
+            let interval = if idle { IDLE_INTERVAL } else { PASS_INTERVAL };
             tokio::select! {
                 () = self.inner.work.notified() => {}
-                () = tokio::time::sleep(PASS_INTERVAL) => {}
+                () = tokio::time::sleep(interval) => {}
                 () = stop.cancelled() => return,
             }
             for job in self.inner.queue.take_expired(SystemTime::now()) {
@@ -250,7 +258,14 @@
     }
 
     /// Puts a call back in line, as the retry budget allows.
-    async fn retry(&self, job: DispatchJob, avoid: UpstreamName) {
+    async fn retry(&self, mut job: DispatchJob, avoid: UpstreamName) {
+        job.failures += 1;
+        if job.failures >= FAILURE_LIMIT {
+            let detail = format_smolstr!("{} upstreams in a row failed the call", job.failures);
+            let refusal = Refusal::unknown(RefusalKind::UpstreamFailed, detail);
+            let reserved = job.intent.reserved;
+            return self.finish(job, CallOutcome::Refused(refusal), reserved, None);
+        }
         while !self.spend_retry() {
             tokio::time::sleep(RETRY_PAUSE).await;
             self.earn_retry();
--- a/tests/testsuite/commands.rs
+++ b/tests/testsuite/commands.rs
@@ -75,3 +75,20 @@
         assert_eq!(mode & 0o777, 0o600, "{file}");
     }
 }
+
+#[test]
+fn examples_are_valid() {
+    let folder = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join("examples");
+    let settings = folder.join("settings.toml");
+    let output = run(&["check", "--settings", &settings.to_string_lossy()]);
+    assert!(output.status.success(), "{}", error_of(&output));
+    for entry in fs::read_dir(folder.join("records")).expect("a folder") {
+        let path = entry.expect("a file").path();
+        let output = run(&["check", "--record", &path.to_string_lossy()]);
+        assert!(output.status.success(), "{}", error_of(&output));
+    }
+    for entry in fs::read_dir(folder.join("scenarios")).expect("a folder") {
+        let path = entry.expect("a file").path();
+        samphiregrade_bench::scenario::Scenario::read(&path).expect("a valid scenario");
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -10,3 +10,4 @@
 mod process;
 mod records;
 mod support;
+mod upstreams;
