--- a/crates/samphiregrade-bench/src/audit.rs
+++ b/crates/samphiregrade-bench/src/audit.rs
@@ -28,7 +28,7 @@
 struct ExecutionLog {
     by_key: HashMap<SmolStr, Vec<Execution>>,
     generated: HashMap<SmolStr, u64>,
-    requests: Vec<AuditEntry>,
+    requests: Vec<(SmolStr, AuditEntry)>,
     held_sessions: HashSet<SmolStr>,
     held_token_seconds: f64,
 }
@@ -60,7 +60,7 @@
                         at_ms: entry.at_ms,
                         prompt_digest: Some(entry.prompt_digest),
                     });
-                log.requests.push(entry);
+                log.requests.push((name.clone(), entry));
             }
         }
         for (name, service) in &cluster.services {
@@ -180,14 +180,17 @@
     reason = "token counts are far below 2^52"
 )]
 fn count_cache(log: &ExecutionLog) -> CacheCounts {
-    let mut requests: Vec<&AuditEntry> = log.requests.iter().collect();
-    requests.sort_by_key(|entry| entry.at_ms);
+    let mut requests: Vec<&(SmolStr, AuditEntry)> = log.requests.iter().collect();
+    requests.sort_by_key(|(_, entry)| entry.at_ms);
     let mut known: HashMap<&str, u64> = HashMap::new();
+    let mut homes: HashMap<&str, &SmolStr> = HashMap::new();
     let mut counts = CacheCounts {
         idle_hold_token_seconds: log.held_token_seconds,
         ..CacheCounts::default()
     };
-    for entry in requests {
+    for (engine, entry) in requests {
+        let home = homes.insert(entry.session.as_str(), engine);
+        counts.moved_requests += u64::from(home.is_some_and(|home| home != engine));
         let prompt = entry.prompt_tokens as u64;
         let cached = entry.cached_tokens as u64;
         counts.prefill_tokens += prompt - cached.min(prompt);
--- a/crates/samphiregrade-bench/src/report.rs
+++ b/crates/samphiregrade-bench/src/report.rs
@@ -73,6 +73,8 @@
     pub prefill_tokens: u64,
     /// Of these, tokens that some engine had cached for the same program before.
     pub recomputed_tokens: u64,
+    /// Requests that went to another engine than the program's request before.
+    pub moved_requests: u64,
     /// `recomputed_tokens` / `prefill_tokens`.
     pub wasted_fraction: f64,
     /// Tokens held for programs times seconds.
--- a/src/scheduler/queue.rs
+++ b/src/scheduler/queue.rs
@@ -21,7 +21,7 @@
 use super::policy::make_policy;
 use super::retain::{CacheState, wants_hold};
 use crate::contract::{Refusal, TokenUsage};
-use crate::ids::{ClassName, DomainId, InstanceName, ProgramId, TokenCount, UpstreamName};
+use crate::ids::{ClassName, DomainId, InstanceName, ProgramId, ShardId, TokenCount, UpstreamName};
 use crate::link::{LoadReport, ReportNews, UpstreamShare, upstream_tag};
 use crate::record::{ConfigView, PolicySpec, UpstreamSpec};
 use crate::shard::DispatchJob;
@@ -393,6 +393,17 @@
         }
     }
 
+    /// Forgets the programs of a shard that has another primary now.
+    pub fn forget_shard(&self, shard: &ShardId) {
+        let mut state = self.state();
+        let of_shard =
+            |program: &&ProgramId| ShardId::of_program(program).is_ok_and(|other| other == *shard);
+        let programs: Vec<ProgramId> = state.programs.keys().filter(of_shard).cloned().collect();
+        for program in programs {
+            state.place_program(&program, None);
+        }
+    }
+
     /// Learns from the end of a program and forgets where its prefix is cached.
     pub fn program_ended(&self, program: &ProgramId, class: &ClassName, calls: u32) {
         let mut state = self.state();
--- a/src/shard/context.rs
+++ b/src/shard/context.rs
@@ -113,6 +113,9 @@
     /// Asks an engine to keep a program's prefix no longer; resolves to whether it confirmed.
     fn release(&self, program: ProgramId, upstream: UpstreamName) -> BoxFuture<'_, bool>;
 
+    /// Forgets the programs of a shard that has another primary now.
+    fn forget_shard(&self, shard: &ShardId);
+
     /// Learns from the end of a program.
     fn program_ended(&self, program: &ProgramId, class: &ClassName, calls: u32, tokens: u64);
 }
--- a/src/shard/primary.rs
+++ b/src/shard/primary.rs
@@ -103,6 +103,7 @@
             self.copy.epoch()
         );
         self.tenure.cancel();
+        self.context.dispatch.forget_shard(shard);
         for (_, running) in self.running.drain() {
             running.stream.close();
         }
--- a/src/upstream/runner.rs
+++ b/src/upstream/runner.rs
@@ -16,7 +16,7 @@
 use super::engine::{EngineAnswer, EngineFailure, complete};
 use super::service::{ServiceAnswer, ask_outcome, invoke};
 use crate::contract::{CallSpec, Refusal, RefusalKind, ServiceCall};
-use crate::ids::{ClassName, ProgramId, TokenCount, UpstreamName};
+use crate::ids::{ClassName, ProgramId, ShardId, TokenCount, UpstreamName};
 use crate::program::CallOutcome;
 use crate::record::{ConfigView, UpstreamKind};
 use crate::scheduler::{CallQueue, ChosenJob};
@@ -412,6 +412,10 @@
         .boxed()
     }
 
+    fn forget_shard(&self, shard: &ShardId) {
+        self.inner.queue.forget_shard(shard);
+    }
+
     fn program_ended(&self, program: &ProgramId, class: &ClassName, calls: u32, _tokens: u64) {
         self.inner.queue.program_ended(program, class, calls);
     }
