--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -108,6 +108,21 @@
     )
 }
 
+/// Begins a program at an instance and returns its id.
+pub async fn begin_program(cluster: &Cluster, instance: &str, body: &Value) -> String {
+    let request = caller_post(cluster, instance, "/v1/programs", body);
+    let answer = send(&cluster.pool, request).await;
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    let program = answer.json()["program"].as_str().map(str::to_owned);
+    program.expect("a program id")
+}
+
+/// Counts the calls that services have executed.
+pub fn executed_calls(cluster: &Cluster) -> usize {
+    let services = cluster.services.values();
+    services.map(|service| service.executions().len()).sum()
+}
+
 /// Waits for something that is bound to come.
 pub async fn eventually<Check, Run>(what: &str, check: Check)
 where
