Refuse nothing for good before the configuration is known

Change: without any configuration every request is refused as `shard-unavailable`, to be asked again. Measured: the test failed before (401), passes after. Conclusion: what an instance does not know it must not judge.

--- a/src/instance/callers.rs
+++ b/src/instance/callers.rs
@@ -67,6 +67,12 @@
     }
 
     async fn route_request(&self, request: IncomingRequest) -> Result<OutgoingResponse, Refusal> {
+        if self.records.revision() == 0 {
+            // Nothing can be said about a token or a class before the configuration is known.
+            let detail = "the instance has no configuration yet";
+            let refusal = Refusal::unknown(RefusalKind::ShardUnavailable, detail);
+            return Err(refusal.with_retry_after(ROUTE_RETRY));
+        }
         let organisation = self.authenticate(&request)?;
         let forwarded = ForwardedRequest {
             method: request.method.as_str().into(),
--- a/tests/testsuite/records.rs
+++ b/tests/testsuite/records.rs
@@ -5,6 +5,7 @@
 
 use samphiregrade::record::{RecordEnvelope, RecordKind};
 use samphiregrade_standins::keyvalue::KeyValueFaults;
+use samphiregrade_standins::proxy::LinkFaults;
 use serde_json::{Value, json};
 use tempfile::TempDir;
 
@@ -80,6 +81,36 @@
     });
 }
 
+#[test]
+fn instance_without_configuration_refuses_nothing_for_good() {
+    with_cluster(small_settings(), |mut cluster| async move {
+        let name = "bilbao-a-0";
+        cluster.key_value.set_faults(KeyValueFaults {
+            outage: true,
+            ..KeyValueFaults::default()
+        });
+        let cut = LinkFaults {
+            cut: true,
+            ..LinkFaults::default()
+        };
+        cluster
+            .proxy
+            .set_faults(&cut, |link| link.starts_with("peer/"));
+        let process = cluster.instances.get_mut(name).expect("an instance");
+        process.kill();
+        process.spawn().expect("a started process");
+        eventually("the process answers", || async {
+            cluster.dump(name).await.is_ok()
+        })
+        .await;
+        let body = json!({"key": "k", "class": "dossier"});
+        let request = caller_post(&cluster, name, "/v1/programs", &body);
+        let problem = send(&cluster.pool, request).await.json();
+        assert_eq!(problem["type"], "shard-unavailable", "{problem}");
+        assert_eq!(problem["transient"], true);
+    });
+}
+
 #[test]
 fn racing_operators_lose_nothing() {
     with_cluster(small_settings(), |cluster| async move {
