--- a/crates/samphiregrade-bench/src/capacity.rs
+++ b/crates/samphiregrade-bench/src/capacity.rs
@@ -19,6 +19,9 @@
 /// Time for a cluster to settle before it is measured.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
 
+/// Time for shards to be spread evenly over many instances that started together.
+const BALANCE_TIME: Duration = Duration::from_secs(20);
+
 /// Time over which idle cost is measured.
 const MEASURE_TIME: Duration = Duration::from_secs(8);
 
@@ -139,6 +142,15 @@
     ])
 }
 
+/// Measures the series over the number of instances alone; to be called inside a running system.
+///
+/// # Errors
+///
+/// As [`measure_all`].
+pub async fn measure_peers_only() -> Result<Vec<CostSeries>> {
+    Ok(vec![measure_peers().await?])
+}
+
 /// Measures what an idle cluster costs, as the mean over its instances.
 #[expect(clippy::cast_precision_loss, reason = "counters are far below 2^52")]
 async fn measure_idle(cluster: &Cluster, size: f64) -> CostPoint {
@@ -239,6 +251,7 @@
             ..base_settings()
         })
         .await?;
+        tokio::time::sleep(BALANCE_TIME).await;
         let count = u32::try_from(instances * 3).unwrap_or(u32::MAX);
         points.push(measure_idle(&cluster, f64::from(count)).await);
     }
--- a/crates/samphiregrade-bench/src/cmd/measure.rs
+++ b/crates/samphiregrade-bench/src/cmd/measure.rs
@@ -6,7 +6,7 @@
 
 use anyhow::{Context, Result};
 use pico_args::Arguments;
-use samphiregrade_bench::capacity::measure_all;
+use samphiregrade_bench::capacity::{measure_all, measure_peers_only};
 use samphiregrade_bench::detectors::compare_detectors;
 use samphiregrade_bench::overhead::measure_overhead;
 use samphiregrade_http::run_system;
@@ -15,17 +15,27 @@
 /// Arguments of the commands.
 pub struct MeasureArguments {
     json: Option<PathBuf>,
+    peers_only: bool,
 }
 
 /// Reads the arguments.
 pub fn arguments(mut arguments: Arguments) -> Result<MeasureArguments> {
     let json = arguments.opt_value_from_str("--json")?;
-    Ok(MeasureArguments { json })
+    let peers_only = arguments.contains("--peers-only");
+    Ok(MeasureArguments { json, peers_only })
 }
 
 /// Runs `capacity`.
 pub fn execute_capacity(arguments: &MeasureArguments) -> Result<ExitCode> {
-    let series = run_system(async { measure_all().await })?;
+    let peers_only = arguments.peers_only;
+    let measure = async move {
+        if peers_only {
+            measure_peers_only().await
+        } else {
+            measure_all().await
+        }
+    };
+    let series = run_system(measure)?;
     write_report(arguments, &series)
 }
 
--- a/crates/samphiregrade-bench/src/cmd/mod.rs
+++ b/crates/samphiregrade-bench/src/cmd/mod.rs
@@ -18,7 +18,7 @@
   run SCENARIO.toml [--policy NAME] [--seed N] [--json FILE] [--progress]
   compare SCENARIO.toml --policy A --policy B ... [--seeds N] [--without MECHANISM ...]
           [--json FILE] [--html FILE]
-  capacity [--json FILE]    slopes of the cost of control, for docs/CAPACITY.md
+  capacity [--peers-only] [--json FILE]    slopes of the cost of control, for docs/CAPACITY.md
   detectors [--json FILE]   failure detectors on the same recorded delays
   overhead [--json FILE]    what an instance adds to a call, and how many it carries
 
