--- a/crates/samphiregrade-bench/src/scenario.rs
+++ b/crates/samphiregrade-bench/src/scenario.rs
@@ -1,7 +1,7 @@
 //! Scenarios: what load runs, and what fails when.
 
 use std::fs;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::time::Duration;
 
 use anyhow::{Context, Result, bail, ensure};
@@ -198,12 +198,6 @@
         );
         Ok(scenario)
     }
-
-    /// Returns where scenario files lie within the project's folder.
-    #[must_use]
-    pub fn folder() -> PathBuf {
-        PathBuf::from("examples/scenarios")
-    }
 }
 
 impl FaultSpec {
--- a/src/instance/callers.rs
+++ b/src/instance/callers.rs
@@ -208,7 +208,6 @@
                     digest: call.digest,
                     spec: call.spec.clone(),
                     organisation: organisation.clone(),
-                    stream: call.stream.is_some(),
                     reply,
                 };
                 self.tell(&shard, ShardCommand::Call(Box::new(command)))
@@ -220,7 +219,7 @@
             }
             OperationKind::LateAnswer(sequence, offset) => {
                 let (reply, answer) = oneshot::channel();
-                let question = InspectQuestion::Call(*sequence, offset.is_some(), reply);
+                let question = InspectQuestion::Call(*sequence, reply);
                 self.inspect(&shard, operation, organisation, question)
                     .await;
                 let answer = answer.await.unwrap_or(CallReply::Moved);
--- a/src/program/entry.rs
+++ b/src/program/entry.rs
@@ -1,6 +1,6 @@
 //! Entries of a shard's log: everything that changes a program.
 
-use std::time::{Duration, SystemTime};
+use std::time::SystemTime;
 
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
@@ -147,20 +147,6 @@
             Self::Forget(program) => program,
         }
     }
-
-    /// Returns whether the entry allows a dispatch that must never come twice.
-    #[must_use]
-    pub fn needs_protection(&self) -> bool {
-        matches!(self, Self::Intent(intent) if !intent.spec.is_idempotent())
-    }
-}
-
-impl ProgramBegin {
-    /// Returns the time left until the deadline.
-    #[must_use]
-    pub fn time_left(&self, now: SystemTime) -> Duration {
-        self.deadline.duration_since(now).unwrap_or_default()
-    }
 }
 
 impl CallIntent {
--- a/src/shard/actor.rs
+++ b/src/shard/actor.rs
@@ -456,7 +456,7 @@
         ShardCommand::Begin(_, reply) => drop(reply.send(None)),
         ShardCommand::End(_, _, reply) => drop(reply.send(None)),
         ShardCommand::Call(call) => drop(call.reply.send(CallReply::Moved)),
-        ShardCommand::Inspect(_, _, InspectQuestion::Call(_, _, reply)) => {
+        ShardCommand::Inspect(_, _, InspectQuestion::Call(_, reply)) => {
             drop(reply.send(CallReply::Moved));
         }
         ShardCommand::Append(_, reply) | ShardCommand::Install(_, reply) => {
--- a/src/shard/command.rs
+++ b/src/shard/command.rs
@@ -37,8 +37,6 @@
     pub spec: CallSpec,
     /// Organisation of the caller's token.
     pub organisation: OrganisationId,
-    /// Whether the caller wants the text as it comes.
-    pub stream: bool,
     /// Where the answer goes.
     pub reply: oneshot::Sender<CallReply>,
 }
@@ -68,7 +66,7 @@
     /// Its conversation.
     History(oneshot::Sender<Result<HistoryReply, Refusal>>),
     /// A call's answer, however late.
-    Call(SequenceNumber, bool, oneshot::Sender<CallReply>),
+    Call(SequenceNumber, oneshot::Sender<CallReply>),
 }
 
 /// State of a copy for dumps.
--- a/src/shard/primary/stage.rs
+++ b/src/shard/primary/stage.rs
@@ -260,7 +260,7 @@
                     });
                 let _ = reply.send(history);
             }
-            InspectQuestion::Call(sequence, _, reply) => {
+            InspectQuestion::Call(sequence, reply) => {
                 let _ = reply.send(self.late_answer(program, organisation, sequence));
             }
         }
--- a/src/workload/deployment.rs
+++ b/src/workload/deployment.rs
@@ -182,16 +182,6 @@
         self.engines.truncate(engines);
         self
     }
-
-    /// Returns an upstream's failure domain, engine or service.
-    #[must_use]
-    pub fn domain_of_upstream(&self, name: &str) -> Option<&DomainId> {
-        let engine = self.engines.iter().find(|engine| engine.name == name);
-        let service = self.services.iter().find(|service| service.name == name);
-        engine
-            .map(|one| &one.domain)
-            .or(service.map(|one| &one.domain))
-    }
 }
 
 /// Composes the records of a deployment; `address` gives each upstream's base URL.
