Drive each link from one task; read all again after a cut watch

Change: one connection for each peer, many requests on it, one handshake at a time, given up after 0.9 s of silence. A cut watch is not resumed. Ruled out: keepers' speed (0.02 of a core each without the storm).

--- a/crates/samphiregrade-gateway/src/exchange/connection.rs
+++ b/crates/samphiregrade-gateway/src/exchange/connection.rs
@@ -253,10 +253,10 @@
         }
         let host = head.fields.text("host").ok_or(RefusalReason::Malformed)?;
         let path = head.path().ok_or(RefusalReason::Malformed)?;
-        let route = table
-            .route(host, path)
-            .ok_or(RefusalReason::NoRoute)?
-            .clone();
+        let Some(route) = table.route(host, path).cloned() else {
+            record.add_detail(&format!("no route for {host}{path}"));
+            return Err(RefusalReason::NoRoute);
+        };
         record.route = route.name.clone();
         record.kind = Some(route.kind);
         let key = metadata
--- a/crates/samphiregrade-gateway/src/fact/book.rs
+++ b/crates/samphiregrade-gateway/src/fact/book.rs
@@ -9,7 +9,7 @@
 use crate::model::{ProgramId, TurnId};
 
 /// Parts into which all facts are divided for a keeper that rebuilds.
-pub const EXPORT_PARTS: u8 = 32;
+pub const EXPORT_PARTS: u8 = 128;
 
 /// Time beyond its own for which a fact is kept: a turn that comes at the last moment still finds its
 /// chain, also where it waits for the store.
--- a/crates/samphiregrade-gateway/src/fact/disk.rs
+++ b/crates/samphiregrade-gateway/src/fact/disk.rs
@@ -30,6 +30,9 @@
 /// Jobs that one sync covers at most; beyond it the answers would wait for too large a write.
 const GROUP_LIMIT: usize = 512;
 
+/// Bytes beyond which a sync covers no further job; a small disk writes them in about ten milliseconds.
+const GROUP_BYTES: usize = 1 << 20;
+
 /// Facts that may wait for the disk; more are refused at once, so that a hanging disk can't fill memory.
 const QUEUE_LIMIT: usize = 4096;
 
@@ -223,6 +226,9 @@
         encode_frames(facts, &mut bytes);
         replies.extend(reply);
         for _ in 1..GROUP_LIMIT {
+            if bytes.len() > GROUP_BYTES {
+                break;
+            }
             match queue.try_recv() {
                 Ok(DiskJob::Append(facts, reply)) => {
                     encode_frames(&facts, &mut bytes);
--- a/crates/samphiregrade-gateway/src/fact/rebuild.rs
+++ b/crates/samphiregrade-gateway/src/fact/rebuild.rs
@@ -21,7 +21,7 @@
 const ROUND_PAUSE: Duration = Duration::from_millis(200);
 
 /// Parts that are asked for at once: each waits for a round trip and a sync.
-const PARTS_AT_ONCE: usize = 6;
+const PARTS_AT_ONCE: usize = 4;
 
 /// What was read of another keeper.
 #[derive(Clone, Debug)]
--- a/crates/samphiregrade-gateway/src/link.rs
+++ b/crates/samphiregrade-gateway/src/link.rs
@@ -1,9 +1,10 @@
-//! Links between instances: one typed request and its reply at a time on each connection, TLS over TCP.
+//! Links between instances: typed requests and replies, many at a time on one connection, TLS over TCP.
 //!
 //! QUIC was tried first and left (docs/design/deployment.md has the figures): on the small machines each
-//! datagram costs a system call, and a rebuild's megabytes overran the sockets' buffers. TCP's own flow
-//! control carries both. A connection carries one request at a time, so that none waits behind another;
-//! a few are kept for each peer.
+//! datagram costs a system call, and a rebuild's megabytes overran the sockets' buffers. Connections with
+//! one request at a time were left as well: a keeper that was away for half a second came back to a
+//! handshake for each waiting request and never caught up. So each peer has one connection, one task that
+//! drives it, and at most one handshake at a time.
 
 use std::collections::HashMap;
 use std::io;
@@ -11,13 +12,15 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
+use bytes::{Buf, BufMut, Bytes, BytesMut};
 use rustls::pki_types::ServerName;
 use samphiregrade_http::wire::{SocketLimits, limit_silence, listen};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use thiserror::Error;
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot};
 use tokio_rustls::client::TlsStream;
 use tokio_rustls::{TlsAcceptor, TlsConnector};
 
@@ -26,15 +29,31 @@
 /// Largest accepted message; the longest chain and one part of an export fit.
 const MESSAGE_LIMIT: usize = 64 << 20;
 
-/// Idle time after which a connection is closed: programs come in bursts with pauses of seconds.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Bytes of a frame before its message: number of the request and length.
+const FRAME_HEAD: usize = 12;
 
-/// Age up to which the opening side uses an idle connection again, well below [`IDLE_TIMEOUT`].
-const REUSE_WITHIN: Duration = Duration::from_secs(12);
+/// Messages that may wait for one peer; more fail at once.
+const QUEUE_LIMIT: usize = 1024;
 
-/// Longest time for a handshake on the accepting side; slow machines need some hundreds of milliseconds
+/// Bytes that are gathered into one write at most.
+const WRITE_BYTES: usize = 256 << 10;
+
+/// Room made before each read.
+const READ_ROOM: usize = 16 << 10;
+
+/// Idle time after which the accepting side closes a connection.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Longest time for a connection with its handshake; slow machines need some hundreds of milliseconds
 /// while all of them start.
-const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// Pause after a failed connection, in which requests fail at once.
+const CONNECT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Silence on a connection with an unanswered request after which it is given up: the path may be silent for
+/// it alone. A keeper's answer takes some milliseconds, its disk at worst hundreds.
+const SILENCE_LIMIT: Duration = Duration::from_millis(900);
 
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -60,15 +79,17 @@
     LinkFailure::Closed(error.to_string())
 }
 
-fn unreadable(error: postcard::Error) -> LinkFailure {
+fn unreadable<Source>(error: Source) -> LinkFailure
+where
+    Source: std::fmt::Display,
+{
     LinkFailure::Unreadable(error.to_string())
 }
 
-type OpenedLink = TlsStream<TcpStream>;
-
-struct IdleLink {
-    link: OpenedLink,
-    since: Instant,
+/// A request for a peer, with where its reply goes.
+struct LinkJob {
+    message: Vec<u8>,
+    reply: oneshot::Sender<Bytes>,
 }
 
 /// The endpoint of an instance; cloning it is cheap.
@@ -76,7 +97,7 @@
 pub struct LinkEndpoint {
     connector: TlsConnector,
     acceptor: TlsAcceptor,
-    idle: Arc<Mutex<HashMap<SocketAddr, Vec<IdleLink>>>>,
+    peers: Arc<Mutex<HashMap<SocketAddr, mpsc::Sender<LinkJob>>>>,
 }
 
 impl LinkEndpoint {
@@ -91,7 +112,7 @@
         Ok(Self {
             connector: TlsConnector::from(Arc::new(opening)),
             acceptor: TlsAcceptor::from(Arc::new(accepting)),
-            idle: Arc::default(),
+            peers: Arc::default(),
         })
     }
 
@@ -110,56 +131,32 @@
         Request: Serialize,
         Reply: DeserializeOwned,
     {
-        let bytes = postcard::to_stdvec(request).map_err(unreadable)?;
-        let asking = tokio::time::timeout(timeout, self.exchange(address, &bytes));
-        let result = asking.await.unwrap_or(Err(LinkFailure::TimedOut));
-        if result.is_err() {
-            // What made this one fail may have silenced the idle ones as well.
-            self.drop_idle(address);
+        let message = postcard::to_stdvec(request).map_err(unreadable)?;
+        let (reply, answer) = oneshot::channel();
+        let job = LinkJob { message, reply };
+        self.peer(address).try_send(job).map_err(closed)?;
+        match tokio::time::timeout(timeout, answer).await {
+            Err(_) => Err(LinkFailure::TimedOut),
+            Ok(Err(_)) => Err(closed("the connection failed")),
+            Ok(Ok(bytes)) => postcard::from_bytes(&bytes).map_err(unreadable),
         }
-        postcard::from_bytes(&result?).map_err(unreadable)
     }
 
-    async fn exchange(&self, address: SocketAddr, request: &[u8]) -> Result<Vec<u8>, LinkFailure> {
-        if let Some(mut link) = self.take_idle(address) {
-            if let Ok(reply) = exchange_on(&mut link, request).await {
-                self.keep_idle(address, link);
-                return Ok(reply);
-            }
-            // The other side may have closed it while it was idle; requests may be repeated.
-            self.drop_idle(address);
+    /// Returns the queue of the task that drives the connection to a peer.
+    fn peer(&self, address: SocketAddr) -> mpsc::Sender<LinkJob> {
+        let mut peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(peer) = peers.get(&address) {
+            return peer.clone();
         }
-        let mut link = self.open(address).await.map_err(closed)?;
-        let reply = exchange_on(&mut link, request).await.map_err(closed)?;
-        self.keep_idle(address, link);
-        Ok(reply)
-    }
-
-    async fn open(&self, address: SocketAddr) -> io::Result<OpenedLink> {
-        let stream = TcpStream::connect(address).await?;
-        limit_silence(&stream, &SocketLimits::default())?;
-        let name = ServerName::try_from(SERVER_NAME).map_err(io::Error::other)?;
-        self.connector.connect(name, stream).await
-    }
-
-    fn take_idle(&self, address: SocketAddr) -> Option<OpenedLink> {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        let links = idle.get_mut(&address)?;
-        links.retain(|kept| kept.since.elapsed() < REUSE_WITHIN);
-        links.pop().map(|kept| kept.link)
-    }
-
-    fn keep_idle(&self, address: SocketAddr, link: OpenedLink) {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.entry(address).or_default().push(IdleLink {
-            link,
-            since: Instant::now(),
-        });
-    }
-
-    fn drop_idle(&self, address: SocketAddr) {
-        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
-        idle.remove(&address);
+        let (sender, jobs) = mpsc::channel(QUEUE_LIMIT);
+        let driver = PeerDriver {
+            address,
+            connector: self.connector.clone(),
+            jobs,
+        };
+        tokio::spawn(driver.run());
+        peers.insert(address, sender.clone());
+        sender
     }
 
     /// Answers other instances on an address.
@@ -194,6 +191,168 @@
     }
 }
 
+/// Drives the connection to one peer for as long as the instance runs.
+struct PeerDriver {
+    address: SocketAddr,
+    connector: TlsConnector,
+    jobs: mpsc::Receiver<LinkJob>,
+}
+
+impl PeerDriver {
+    async fn run(mut self) {
+        let mut first: Option<LinkJob> = None;
+        loop {
+            if first.is_none() {
+                first = self.jobs.recv().await;
+            }
+            let Some(job) = first.take() else {
+                return;
+            };
+            let connecting = tokio::time::timeout(CONNECT_TIMEOUT, self.connect());
+            match connecting.await {
+                Ok(Ok(stream)) => {
+                    let mut link = OpenLink::new(stream);
+                    link.add(job);
+                    let ended = link.run(&mut self.jobs).await;
+                    log::debug!("the link to {} ended: {ended}", self.address);
+                }
+                Ok(Err(error)) => self.fail_waiting(&error.to_string()).await,
+                Err(_) => self.fail_waiting("no connection in time").await,
+            }
+        }
+    }
+
+    async fn connect(&self) -> io::Result<TlsStream<TcpStream>> {
+        let stream = TcpStream::connect(self.address).await?;
+        limit_silence(&stream, &SocketLimits::default())?;
+        let name = ServerName::try_from(SERVER_NAME).map_err(io::Error::other)?;
+        self.connector.connect(name, stream).await
+    }
+
+    /// Fails what waits now and what comes during a short pause: dropping a job tells its asker.
+    async fn fail_waiting(&mut self, reason: &str) {
+        log::debug!("the link to {} can't be opened: {reason}", self.address);
+        let pause = tokio::time::sleep(CONNECT_PAUSE);
+        tokio::pin!(pause);
+        loop {
+            tokio::select! {
+                () = &mut pause => return,
+                job = self.jobs.recv() => if job.is_none() {
+                    return;
+                },
+            }
+        }
+    }
+}
+
+/// An open connection with its unanswered requests.
+struct OpenLink {
+    stream: TlsStream<TcpStream>,
+    received: BytesMut,
+    output: BytesMut,
+    pending: HashMap<u64, oneshot::Sender<Bytes>>,
+    next: u64,
+    /// When something was heard last, or the first of the unanswered requests was sent.
+    heard: Instant,
+}
+
+impl OpenLink {
+    fn new(stream: TlsStream<TcpStream>) -> Self {
+        Self {
+            stream,
+            received: BytesMut::new(),
+            output: BytesMut::new(),
+            pending: HashMap::new(),
+            next: 0,
+            heard: Instant::now(),
+        }
+    }
+
+    fn add(&mut self, job: LinkJob) {
+        if self.pending.is_empty() {
+            self.heard = Instant::now();
+        }
+        self.next += 1;
+        self.pending.insert(self.next, job.reply);
+        append_frame(&mut self.output, self.next, &job.message);
+    }
+
+    /// Carries requests and replies until the connection fails; returns why.
+    async fn run(&mut self, jobs: &mut mpsc::Receiver<LinkJob>) -> io::Error {
+        loop {
+            if let Err(error) = self.step(jobs).await {
+                return error;
+            }
+        }
+    }
+
+    async fn step(&mut self, jobs: &mut mpsc::Receiver<LinkJob>) -> io::Result<()> {
+        while self.output.len() < WRITE_BYTES {
+            let Ok(job) = jobs.try_recv() else {
+                break;
+            };
+            self.add(job);
+        }
+        if !self.output.is_empty() {
+            let output = self.output.split();
+            self.stream.write_all(&output).await?;
+            self.stream.flush().await?;
+        }
+        self.received.reserve(READ_ROOM);
+        let silent = self.heard + SILENCE_LIMIT;
+        tokio::select! {
+            biased;
+            read = self.stream.read_buf(&mut self.received) => {
+                if read? == 0 {
+                    return Err(io::ErrorKind::UnexpectedEof.into());
+                }
+                self.heard = Instant::now();
+                while let Some((number, message)) = take_frame(&mut self.received)? {
+                    if let Some(reply) = self.pending.remove(&number) {
+                        // The asker may have given up.
+                        let _ = reply.send(message);
+                    }
+                }
+            }
+            job = jobs.recv() => match job {
+                Some(job) => self.add(job),
+                None => return Err(io::ErrorKind::ConnectionAborted.into()),
+            },
+            () = tokio::time::sleep_until(silent.into()), if !self.pending.is_empty() => {
+                self.pending.retain(|_, reply| !reply.is_closed());
+                return Err(io::ErrorKind::TimedOut.into());
+            }
+        }
+        Ok(())
+    }
+}
+
+fn append_frame(output: &mut BytesMut, number: u64, message: &[u8]) {
+    output.reserve(FRAME_HEAD + message.len());
+    output.put_u64(number);
+    output.put_u32(u32::try_from(message.len()).unwrap_or(u32::MAX));
+    output.put_slice(message);
+}
+
+/// Takes a whole frame off the front of the buffer: the request's number and the message.
+fn take_frame(buffer: &mut BytesMut) -> io::Result<Option<(u64, Bytes)>> {
+    if buffer.len() < FRAME_HEAD {
+        return Ok(None);
+    }
+    let mut head = &buffer[..FRAME_HEAD];
+    let number = head.get_u64();
+    let length = usize::try_from(head.get_u32()).map_err(io::Error::other)?;
+    if length > MESSAGE_LIMIT {
+        return Err(io::Error::other("the message is too long"));
+    }
+    if buffer.len() < FRAME_HEAD + length {
+        buffer.reserve(FRAME_HEAD + length - buffer.len());
+        return Ok(None);
+    }
+    buffer.advance(FRAME_HEAD);
+    Ok(Some((number, buffer.split_to(length).freeze())))
+}
+
 async fn accept(listener: &TcpListener) -> Option<TcpStream> {
     match listener.accept().await {
         Ok((stream, _)) => Some(stream),
@@ -211,52 +370,49 @@
     handler: Handler,
 ) -> io::Result<()>
 where
-    Handler: Fn(Request) -> Answering,
-    Request: DeserializeOwned,
-    Reply: Serialize,
-    Answering: Future<Output = Reply>,
+    Handler: Fn(Request) -> Answering + Clone + Send + 'static,
+    Request: DeserializeOwned + Send + 'static,
+    Reply: Serialize + Send + 'static,
+    Answering: Future<Output = Reply> + Send + 'static,
 {
     limit_silence(&stream, &SocketLimits::default())?;
-    let mut link = tokio::time::timeout(HANDSHAKE_TIMEOUT, acceptor.accept(stream)).await??;
+    let mut link = tokio::time::timeout(CONNECT_TIMEOUT, acceptor.accept(stream)).await??;
+    let (replies, mut answered) = mpsc::channel::<(u64, Vec<u8>)>(QUEUE_LIMIT);
+    let mut received = BytesMut::new();
     loop {
-        let bytes = tokio::time::timeout(IDLE_TIMEOUT, read_message(&mut link)).await??;
-        let request = postcard::from_bytes(&bytes).map_err(io::Error::other)?;
-        let reply = handler(request).await;
-        let reply = postcard::to_stdvec(&reply).map_err(io::Error::other)?;
-        write_message(&mut link, &reply).await?;
-    }
-}
-
-async fn exchange_on<Link>(link: &mut Link, request: &[u8]) -> io::Result<Vec<u8>>
-where
-    Link: AsyncRead + AsyncWrite + Unpin,
-{
-    write_message(link, request).await?;
-    read_message(link).await
-}
-
-async fn write_message<Link>(link: &mut Link, message: &[u8]) -> io::Result<()>
-where
-    Link: AsyncWrite + Unpin,
-{
-    let length = u32::try_from(message.len()).map_err(io::Error::other)?;
-    let mut framed = Vec::with_capacity(4 + message.len());
-    framed.extend_from_slice(&length.to_le_bytes());
-    framed.extend_from_slice(message);
-    link.write_all(&framed).await?;
-    link.flush().await
-}
-
-async fn read_message<Link>(link: &mut Link) -> io::Result<Vec<u8>>
-where
-    Link: AsyncRead + Unpin,
-{
-    let length = link.read_u32_le().await?;
-    let length = usize::try_from(length).map_err(io::Error::other)?;
-    if length > MESSAGE_LIMIT {
-        return Err(io::Error::other("the message is too long"));
+        received.reserve(READ_ROOM);
+        tokio::select! {
+            read = link.read_buf(&mut received) => {
+                if read? == 0 {
+                    return Ok(());
+                }
+                while let Some((number, message)) = take_frame(&mut received)? {
+                    let request = postcard::from_bytes(&message).map_err(io::Error::other)?;
+                    let handler = handler.clone();
+                    let replies = replies.clone();
+                    tokio::spawn(async move {
+                        let reply = handler(request).await;
+                        match postcard::to_stdvec(&reply) {
+                            // The link may have ended meanwhile.
+                            Ok(bytes) => drop(replies.send((number, bytes)).await),
+                            Err(error) => log::error!("a reply can't be encoded: {error}; report it"),
+                        }
+                    });
+                }
+            }
+            Some((number, message)) = answered.recv() => {
+                let mut output = BytesMut::new();
+                append_frame(&mut output, number, &message);
+                while output.len() < WRITE_BYTES {
+                    let Ok((number, message)) = answered.try_recv() else {
+                        break;
+                    };
+                    append_frame(&mut output, number, &message);
+                }
+                link.write_all(&output).await?;
+                link.flush().await?;
+            }
+            () = tokio::time::sleep(IDLE_TIMEOUT) => return Ok(()),
+        }
     }
-    let mut message = vec![0; length];
-    link.read_exact(&mut message).await?;
-    Ok(message)
 }
--- a/crates/samphiregrade-gateway/src/store/follow.rs
+++ b/crates/samphiregrade-gateway/src/store/follow.rs
@@ -123,7 +123,9 @@
                 return false;
             }
         }
-        // A cut watch goes on from its position; the service says so where its history is gone.
+        // A watch that goes on from an old position while the service drops its history may stay silent about
+        // what it missed, so a cut one is not resumed: everything is read again.
+        self.position = None;
         let jitter = rand::random_range(0.75..1.25);
         tokio::time::sleep(self.pause.mul_f64(jitter)).await;
         self.pause = (self.pause * 2).min(LONGEST_PAUSE);
