Tell the place of the last turn with the budget; leave rotation while cut off; tests of the gateway

Entries that were cut off from the keepers stayed ready and refused all turns. Change: a reservation carries where the turn ran, and the answer to the next reservation brings it. An entry that too few keepers answer is not ready, asks clients to reconnect and says when that helps. Ruled out: load views (engines were at 10 of 12 slots by them while answers took 540 ms, so reading again cost the time).

--- a/crates/samphiregrade-gateway/src/exchange/connection.rs
+++ b/crates/samphiregrade-gateway/src/exchange/connection.rs
@@ -278,6 +278,7 @@
             head,
             metadata,
             body,
+            last_place: None,
             route,
             service,
         };
@@ -327,7 +328,7 @@
     ) -> bool {
         record.first_answer = Some(record.started.elapsed());
         let context = self.context.clone();
-        let keep = keep && !context.is_stopping();
+        let keep = keep && !context.sends_away();
         let end = relay_answer(
             &context,
             &mut self.socket,
@@ -341,7 +342,7 @@
                 record.status = status;
                 record.outcome = "answered";
                 if let Some(plan) = turn.filter(|plan| !plan.retained || status != 200) {
-                    plan.settle(&context, spent);
+                    plan.settle(&context, spent, Some(&record.upstream));
                 }
                 keep
             }
@@ -366,11 +367,12 @@
 
     /// Writes an answer of the instance's own; returns whether the connection goes on.
     async fn refuse(&mut self, record: &mut RequestRecord, refusal: Refusal, keep: bool) -> bool {
+        let refusal = refusal.while_cut_off(self.context.cut_off_for());
         record.outcome = refusal.reason.name();
         record.status = refusal.reason.status();
         let mut bytes = BytesMut::with_capacity(256);
         let id = Some(record.request.as_str()).filter(|id| !id.is_empty());
-        let keep = keep && !self.context.is_stopping();
+        let keep = keep && !self.context.sends_away();
         let kept = refusal.encode(&*self.context.dialect, id, keep, &mut bytes);
         if let Err(error) = self.socket.write(&bytes).await {
             record.add_detail(&format!("the refusal was not written: {error}"));
@@ -390,8 +392,9 @@
     if let Some(plan) = turn {
         let preparing = plan.prepare(context, &request.body);
         let prepared = tokio::time::timeout_at(request.due.into(), preparing).await;
-        let body = prepared.unwrap_or(Err(RefusalReason::LateUnsent))?;
-        request.body = body;
+        let prepared = prepared.unwrap_or(Err(RefusalReason::LateUnsent))?;
+        request.body = prepared.body;
+        request.last_place = prepared.last_place;
     }
     dispatch(context, request, record).await
 }
@@ -399,6 +402,6 @@
 /// Settles a turn that was not answered whole.
 fn release(context: &EntryContext, turn: Option<&TurnPlan>, spent: u32) {
     if let Some(plan) = turn {
-        plan.settle(context, spent);
+        plan.settle(context, spent, None);
     }
 }
--- a/crates/samphiregrade-gateway/src/exchange/context.rs
+++ b/crates/samphiregrade-gateway/src/exchange/context.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 
@@ -57,9 +58,27 @@
     }
 
     /// Returns whether the instance takes new connections.
+    ///
+    /// One that is cut off from the keepers can't serve turns; clients are better off elsewhere.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.routes.load().is_some()
+        !self.is_stopping() && self.routes.load().is_some() && self.cut_off_for().is_zero()
+    }
+
+    /// Returns how long the instance has been cut off from the keepers; zero while it isn't.
+    #[must_use]
+    pub fn cut_off_for(&self) -> Duration {
+        let keepers = self.keepers.load();
+        keepers
+            .as_ref()
+            .map_or(Duration::ZERO, |keepers| keepers.cut_off_for())
+    }
+
+    /// Returns whether clients should open their next connection anew: it then goes to an instance that is
+    /// ready.
+    #[must_use]
+    pub fn sends_away(&self) -> bool {
+        self.is_stopping() || !self.cut_off_for().is_zero()
     }
 
     /// Notes that the instance is about to stop.
--- a/crates/samphiregrade-gateway/src/exchange/dispatch.rs
+++ b/crates/samphiregrade-gateway/src/exchange/dispatch.rs
@@ -175,7 +175,14 @@
     let prompt = &request.metadata.prompt;
     let candidates: Vec<Candidate> = fit
         .iter()
-        .map(|upstream| upstream.candidate(prompt, &context.domain, now))
+        .map(|upstream| {
+            let mut candidate = upstream.candidate(prompt, &context.domain, now);
+            // Another instance may have sent the turn before; the keepers have told where.
+            if let Some(uncached) = request.uncached_at_last_place(&upstream.entry.id) {
+                candidate.uncached_tokens = candidate.uncached_tokens.min(uncached);
+            }
+            candidate
+        })
         .collect();
     let hold = if request.service.engine.is_some() {
         TURN_HOLD
--- a/crates/samphiregrade-gateway/src/exchange/refusal.rs
+++ b/crates/samphiregrade-gateway/src/exchange/refusal.rs
@@ -12,6 +12,10 @@
 /// Time after which a client comes back to an instance that knows nothing yet.
 const START_WAIT: Duration = Duration::from_millis(300);
 
+/// Time after the cut within which clients of an instance that is cut off are sent to another one: it notices
+/// within a second, and the platform asks twice, a second apart.
+const ELSEWHERE_AFTER: Duration = Duration::from_millis(3200);
+
 /// Why a request gets an answer of the instance's own.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum RefusalReason {
@@ -124,6 +128,16 @@
 }
 
 impl Refusal {
+    /// Tells a client of an instance that is cut off when its next connection goes to another one.
+    #[must_use]
+    pub fn while_cut_off(mut self, cut_off_for: Duration) -> Self {
+        let elsewhere = ELSEWHERE_AFTER.saturating_sub(cut_off_for);
+        if self.reason == RefusalReason::NoKeepers && !cut_off_for.is_zero() {
+            self.retry_after = self.retry_after.max(Some(elsewhere));
+        }
+        self
+    }
+
     /// Encodes the whole answer; returns whether the connection can be kept after it.
     pub fn encode(
         &self,
--- a/crates/samphiregrade-gateway/src/exchange/relay.rs
+++ b/crates/samphiregrade-gateway/src/exchange/relay.rs
@@ -13,6 +13,7 @@
 use super::refusal::RefusalReason;
 use super::request::RoutedRequest;
 use super::turn::TurnPlan;
+use crate::model::UpstreamId;
 
 /// How the client is told where the body ends.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -123,7 +124,7 @@
             let ended = self.take_pieces(answer, &mut output)?;
             if ended && retained {
                 self.flush(&mut output).await?;
-                self.commit().await?;
+                self.commit(&answer.guard.upstream().entry.id).await?;
             }
             if ended {
                 if self.framing == ClientFraming::Chunked {
@@ -191,7 +192,7 @@
         }
     }
 
-    async fn commit(&mut self) -> Result<(), Stop> {
+    async fn commit(&mut self, upstream: &UpstreamId) -> Result<(), Stop> {
         let Some(plan) = self.turn else {
             return Ok(());
         };
@@ -200,7 +201,7 @@
         let mut chain = BytesMut::with_capacity(self.request.body.len() + output.len());
         chain.put_slice(&self.request.body);
         chain.put_slice(&output);
-        let committed = plan.commit(self.context, output, spent).await;
+        let committed = plan.commit(self.context, output, spent, upstream).await;
         committed.map_err(|_| Stop::NotDurable)?;
         self.context.turns.keep(&plan.turn, chain.freeze());
         Ok(())
--- a/crates/samphiregrade-gateway/src/exchange/request.rs
+++ b/crates/samphiregrade-gateway/src/exchange/request.rs
@@ -7,7 +7,8 @@
 use samphiregrade_http::wire::RequestHead;
 use smol_str::SmolStr;
 
-use crate::model::{RequestMetadata, RouteRecord, ServiceRecord};
+use crate::fact::TurnPlace;
+use crate::model::{RequestMetadata, RouteRecord, ServiceRecord, UpstreamId};
 
 /// A request whose route and service are known, with its whole body.
 pub struct RoutedRequest {
@@ -19,6 +20,8 @@
     pub id: SmolStr,
     /// Body for the upstream.
     pub body: Bytes,
+    /// Where the turn before it ran, as far as is known.
+    pub last_place: Option<TurnPlace>,
     /// The route.
     pub route: Arc<RouteRecord>,
     /// The service.
@@ -30,6 +33,17 @@
 }
 
 impl RoutedRequest {
+    /// Returns the tokens that an upstream would have to read where the turn before ran there.
+    #[must_use]
+    pub fn uncached_at_last_place(&self, upstream: &UpstreamId) -> Option<u32> {
+        let place = self
+            .last_place
+            .as_ref()
+            .filter(|place| place.upstream == *upstream)?;
+        let prompt = self.metadata.usage?.prompt;
+        Some(prompt.saturating_sub(place.tokens))
+    }
+
     /// Returns the time that is left.
     #[must_use]
     pub fn time_left(&self, now: Instant) -> Duration {
--- a/crates/samphiregrade-gateway/src/exchange/turn.rs
+++ b/crates/samphiregrade-gateway/src/exchange/turn.rs
@@ -7,8 +7,10 @@
 use super::context::EntryContext;
 use super::refusal::RefusalReason;
 use super::request::RoutedRequest;
-use crate::fact::{ChainLookup, FactFailure, FactRecord, Reservation, ReserveOutcome, TurnFact};
-use crate::model::{ProgramId, TurnId};
+use crate::fact::{
+    ChainLookup, FactFailure, FactRecord, Reservation, ReserveOutcome, TurnFact, TurnPlace,
+};
+use crate::model::{ProgramId, SessionId, TurnId, UpstreamId};
 
 /// How long budgets last where a route keeps no turns: a stopped program that comes back is still known.
 const BUDGET_RETENTION: Duration = Duration::from_mins(1);
@@ -34,6 +36,19 @@
     pub keep: Duration,
     /// What the client sent.
     pub input: Bytes,
+    /// The line of turns.
+    pub session: SessionId,
+    /// Tokens of the whole prompt.
+    pub prompt_tokens: u32,
+}
+
+/// A turn that may be dispatched.
+#[derive(Clone, Debug)]
+pub struct PreparedTurn {
+    /// Body for the upstream.
+    pub body: Bytes,
+    /// Where the turn before it ran, as far as is known.
+    pub last_place: Option<TurnPlace>,
 }
 
 impl TurnPlan {
@@ -67,10 +82,12 @@
             retained,
             keep,
             input: request.body.clone(),
+            session: metadata.session.clone().unwrap_or_default(),
+            prompt_tokens: metadata.usage.map_or(0, |usage| usage.prompt),
         })
     }
 
-    /// Sets tokens aside and fetches the history; resolves to the body for the upstream.
+    /// Sets tokens aside and fetches the history; resolves to what is dispatched.
     ///
     /// # Errors
     ///
@@ -79,31 +96,35 @@
         &self,
         context: &EntryContext,
         body: &Bytes,
-    ) -> Result<Bytes, RefusalReason> {
+    ) -> Result<PreparedTurn, RefusalReason> {
         let (reserved, chain) = tokio::join!(self.reserve(context), self.chain(context));
         let chain = chain?;
-        reserved?;
-        let Some(chain) = chain else {
-            return Ok(body.clone());
+        let last_place = reserved?;
+        let body = match chain {
+            None => body.clone(),
+            Some(chain) => {
+                let mut whole = BytesMut::with_capacity(chain.len() + body.len());
+                whole.put_slice(&chain);
+                whole.put_slice(body);
+                whole.freeze()
+            }
         };
-        let mut whole = BytesMut::with_capacity(chain.len() + body.len());
-        whole.put_slice(&chain);
-        whole.put_slice(body);
-        Ok(whole.freeze())
+        Ok(PreparedTurn { body, last_place })
     }
 
-    async fn reserve(&self, context: &EntryContext) -> Result<(), RefusalReason> {
+    /// Sets tokens aside; resolves to where the turn before this one ran.
+    async fn reserve(&self, context: &EntryContext) -> Result<Option<TurnPlace>, RefusalReason> {
         let Some(budget) = self.budget else {
-            return Ok(());
+            return Ok(None);
         };
         let keepers = context
             .keepers
             .load_full()
             .ok_or(RefusalReason::NoKeepers)?;
-        let fact = self.reservation(None);
+        let fact = self.reservation(None, None);
         let reserving = keepers.reserve(&self.program, fact, budget, &self.turn, self.most);
         match reserving.await {
-            Ok(ReserveOutcome::Held) => Ok(()),
+            Ok(ReserveOutcome::Held(ledger)) => Ok(ledger.last_place(Some(&self.session)).cloned()),
             Ok(ReserveOutcome::OverBudget(ledger)) => {
                 log::info!(
                     "program {} is over its budget of {budget} with {} turns known",
@@ -134,25 +155,36 @@
         }
     }
 
-    fn reservation(&self, spent: Option<u32>) -> FactRecord {
+    fn reservation(&self, spent: Option<u32>, place: Option<TurnPlace>) -> FactRecord {
         FactRecord::Reservation {
             program: self.program.clone(),
             reservation: Reservation {
                 turn: self.turn.clone(),
                 most: self.most,
                 spent,
+                place,
             },
             keep: self.keep,
         }
     }
 
-    /// Tells the keepers what the turn took.
-    pub fn settle(&self, context: &EntryContext, spent: u32) {
+    /// Describes where the turn ran.
+    fn place(&self, upstream: Option<&UpstreamId>, spent: u32) -> Option<TurnPlace> {
+        Some(TurnPlace {
+            session: self.session.clone(),
+            upstream: upstream?.clone(),
+            tokens: self.prompt_tokens.saturating_add(spent),
+        })
+    }
+
+    /// Tells the keepers what the turn took, and where it ran.
+    pub fn settle(&self, context: &EntryContext, spent: u32, upstream: Option<&UpstreamId>) {
         if self.budget.is_none() {
             return;
         }
         if let Some(keepers) = context.keepers.load_full() {
-            keepers.note(&self.program, &self.reservation(Some(spent)));
+            let place = self.place(upstream, spent);
+            keepers.note(&self.program, &self.reservation(Some(spent), place));
         }
     }
 
@@ -166,6 +198,7 @@
         context: &EntryContext,
         output: Bytes,
         spent: u32,
+        upstream: &UpstreamId,
     ) -> Result<(), FactFailure> {
         let keepers = context
             .keepers
@@ -178,6 +211,7 @@
             input: self.input.clone(),
             output,
             spent,
+            place: self.place(Some(upstream), spent),
             keep: self.keep,
         };
         keepers.store(&self.program, FactRecord::Turn(fact)).await
--- a/crates/samphiregrade-gateway/src/fact/book.rs
+++ b/crates/samphiregrade-gateway/src/fact/book.rs
@@ -5,7 +5,7 @@
 
 use bytes::{BufMut, Bytes, BytesMut};
 
-use super::message::{FactExport, FactRecord, ProgramLedger, Reservation, TurnFact};
+use super::message::{FactExport, FactRecord, ProgramLedger, Reservation, TurnFact, TurnPlace};
 use crate::model::{ProgramId, TurnId};
 
 /// Parts into which all facts are divided for a keeper that rebuilds.
@@ -36,6 +36,7 @@
     blocks: Vec<Bytes>,
     output: Bytes,
     spent: u32,
+    place: Option<TurnPlace>,
     keep: Duration,
     used: Instant,
     /// Part of an export that it belongs to.
@@ -100,6 +101,7 @@
             turn: turn.turn.clone(),
             most: turn.spent,
             spent: Some(turn.spent),
+            place: turn.place.clone(),
         };
         self.take_reservation(&turn.program, reservation, turn.keep, now);
         if self.turns.contains_key(&turn.turn) {
@@ -111,6 +113,7 @@
             blocks: self.share_blocks(&turn.input),
             output: Bytes::copy_from_slice(&turn.output),
             spent: turn.spent,
+            place: turn.place.clone(),
             keep: turn.keep,
             used: now,
             part: part_of(&turn.input[..turn.input.len().min(BLOCK_BYTES)]),
@@ -282,6 +285,7 @@
         input: Bytes::new(),
         output: entry.output.clone(),
         spent: entry.spent,
+        place: entry.place.clone(),
         keep: entry.keep,
     }
 }
--- a/crates/samphiregrade-gateway/src/fact/client.rs
+++ b/crates/samphiregrade-gateway/src/fact/client.rs
@@ -1,13 +1,15 @@
 //! Asking the keepers: reservations, commits and chains by majorities.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
 use thiserror::Error;
 use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
 
+use super::health::KeeperHealth;
 use super::message::{
     ChainAnswer, FactRecord, KeeperEnvelope, KeeperReply, KeeperRequest, ProgramLedger,
 };
@@ -25,6 +27,9 @@
 /// Times that a fact is sent to a keeper that does not confirm it.
 const BACKGROUND_TRIES: usize = 3;
 
+/// Time between two looks at silent keepers.
+const HEALTH_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Why a fact is not known to be durable, or a question has no sure answer.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
 pub enum FactFailure {
@@ -39,8 +44,8 @@
 /// What became of a reservation.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum ReserveOutcome {
-    /// The tokens are set aside.
-    Held,
+    /// The tokens are set aside; this is what is known of the program.
+    Held(ProgramLedger),
     /// The budget does not hold the turn.
     OverBudget(ProgramLedger),
 }
@@ -61,6 +66,7 @@
     placement: Arc<ArcSwap<KeeperPlacement>>,
     metrics: Arc<GatewayMetrics>,
     domain: DomainId,
+    health: Arc<KeeperHealth>,
 }
 
 impl KeeperClient {
@@ -77,6 +83,34 @@
             placement,
             metrics,
             domain,
+            health: Arc::default(),
+        }
+    }
+
+    /// Returns how long too few keepers have answered for every program to be served; zero while enough do.
+    #[must_use]
+    pub fn cut_off_for(&self) -> Duration {
+        self.health
+            .cut_off_for(&self.placement.load(), Instant::now())
+    }
+
+    /// Asks each keeper that has been silent for a while whether it is there, until cancelled.
+    pub async fn watch_health(self, cancel: CancellationToken) {
+        loop {
+            tokio::select! {
+                () = cancel.cancelled() => return,
+                () = tokio::time::sleep(HEALTH_INTERVAL) => {}
+            }
+            let placement = self.placement.load_full();
+            for slot in self.health.silent(&placement, Instant::now()) {
+                let client = self.clone();
+                let placement = placement.clone();
+                tokio::spawn(async move {
+                    client
+                        .ask(slot, &placement, KeeperRequest::Probe, ASK_TIMEOUT)
+                        .await
+                });
+            }
         }
     }
 
@@ -111,7 +145,7 @@
         most: u32,
     ) -> Result<ReserveOutcome, FactFailure> {
         let placement = self.placement.load_full();
-        let group = group_slots(&placement, program)?;
+        let group = self.reachable_group(&placement, program)?;
         let mut replies = self.ask_group(&placement, &group, &KeeperRequest::Reserve(fact));
         let mut ledger = ProgramLedger::default();
         let (mut stored, mut complete) = (0, 0);
@@ -129,7 +163,7 @@
             if stored >= placement.majority() && complete >= placement.meets_majorities() {
                 let held = ledger.holds(budget, turn, most);
                 return Ok(if held {
-                    ReserveOutcome::Held
+                    ReserveOutcome::Held(ledger)
                 } else {
                     ReserveOutcome::OverBudget(ledger)
                 });
@@ -181,7 +215,7 @@
         turn: &TurnId,
     ) -> Result<ChainLookup, FactFailure> {
         let placement = self.placement.load_full();
-        let mut group = group_slots(&placement, program)?;
+        let mut group = self.reachable_group(&placement, program)?;
         group.sort_by_key(|slot| slot.domain != self.domain);
         let request = KeeperRequest::Chain(turn.clone());
         if let Some(nearest) = group.first() {
@@ -209,6 +243,19 @@
         Err(FactFailure::TooFew)
     }
 
+    /// Returns a program's keepers, if enough of them are known to be within reach.
+    fn reachable_group(
+        &self,
+        placement: &KeeperPlacement,
+        program: &ProgramId,
+    ) -> Result<Vec<KeeperSlot>, FactFailure> {
+        let group = group_slots(placement, program)?;
+        if self.health.reachable(&group, Instant::now()) < placement.majority() {
+            return Err(FactFailure::TooFew);
+        }
+        Ok(group)
+    }
+
     /// Asks several keepers at once; each reply comes as it arrives, `None` for one that failed.
     fn ask_group(
         &self,
@@ -271,11 +318,13 @@
         };
         match self.links.ask(slot.address, &envelope, timeout).await {
             Ok(KeeperReply::NewerPlacement(newer)) => {
+                self.health.note(&slot.name, Instant::now());
                 self.metrics.count_keeper_call("newer-placement");
                 self.adopt(&newer);
                 None
             }
             Ok(reply) => {
+                self.health.note(&slot.name, Instant::now());
                 self.metrics.count_keeper_call("answered");
                 Some(reply)
             }
--- a/crates/samphiregrade-gateway/src/fact/message.rs
+++ b/crates/samphiregrade-gateway/src/fact/message.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::placement::{KeeperPlacement, PlacementGeneration};
-use crate::model::{ProgramId, TurnId};
+use crate::model::{ProgramId, SessionId, TurnId, UpstreamId};
 
 /// A turn whose answer is whole: never changed once written.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -23,10 +23,23 @@
     pub output: Bytes,
     /// Tokens that it made.
     pub spent: u32,
+    /// Where it ran.
+    pub place: Option<TurnPlace>,
     /// How long it is kept after its last use.
     pub keep: Duration,
 }
 
+/// Where a turn ran: its tokens are cached there.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TurnPlace {
+    /// The line of turns.
+    pub session: SessionId,
+    /// The upstream.
+    pub upstream: UpstreamId,
+    /// Tokens of its prompt and its answer.
+    pub tokens: u32,
+}
+
 /// Tokens set aside for a turn before it is dispatched, and what it took.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Reservation {
@@ -36,6 +49,8 @@
     pub most: u32,
     /// Tokens handed out; `None` until the turn has ended.
     pub spent: Option<u32>,
+    /// Where it ran, once it has ended.
+    pub place: Option<TurnPlace>,
 }
 
 /// Reservations of a program that a keeper knows.
@@ -66,9 +81,25 @@
         let before = known.clone();
         known.most = known.most.max(reservation.most);
         known.spent = known.spent.max(reservation.spent);
+        if known.place.is_none() {
+            known.place = reservation.place;
+        }
         *known != before
     }
 
+    /// Returns where the line's last known turn ran, or the program's where the line is new.
+    #[must_use]
+    pub fn last_place(&self, session: Option<&SessionId>) -> Option<&TurnPlace> {
+        let places = || {
+            self.reservations
+                .iter()
+                .rev()
+                .filter_map(|turn| turn.place.as_ref())
+        };
+        let own = session.and_then(|session| places().find(|place| place.session == *session));
+        own.or_else(|| places().next())
+    }
+
     /// Returns whether the budget holds one more turn, counting at their most all that have not ended.
     #[must_use]
     pub fn holds(&self, budget: u64, turn: &TurnId, most: u32) -> bool {
--- a/crates/samphiregrade-gateway/src/fact/mod.rs
+++ b/crates/samphiregrade-gateway/src/fact/mod.rs
@@ -7,6 +7,7 @@
 mod book;
 mod client;
 mod disk;
+mod health;
 mod message;
 mod placement;
 mod rebuild;
@@ -15,9 +16,10 @@
 pub use book::{FactBook, TurnChain};
 pub use client::{ChainLookup, FactFailure, KeeperClient, ReserveOutcome};
 pub use disk::{DiskState, FactDisk, FactDiskError, RecoveredFacts};
+pub use health::KeeperHealth;
 pub use message::{
     ChainAnswer, FactExport, FactRecord, KeeperEnvelope, KeeperReply, KeeperRequest, ProgramLedger,
-    Reservation, TurnFact,
+    Reservation, TurnFact, TurnPlace,
 };
 pub use placement::{KeeperPlacement, KeeperSlot, PlacementGeneration};
 pub use rebuild::rebuild_from_others;
--- a/crates/samphiregrade-gateway/src/role/entry.rs
+++ b/crates/samphiregrade-gateway/src/role/entry.rs
@@ -263,7 +263,12 @@
     let shared = follow(SHARED_PREFIX);
     tokio::spawn(take_configurations(context.clone(), configuration));
     tokio::spawn(take_upstreams(context.clone(), registry, upstreams));
-    tokio::spawn(take_shared(context.clone(), settings.clone(), shared));
+    tokio::spawn(take_shared(
+        context.clone(),
+        settings.clone(),
+        shared,
+        ended.clone(),
+    ));
 }
 
 async fn take_configurations(context: Arc<EntryContext>, mut events: mpsc::Receiver<FollowEvent>) {
@@ -373,6 +378,7 @@
     context: Arc<EntryContext>,
     settings: GatewaySettings,
     mut events: mpsc::Receiver<FollowEvent>,
+    ended: CancellationToken,
 ) {
     let placement = Arc::new(ArcSwap::from_pointee(KeeperPlacement::default()));
     while let Some(event) = events.recv().await {
@@ -385,7 +391,7 @@
             };
             match item.key.as_str() {
                 AUTHORITY_KEY if context.keepers.load().is_none() => {
-                    if let Err(error) = open_links(&context, &settings, &placement, value) {
+                    if let Err(error) = open_links(&context, &settings, &placement, value, &ended) {
                         log::error!("links to keepers can't be opened: {error:#}");
                     }
                 }
@@ -411,6 +417,7 @@
     settings: &GatewaySettings,
     placement: &Arc<ArcSwap<KeeperPlacement>>,
     value: &[u8],
+    ended: &CancellationToken,
 ) -> Result<()> {
     let authority: LinkAuthority =
         serde_json::from_slice(value).context("reading the authority")?;
@@ -422,6 +429,7 @@
         context.metrics.clone(),
         settings.instance.failure_domain.clone(),
     );
+    tokio::spawn(keepers.clone().watch_health(ended.clone()));
     context.keepers.store(Some(Arc::new(keepers)));
     Ok(())
 }
--- /dev/null
+++ b/crates/samphiregrade-gateway/tests/suite/balance.rs
@@ -0,0 +1,123 @@
+//! Where requests go: prompts with cached parts, filling slots, other failure domains.
+
+use std::time::{Duration, Instant};
+
+use samphiregrade_gateway::model::PromptPart;
+use samphiregrade_gateway::upstream::{
+    BreakerState, Candidate, PrefixCache, UpstreamBreaker, WorkEstimate, choose_upstream,
+};
+
+const TURN: WorkEstimate = WorkEstimate {
+    hold_milliseconds: 220.0,
+};
+
+fn candidate(load: f64, uncached_tokens: u32) -> Candidate {
+    Candidate {
+        load,
+        slots: 12.0,
+        uncached_tokens,
+        ..Candidate::default()
+    }
+}
+
+#[test]
+fn cached_prefix_beats_an_idle_engine() {
+    let choice = choose_upstream(&[candidate(0.0, 14_000), candidate(4.0, 800)], &TURN, 0.0);
+    assert_eq!(choice, Some(1));
+}
+
+#[test]
+fn full_slots_beat_a_cached_prefix() {
+    let choice = choose_upstream(&[candidate(2.0, 14_000), candidate(20.0, 800)], &TURN, 0.0);
+    assert_eq!(choice, Some(0));
+}
+
+#[test]
+fn equal_engines_share_by_the_draw() {
+    let equal = [candidate(1.0, 0), candidate(1.0, 0), candidate(1.0, 0)];
+    let choices: Vec<_> = [0.0, 0.4, 0.9]
+        .into_iter()
+        .map(|draw| choose_upstream(&equal, &TURN, draw))
+        .collect();
+    assert_eq!(choices, [Some(0), Some(1), Some(2)]);
+    assert_eq!(choose_upstream(&equal, &TURN, 1.0), Some(2));
+    assert_eq!(choose_upstream(&[], &TURN, 0.5), None);
+}
+
+#[test]
+fn near_engine_is_chosen_among_equals() {
+    let far = Candidate {
+        elsewhere: true,
+        ..candidate(1.0, 0)
+    };
+    assert_eq!(
+        choose_upstream(&[far, candidate(1.0, 0)], &TURN, 0.0),
+        Some(1)
+    );
+}
+
+#[test]
+fn departed_upstream_is_the_last_resort() {
+    let departed = Candidate {
+        penalty: Duration::from_secs(10),
+        ..candidate(0.0, 0)
+    };
+    assert_eq!(
+        choose_upstream(&[departed, candidate(30.0, 14_000)], &TURN, 0.0),
+        Some(1)
+    );
+    assert_eq!(choose_upstream(&[departed], &TURN, 0.0), Some(0));
+}
+
+fn part(tag: u64, tokens: u32) -> PromptPart {
+    PromptPart { tag, tokens }
+}
+
+#[test]
+fn cache_counts_only_the_unbroken_front() {
+    let now = Instant::now();
+    let mut cache = PrefixCache::default();
+    cache.note(&[part(1, 100), part(2, 50)], 10_000, now);
+    assert_eq!(cache.uncached(&[part(1, 100), part(2, 50)], now), 0);
+    assert_eq!(cache.uncached(&[part(1, 100), part(2, 80)], now), 30);
+    assert_eq!(cache.uncached(&[part(9, 10), part(2, 50)], now), 60);
+    let later = now + Duration::from_mins(1);
+    assert_eq!(cache.uncached(&[part(1, 100)], later), 100);
+}
+
+#[test]
+fn cache_forgets_the_oldest_beyond_its_room() {
+    let now = Instant::now();
+    let mut cache = PrefixCache::default();
+    for tag in 0..20 {
+        cache.note(&[part(tag, 100)], 2_000, now + Duration::from_millis(tag));
+    }
+    assert_eq!(cache.uncached(&[part(0, 100)], now), 100);
+    assert_eq!(cache.uncached(&[part(19, 100)], now), 0);
+}
+
+#[test]
+fn breaker_opens_after_failures_in_a_row_and_tries_again() {
+    let now = Instant::now();
+    let mut breaker = UpstreamBreaker::default();
+    assert!(!breaker.fail(now, false));
+    assert!(!breaker.fail(now, false));
+    assert!(breaker.fail(now, false));
+    assert_eq!(breaker.state(now), BreakerState::Open);
+    let later = now + Duration::from_secs(1);
+    assert_eq!(breaker.state(later), BreakerState::Closed);
+    assert!(
+        breaker.fail(later, false),
+        "one failure opens a breaker that is tried again"
+    );
+    assert!(breaker.succeed());
+    assert_eq!(breaker.state(later), BreakerState::Closed);
+}
+
+#[test]
+fn breaker_opens_at_once_where_nobody_listens() {
+    let now = Instant::now();
+    let mut breaker = UpstreamBreaker::default();
+    assert!(breaker.fail(now, true));
+    assert_eq!(breaker.state(now), BreakerState::Open);
+}
--- /dev/null
+++ b/crates/samphiregrade-gateway/tests/suite/keepers_model.rs
@@ -0,0 +1,203 @@
+//! A model of the keepers: random writes that reach some, lost disks, rebuilds and readers.
+//!
+//! It runs the product's own placement arithmetic and book. What must hold: a turn that was acknowledged is
+//! never said not to exist, and a ledger that decides knows every reservation that was acknowledged, as long
+//! as no more disks are lost at once than the placement bears.
+
+use std::time::{Duration, Instant};
+
+use quickcheck::{Arbitrary, Gen, quickcheck};
+use samphiregrade_gateway::fact::{FactBook, FactRecord, KeeperPlacement, KeeperSlot, Reservation};
+
+use crate::facts::turn;
+
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// A turn is written; the bits tell which keepers it reaches.
+    Write(u8),
+    /// A reservation is written; the bits tell which keepers it reaches.
+    Reserve(u8),
+    /// A keeper loses its disk, where that may be borne now.
+    Wipe(u8),
+    /// A keeper without its disk reads the others within reach.
+    Rebuild(u8, u8),
+    /// A reader asks the keepers within reach for all turns.
+    Read(u8),
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(source: &mut Gen) -> Self {
+        let (one, two) = (u8::arbitrary(source), u8::arbitrary(source));
+        match u8::arbitrary(source) % 6 {
+            0 | 1 => Self::Write(one),
+            2 => Self::Reserve(one),
+            3 => Self::Wipe(one),
+            4 => Self::Rebuild(one, two),
+            _ => Self::Read(one),
+        }
+    }
+}
+
+struct Keeper {
+    book: FactBook,
+    complete: bool,
+}
+
+struct World {
+    keepers: Vec<Keeper>,
+    placement: KeeperPlacement,
+    acknowledged: Vec<FactRecord>,
+    written: usize,
+    now: Instant,
+}
+
+fn reaches(bits: u8, index: usize) -> bool {
+    bits >> index & 1 == 1
+}
+
+impl World {
+    fn new(lost_at_once: usize) -> Self {
+        let count =
+            u16::try_from(KeeperPlacement::wanted_copies(lost_at_once)).expect("a small number");
+        let slots = (0..count).map(|index| KeeperSlot {
+            name: format!("k{index}").into(),
+            address: ([127, 0, 0, 1], index).into(),
+            domain: format!("d{index}").into(),
+        });
+        let placement = KeeperPlacement::first(slots.collect(), lost_at_once);
+        let keepers = placement.slots.iter().map(|_| Keeper {
+            book: FactBook::default(),
+            complete: true,
+        });
+        Self {
+            keepers: keepers.collect(),
+            placement: placement.clone(),
+            acknowledged: Vec::new(),
+            written: 0,
+            now: Instant::now(),
+        }
+    }
+
+    fn store(&mut self, fact: FactRecord, bits: u8) {
+        let mut stored = 0;
+        for (index, keeper) in self.keepers.iter_mut().enumerate() {
+            if reaches(bits, index) {
+                keeper.book.take(&fact, self.now);
+                stored += 1;
+            }
+        }
+        if stored >= self.placement.majority() {
+            self.acknowledged.push(fact);
+        }
+    }
+
+    fn step(&mut self, step: Step) -> bool {
+        match step {
+            Step::Write(bits) => {
+                self.written += 1;
+                let id = format!("t{}", self.written);
+                self.store(turn(&id, None, id.as_bytes(), b"out\n"), bits);
+            }
+            Step::Reserve(bits) => {
+                self.written += 1;
+                let reservation = Reservation {
+                    turn: format!("r{}", self.written).into(),
+                    most: 100,
+                    spent: None,
+                    place: None,
+                };
+                let fact = FactRecord::Reservation {
+                    program: "p".into(),
+                    reservation,
+                    keep: Duration::from_secs(60),
+                };
+                self.store(fact, bits);
+            }
+            Step::Wipe(which) => self.wipe(which),
+            Step::Rebuild(which, bits) => self.rebuild(which, bits),
+            Step::Read(bits) => return self.reads_well(bits),
+        }
+        true
+    }
+
+    fn wipe(&mut self, which: u8) {
+        let lost = self
+            .keepers
+            .iter()
+            .filter(|keeper| !keeper.complete)
+            .count();
+        if lost >= self.placement.copies - self.placement.majority() {
+            return;
+        }
+        let index = usize::from(which) % self.keepers.len();
+        self.keepers[index] = Keeper {
+            book: FactBook::default(),
+            complete: false,
+        };
+    }
+
+    fn rebuild(&mut self, which: u8, bits: u8) {
+        let index = usize::from(which) % self.keepers.len();
+        if self.keepers[index].complete {
+            return;
+        }
+        let sources: Vec<usize> = (0..self.keepers.len())
+            .filter(|&other| other != index && reaches(bits, other) && self.keepers[other].complete)
+            .collect();
+        for &source in &sources {
+            for part in 0..=u8::MAX {
+                for fact in self.keepers[source].book.export(part).into_facts() {
+                    self.keepers[index].book.take(&fact, self.now);
+                }
+            }
+        }
+        if sources.len() >= self.placement.rebuild_sources() {
+            self.keepers[index].complete = true;
+        }
+    }
+
+    fn reads_well(&mut self, bits: u8) -> bool {
+        let asked: Vec<usize> = (0..self.keepers.len())
+            .filter(|&index| reaches(bits, index))
+            .collect();
+        let complete = asked
+            .iter()
+            .filter(|&&index| self.keepers[index].complete)
+            .count();
+        for fact in self.acknowledged.clone() {
+            let known = asked.iter().any(|&index| match &fact {
+                FactRecord::Turn(turn) => self.keepers[index]
+                    .book
+                    .chain(&turn.turn, self.now)
+                    .is_some(),
+                FactRecord::Reservation { reservation, .. } => {
+                    let ledger = self.keepers[index].book.ledger("p");
+                    ledger
+                        .reservations
+                        .iter()
+                        .any(|known| known.turn == reservation.turn)
+                }
+            });
+            let enough = match &fact {
+                FactRecord::Turn(_) => self.placement.meets_majorities_anywhere(),
+                FactRecord::Reservation { .. } => self.placement.meets_majorities(),
+            };
+            if !known && complete >= enough {
+                return false;
+            }
+        }
+        true
+    }
+}
+
+quickcheck! {
+    fn nothing_acknowledged_is_denied_with_three_keepers(steps: Vec<Step>) -> bool {
+        let mut world = World::new(1);
+        steps.into_iter().all(|step| world.step(step)) && world.reads_well(u8::MAX)
+    }
+
+    fn nothing_acknowledged_is_denied_with_five_keepers(steps: Vec<Step>) -> bool {
+        let mut world = World::new(2);
+        steps.into_iter().all(|step| world.step(step)) && world.reads_well(u8::MAX)
+    }
+}
--- /dev/null
+++ b/crates/samphiregrade-gateway/tests/suite/main.rs
@@ -0,0 +1,14 @@
+//! The gateway's decisions and its parts that last, without the platform.
+
+mod balance;
+mod disk;
+mod events;
+mod facts;
+mod follow;
+mod keepers_model;
+mod link;
+mod membership;
+mod platform_names;
+mod routing;
+mod settings;
+mod upstreams;
