Join a chain of turns from several keepers; weigh reading again by whom it holds up

Each fact is on a majority only, so a keeper may have a turn without the turn before it; it then said that the turn is absent. Change: a keeper says which older turn it misses, and the client asks the others for it. The cost of an engine counts the requests that wait while a prompt is read, and what a larger batch costs all of it. An entry counts a keeper as out of reach after 0.65 s. Ruled out: lost acknowledgements (all of the chain's facts were on a majority in the new test). Test: chain_is_found_though_no_keeper_has_all_of_it failed first.

--- a/crates/samphiregrade-gateway/src/exchange/dispatch.rs
+++ b/crates/samphiregrade-gateway/src/exchange/dispatch.rs
@@ -184,13 +184,10 @@
             candidate
         })
         .collect();
-    let hold = if request.service.engine.is_some() {
-        TURN_HOLD
-    } else {
-        PLAIN_HOLD
-    };
+    let on_engine = request.service.engine.is_some();
     let work = WorkEstimate {
-        hold_milliseconds: hold,
+        hold_milliseconds: if on_engine { TURN_HOLD } else { PLAIN_HOLD },
+        on_engine,
     };
     let index = choose_upstream(&candidates, &work, rand::random())?;
     record.load = candidates[index].load;
--- a/crates/samphiregrade-gateway/src/fact/book.rs
+++ b/crates/samphiregrade-gateway/src/fact/book.rs
@@ -21,8 +21,14 @@
 
 type BlockHash = [u8; 16];
 
-/// Joined inputs and outputs of a chain, from its oldest turn on.
-pub type TurnChain = Bytes;
+/// What is known of a chain.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct KnownChain {
+    /// Joined inputs and outputs, from the oldest known turn on.
+    pub joined: Bytes,
+    /// The turn before these, where it is not known.
+    pub missing: Option<TurnId>,
+}
 
 struct ProgramEntry {
     ledger: ProgramLedger,
@@ -160,17 +166,22 @@
         entry.map(|entry| entry.ledger.clone()).unwrap_or_default()
     }
 
-    /// Returns the chain that ends with a turn, where all of it is known.
-    pub fn chain(&mut self, turn: &TurnId, now: Instant) -> Option<TurnChain> {
+    /// Returns what is known of the chain that ends with a turn; `None` where the turn itself is not known.
+    pub fn chain(&mut self, turn: &TurnId, now: Instant) -> Option<KnownChain> {
         let mut line = Vec::new();
         let mut length = 0;
         let mut next = Some(turn);
         while let Some(id) = next {
-            let entry = self.turns.get(id)?;
+            let Some(entry) = self.turns.get(id) else {
+                break;
+            };
             length += entry.bytes();
             next = entry.previous.as_ref();
             line.push(entry);
         }
+        if line.is_empty() {
+            return None;
+        }
         let mut chain = BytesMut::with_capacity(length);
         for entry in line.iter().rev() {
             for block in &entry.blocks {
@@ -178,8 +189,12 @@
             }
             chain.put_slice(&entry.output);
         }
+        let missing = next.cloned();
         self.use_chain(turn, now);
-        Some(chain.freeze())
+        Some(KnownChain {
+            joined: chain.freeze(),
+            missing,
+        })
     }
 
     /// Returns the facts of one part.
--- a/crates/samphiregrade-gateway/src/fact/client.rs
+++ b/crates/samphiregrade-gateway/src/fact/client.rs
@@ -28,7 +28,7 @@
 const BACKGROUND_TRIES: usize = 3;
 
 /// Time between two looks at silent keepers.
-const HEALTH_INTERVAL: Duration = Duration::from_millis(250);
+const HEALTH_INTERVAL: Duration = Duration::from_millis(150);
 
 /// Why a fact is not known to be durable, or a question has no sure answer.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
@@ -208,38 +208,79 @@
     ///
     /// # Errors
     ///
-    /// [`FactFailure`] where it can't be told whether the turn exists.
+    /// [`FactFailure`] where it can't be told whether the turn exists, or not all of its chain is within reach.
     pub async fn chain(
         &self,
         program: &ProgramId,
         turn: &TurnId,
     ) -> Result<ChainLookup, FactFailure> {
+        let mut wanted = turn.clone();
+        let mut newer: Vec<Bytes> = Vec::new();
+        loop {
+            match self.chain_end(program, &wanted).await? {
+                ChainAnswer::Found(oldest) if newer.is_empty() => {
+                    return Ok(ChainLookup::Found(oldest));
+                }
+                ChainAnswer::Found(oldest) => {
+                    newer.push(oldest);
+                    let joined: Vec<u8> = newer.iter().rev().flatten().copied().collect();
+                    return Ok(ChainLookup::Found(joined.into()));
+                }
+                ChainAnswer::Partial {
+                    missing,
+                    newer: part,
+                } => {
+                    newer.push(part);
+                    wanted = missing;
+                }
+                ChainAnswer::Absent if newer.is_empty() => return Ok(ChainLookup::Absent),
+                ChainAnswer::Absent | ChainAnswer::Unknown => return Err(FactFailure::TooFew),
+            }
+        }
+    }
+
+    /// Asks for a turn with as much of its chain as one keeper has; `Absent` only where that is certain.
+    async fn chain_end(
+        &self,
+        program: &ProgramId,
+        turn: &TurnId,
+    ) -> Result<ChainAnswer, FactFailure> {
         let placement = self.placement.load_full();
         let mut group = self.reachable_group(&placement, program)?;
         group.sort_by_key(|slot| slot.domain != self.domain);
         let request = KeeperRequest::Chain(turn.clone());
+        let mut partial = None;
         if let Some(nearest) = group.first() {
-            let reply = self
-                .ask(nearest.clone(), &placement, request.clone(), ASK_TIMEOUT)
-                .await;
-            if let Some(KeeperReply::Chain(ChainAnswer::Found(chain))) = reply {
-                return Ok(ChainLookup::Found(chain));
+            let asking = self.ask(nearest.clone(), &placement, request.clone(), ASK_TIMEOUT);
+            match asking.await {
+                Some(KeeperReply::Chain(found @ ChainAnswer::Found(_))) => return Ok(found),
+                Some(KeeperReply::Chain(part @ ChainAnswer::Partial { .. })) => {
+                    partial = Some(part);
+                }
+                _ => {}
             }
         }
         let mut replies = self.ask_group(&placement, &placement.slots, &request);
         let mut absent = 0;
         while let Some(reply) = replies.recv().await {
             match reply {
-                Some(KeeperReply::Chain(ChainAnswer::Found(chain))) => {
-                    return Ok(ChainLookup::Found(chain));
+                Some(KeeperReply::Chain(found @ ChainAnswer::Found(_))) => return Ok(found),
+                Some(KeeperReply::Chain(part @ ChainAnswer::Partial { .. })) => {
+                    partial.get_or_insert(part);
                 }
                 Some(KeeperReply::Chain(ChainAnswer::Absent)) => absent += 1,
                 _ => {}
             }
             if absent >= placement.meets_majorities_anywhere() {
-                return Ok(ChainLookup::Absent);
+                break;
             }
         }
+        if let Some(part) = partial {
+            return Ok(part);
+        }
+        if absent >= placement.meets_majorities_anywhere() {
+            return Ok(ChainAnswer::Absent);
+        }
         Err(FactFailure::TooFew)
     }
 
--- a/crates/samphiregrade-gateway/src/fact/health.rs
+++ b/crates/samphiregrade-gateway/src/fact/health.rs
@@ -9,10 +9,10 @@
 use super::placement::{KeeperPlacement, KeeperSlot};
 
 /// Silence after which a keeper is asked whether it is there.
-const ASK_AFTER: Duration = Duration::from_millis(300);
+const ASK_AFTER: Duration = Duration::from_millis(200);
 
 /// Silence after which a keeper counts as out of reach: a question and its answer fit twice.
-const OUT_OF_REACH: Duration = Duration::from_millis(900);
+const OUT_OF_REACH: Duration = Duration::from_millis(650);
 
 /// When each keeper answered last.
 #[derive(Debug, Default)]
--- a/crates/samphiregrade-gateway/src/fact/message.rs
+++ b/crates/samphiregrade-gateway/src/fact/message.rs
@@ -5,6 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
 
+use super::book::KnownChain;
 use super::placement::{KeeperPlacement, PlacementGeneration};
 use crate::model::{ProgramId, SessionId, TurnId, UpstreamId};
 
@@ -207,12 +208,31 @@
 pub enum ChainAnswer {
     /// All its turns, joined: inputs and outputs from the oldest on.
     Found(Bytes),
-    /// The keeper has lost nothing and does not have the turn.
+    /// Its newer turns, joined; other keepers have the rest, since each fact is on a majority only.
+    Partial {
+        /// The oldest turn that the keeper doesn't have.
+        missing: TurnId,
+        /// The turns after it.
+        newer: Bytes,
+    },
+    /// The keeper has lost nothing and does not have the turn itself.
     Absent,
     /// The keeper is still rebuilding and can't tell.
     Unknown,
 }
 
+impl From<KnownChain> for ChainAnswer {
+    fn from(chain: KnownChain) -> Self {
+        match chain.missing {
+            None => Self::Found(chain.joined),
+            Some(missing) => Self::Partial {
+                missing,
+                newer: chain.joined,
+            },
+        }
+    }
+}
+
 /// A keeper's reply.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum KeeperReply {
--- a/crates/samphiregrade-gateway/src/fact/mod.rs
+++ b/crates/samphiregrade-gateway/src/fact/mod.rs
@@ -13,7 +13,7 @@
 mod rebuild;
 mod service;
 
-pub use book::{FactBook, TurnChain};
+pub use book::{FactBook, KnownChain};
 pub use client::{ChainLookup, FactFailure, KeeperClient, ReserveOutcome};
 pub use disk::{DiskState, FactDisk, FactDiskError, RecoveredFacts};
 pub use health::KeeperHealth;
--- a/crates/samphiregrade-gateway/src/fact/service.rs
+++ b/crates/samphiregrade-gateway/src/fact/service.rs
@@ -101,7 +101,7 @@
             }
             KeeperRequest::Chain(turn) => {
                 let answer = self.with(|state| match state.book.chain(&turn, now) {
-                    Some(chain) => ChainAnswer::Found(chain),
+                    Some(chain) => chain.into(),
                     None if state.disk_state.complete => ChainAnswer::Absent,
                     None => ChainAnswer::Unknown,
                 });
--- a/crates/samphiregrade-gateway/src/upstream/balance.rs
+++ b/crates/samphiregrade-gateway/src/upstream/balance.rs
@@ -15,9 +15,13 @@
 /// Costs that differ by less are equal: the views of loads are no better than that, in milliseconds.
 const INDIFFERENCE_MILLISECONDS: f64 = 0.3;
 
-/// Part of a request's own time that each further request on the upstream costs it, per slot: batches and
-/// processors are shared a little even before the slots are full.
-const SHARING: f64 = 0.35;
+/// Part of a plain request's own time that each further request on the upstream costs it, per slot: a
+/// processor is shared a little even before the slots are full.
+const PLAIN_SHARING: f64 = 0.35;
+
+/// What one more request in an engine's batch costs, in milliseconds for each request that runs there: a step
+/// takes some 0.035 ms longer, a turn has about 256 steps, and both the new request and the others wait.
+const BATCH_MILLISECONDS: f64 = 18.0;
 
 /// An upstream as a choice.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -39,23 +43,34 @@
 pub struct WorkEstimate {
     /// How long it holds a slot, in milliseconds.
     pub hold_milliseconds: f64,
+    /// Whether an engine runs it in a batch with others.
+    pub on_engine: bool,
 }
 
 impl Candidate {
-    /// Returns the expected time until the request has ended, in milliseconds.
+    /// Returns what the request costs there, in milliseconds: its own expected time, and on an engine what it
+    /// costs the requests that run there.
+    ///
+    /// An engine reads a prompt between the steps of its batch, so each request that runs waits meanwhile.
+    /// That is what makes a lost cache dearest where engines are nearly full.
     #[must_use]
     pub fn cost(&self, work: &WorkEstimate) -> f64 {
         let slots = self.slots.max(1.0);
-        let read = f64::from(self.uncached_tokens) / PREFILL_TOKENS_PER_MILLISECOND;
+        let running = self.load.min(slots);
         let ahead = (self.load + 1.0 - slots).max(0.0);
         let queue = ahead * work.hold_milliseconds / slots;
-        let shared = SHARING * work.hold_milliseconds * self.load.min(slots) / slots;
         let way = if self.elsewhere {
             OTHER_DOMAIN_MILLISECONDS
         } else {
             0.0
         };
-        read + queue + shared + way + self.penalty.as_secs_f64() * 1000.0
+        let read = f64::from(self.uncached_tokens) / PREFILL_TOKENS_PER_MILLISECOND;
+        let shared = if work.on_engine {
+            read * (1.0 + running) + BATCH_MILLISECONDS * running
+        } else {
+            PLAIN_SHARING * work.hold_milliseconds * running / slots
+        };
+        shared + queue + way + self.penalty.as_secs_f64() * 1000.0
     }
 }
 
--- /dev/null
+++ b/crates/samphiregrade-gateway/tests/suite/keepers.rs
@@ -0,0 +1,242 @@
+//! Keepers and their client over real links and disks.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use arc_swap::ArcSwap;
+use bytes::Bytes;
+use samphiregrade_gateway::fact::{
+    ChainLookup, FactDisk, FactFailure, FactRecord, KeeperClient, KeeperEnvelope, KeeperPlacement,
+    KeeperReply, KeeperRequest, KeeperService, KeeperSlot, Reservation, ReserveOutcome,
+    rebuild_from_others,
+};
+use samphiregrade_gateway::identity::{make_authority, make_identity};
+use samphiregrade_gateway::link::LinkEndpoint;
+use samphiregrade_gateway::observe::GatewayMetrics;
+use tempfile::TempDir;
+use tokio::net::TcpListener;
+
+use crate::facts::turn;
+
+const PATIENCE: Duration = Duration::from_secs(20);
+
+struct Keeper {
+    service: KeeperService,
+    slot: KeeperSlot,
+    _folder: TempDir,
+}
+
+struct Deployment {
+    authority: (String, String),
+    keepers: Vec<Keeper>,
+    placement: KeeperPlacement,
+}
+
+impl Deployment {
+    async fn start() -> Self {
+        let _ = rustls::crypto::ring::default_provider().install_default();
+        let authority = make_authority().expect("an authority");
+        let mut keepers = Vec::new();
+        for name in ["a", "b", "c"] {
+            keepers.push(start_keeper(&authority, name, true).await);
+        }
+        let slots = keepers.iter().map(|keeper| keeper.slot.clone()).collect();
+        let placement = KeeperPlacement::first(slots, 1);
+        for keeper in &keepers {
+            keeper.service.adopt_placement(placement.clone()).await;
+        }
+        Self {
+            authority,
+            keepers,
+            placement,
+        }
+    }
+
+    fn links(&self) -> LinkEndpoint {
+        endpoint(&self.authority, "client")
+    }
+
+    fn client(&self, domain: &str) -> KeeperClient {
+        KeeperClient::new(
+            self.links(),
+            Arc::new(ArcSwap::from_pointee(self.placement.clone())),
+            Arc::new(GatewayMetrics::new().expect("metrics")),
+            domain.into(),
+        )
+    }
+
+    /// Stores a fact on some keepers only, as a write that did not reach the others.
+    async fn store_on(&self, indices: &[usize], fact: &FactRecord) {
+        for &index in indices {
+            let reply = self.keepers[index]
+                .service
+                .answer(KeeperEnvelope {
+                    generation: self.placement.generation,
+                    request: KeeperRequest::Store(fact.clone()),
+                })
+                .await;
+            assert!(matches!(reply, KeeperReply::Stored));
+        }
+    }
+}
+
+fn endpoint(authority: &(String, String), name: &str) -> LinkEndpoint {
+    let identity = make_identity(&authority.0, &authority.1, name).expect("an identity");
+    LinkEndpoint::new(&identity).expect("an endpoint")
+}
+
+async fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    listener.local_addr().expect("an address")
+}
+
+async fn start_keeper(authority: &(String, String), name: &str, first_start: bool) -> Keeper {
+    let folder = TempDir::new().expect("a folder");
+    let (disk, recovered) = FactDisk::open(folder.path()).expect("a disk");
+    let service = KeeperService::new(disk, recovered, first_start);
+    let address = free_address().await;
+    let (serving, answering) = (endpoint(authority, name), service.clone());
+    tokio::spawn(async move {
+        let handler = move |envelope: KeeperEnvelope| {
+            let service = answering.clone();
+            async move { service.answer(envelope).await }
+        };
+        serving
+            .serve(address, handler)
+            .await
+            .expect("a served port");
+    });
+    Keeper {
+        service,
+        slot: KeeperSlot {
+            name: name.into(),
+            address,
+            domain: name.into(),
+        },
+        _folder: folder,
+    }
+}
+
+fn reservation(turn: &str, most: u32) -> FactRecord {
+    FactRecord::Reservation {
+        program: "p".into(),
+        reservation: Reservation {
+            turn: turn.into(),
+            most,
+            spent: None,
+            place: None,
+        },
+        keep: Duration::from_secs(60),
+    }
+}
+
+#[tokio::test]
+async fn chain_is_found_though_no_keeper_has_all_of_it() {
+    let deployment = Deployment::start().await;
+    let first = turn("t1", None, b"in1 ", b"out1\n");
+    let second = turn("t2", Some("t1"), b"in2 ", b"out2\n");
+    let third = turn("t3", Some("t2"), b"in3 ", b"out3\n");
+    deployment.store_on(&[0, 2], &first).await;
+    deployment.store_on(&[0, 1], &second).await;
+    deployment.store_on(&[1, 2], &third).await;
+    let whole = Bytes::from_static(b"in1 out1\nin2 out2\nin3 out3\n");
+    for domain in ["a", "b", "c"] {
+        let client = deployment.client(domain);
+        let found = client.chain(&"p".into(), &"t3".into()).await;
+        assert_eq!(
+            found,
+            Ok(ChainLookup::Found(whole.clone())),
+            "asked from {domain}"
+        );
+    }
+}
+
+#[tokio::test]
+async fn absence_is_certain_only_while_complete_keepers_say_so() {
+    let deployment = Deployment::start().await;
+    let client = deployment.client("a");
+    let missing = client.chain(&"p".into(), &"none".into()).await;
+    assert_eq!(missing, Ok(ChainLookup::Absent));
+    deployment.keepers[0].service.set_complete(false).await;
+    deployment.keepers[1].service.set_complete(false).await;
+    let unsure = client.chain(&"p".into(), &"none".into()).await;
+    assert_eq!(unsure, Err(FactFailure::TooFew));
+}
+
+#[tokio::test]
+async fn budget_is_decided_with_what_any_majority_knows() {
+    let deployment = Deployment::start().await;
+    deployment.store_on(&[0, 1], &reservation("t1", 60)).await;
+    let client = deployment.client("c");
+    let reserve = async |turn: &str, most: u32| {
+        client
+            .reserve(
+                &"p".into(),
+                reservation(turn, most),
+                100,
+                &turn.into(),
+                most,
+            )
+            .await
+    };
+    assert!(matches!(
+        reserve("t2", 40).await,
+        Ok(ReserveOutcome::Held(_))
+    ));
+    assert!(matches!(
+        reserve("t3", 1).await,
+        Ok(ReserveOutcome::OverBudget(_))
+    ));
+}
+
+#[tokio::test]
+async fn keeper_that_lost_its_disk_reads_the_others_before_it_says_no() {
+    let mut deployment = Deployment::start().await;
+    let fact = turn("t1", None, b"in1 ", b"out1\n");
+    deployment.store_on(&[0, 1], &fact).await;
+    let wiped = start_keeper(&deployment.authority, "a", false).await;
+    deployment.placement = deployment
+        .placement
+        .with_occupant(0, "a", wiped.slot.address);
+    deployment.keepers[0] = wiped;
+    for keeper in &deployment.keepers {
+        keeper
+            .service
+            .adopt_placement(deployment.placement.clone())
+            .await;
+    }
+    let service = &deployment.keepers[0].service;
+    assert!(!service.is_complete());
+    let links = deployment.links();
+    let rebuilding = rebuild_from_others(service, &links, "a");
+    tokio::time::timeout(PATIENCE, rebuilding)
+        .await
+        .expect("a rebuilt keeper");
+    assert!(service.is_complete());
+    let client = deployment.client("a");
+    let found = client.chain(&"p".into(), &"t1".into()).await;
+    assert_eq!(
+        found,
+        Ok(ChainLookup::Found(Bytes::from_static(b"in1 out1\n")))
+    );
+}
+
+#[tokio::test]
+async fn old_placement_is_refused_and_the_newer_one_learnt() {
+    let deployment = Deployment::start().await;
+    let newer = deployment
+        .placement
+        .with_occupant(0, "a", deployment.keepers[0].slot.address);
+    for keeper in &deployment.keepers {
+        keeper.service.adopt_placement(newer.clone()).await;
+    }
+    let client = deployment.client("a");
+    let fact = turn("t1", None, b"in", b"out");
+    assert_eq!(
+        client.store(&"p".into(), fact.clone()).await,
+        Err(FactFailure::TooFew)
+    );
+    assert_eq!(client.placement().generation, newer.generation);
+    assert_eq!(client.store(&"p".into(), fact).await, Ok(()));
+}
--- a/crates/samphiregrade-gateway/tests/suite/main.rs
+++ b/crates/samphiregrade-gateway/tests/suite/main.rs
@@ -5,6 +5,7 @@
 mod events;
 mod facts;
 mod follow;
+mod keepers;
 mod keepers_model;
 mod link;
 mod membership;
