--- a/crates/samphiregrade-gateway/tests/suite/facts.rs
+++ b/crates/samphiregrade-gateway/tests/suite/facts.rs
@@ -8,7 +8,7 @@
     FactBook, FactRecord, KnownChain, ProgramLedger, Reservation, TurnFact, TurnPlace,
 };
 
-const KEEP: Duration = Duration::from_secs(60);
+const KEEP: Duration = Duration::from_mins(1);
 
 pub fn turn(id: &str, previous: Option<&str>, input: &[u8], output: &[u8]) -> FactRecord {
     FactRecord::Turn(TurnFact {
@@ -127,7 +127,7 @@
     book.expire(start + Duration::from_secs(100));
     assert_eq!(book.turn_count(), 2);
     assert!(book.chain(&"b".into(), later).is_some());
-    book.expire(start + Duration::from_secs(300));
+    book.expire(start + Duration::from_mins(5));
     assert_eq!((book.turn_count(), book.block_bytes()), (0, 0));
 }
 
--- a/crates/samphiregrade-gateway/tests/suite/keepers.rs
+++ b/crates/samphiregrade-gateway/tests/suite/keepers.rs
@@ -127,7 +127,7 @@
             spent: None,
             place: None,
         },
-        keep: Duration::from_secs(60),
+        keep: Duration::from_mins(1),
     }
 }
 
--- a/crates/samphiregrade-gateway/tests/suite/keepers_model.rs
+++ b/crates/samphiregrade-gateway/tests/suite/keepers_model.rs
@@ -109,7 +109,7 @@
                 let fact = FactRecord::Reservation {
                     program: "p".into(),
                     reservation,
-                    keep: Duration::from_secs(60),
+                    keep: Duration::from_mins(1),
                 };
                 self.store(fact, bits);
             }
--- a/crates/samphiregrade-gateway/tests/suite/upstreams.rs
+++ b/crates/samphiregrade-gateway/tests/suite/upstreams.rs
@@ -64,7 +64,7 @@
     assert_eq!(usable(&registry).len(), 2);
     registry.put(
         entry("i-1", UpstreamState::Ready),
-        now + Duration::from_millis(2000),
+        now + Duration::from_secs(2),
     );
     registry.settle(now + Duration::from_millis(2300));
     assert_eq!(usable(&registry), ["i-1"]);
--- /dev/null
+++ b/tests/deployment/main.rs
@@ -0,0 +1,11 @@
+//! Entry and keeper instances as real processes, between stand-ins of the platform.
+//!
+//! Tests check outcomes only; whatever takes time is waited for, within one generous limit.
+
+mod bad_input;
+mod calm;
+mod configuration;
+mod fixture;
+mod lasting;
+mod stopping;
+mod upstreams;
--- /dev/null
+++ b/tests/deployment/stopping.rs
@@ -0,0 +1,83 @@
+//! Planned stops: what was read is answered, and clients are sent elsewhere.
+
+use std::time::Duration;
+
+use nix::sys::signal::Signal;
+use samphiregrade_http::wire::BodyDecoder;
+use samphiregrade_platform_standins::UpstreamMode;
+
+use crate::fixture::{Client, Request, eventually, with_deployment};
+
+#[test]
+fn stream_under_way_ends_whole_and_the_process_ends_well() {
+    with_deployment(|mut deployment| async move {
+        for engine in &deployment.engines {
+            engine.set_mode(UpstreamMode::Slow(Duration::from_millis(700)));
+        }
+        let mut client = Client::connect(deployment.entries[0].clients())
+            .await
+            .expect("a connection");
+        client
+            .send(
+                &Request::turn("t1", None)
+                    .with("X-Token-Budget", "4000")
+                    .encode(),
+            )
+            .await;
+        let head = client.head().await.expect("a head");
+        let mut decoder = BodyDecoder::new(head.framing().expect("a framing"));
+        client.piece(&mut decoder).await.expect("a first event");
+        deployment.entries[0].signal(Signal::SIGTERM);
+        let readiness = deployment.entries[0].readiness();
+        eventually("the instance is not ready", async || {
+            let asked = Request::new("GET", "/readiness", "q").send(readiness).await;
+            asked
+                .is_some_and(|answer| answer.status == 503)
+                .then_some(())
+        })
+        .await;
+        let mut kept = Client::connect(deployment.entries[0].clients())
+            .await
+            .expect("a connection");
+        kept.send(&Request::new("GET", "/read/1", "late").encode())
+            .await;
+        let answer = kept.answer().await.expect("an answer");
+        assert_eq!(
+            (answer.status, answer.header("Connection")),
+            (200, Some("close"))
+        );
+        let whole = loop {
+            match client.piece(&mut decoder).await {
+                Ok(_) => {}
+                Err(whole) => break whole,
+            }
+        };
+        assert!(whole);
+        assert!(deployment.entries[0].ended().await.success());
+    });
+}
+
+#[test]
+fn changed_settings_are_checked_and_told() {
+    with_deployment(|deployment| async move {
+        deployment.entries[0].signal(Signal::SIGHUP);
+        eventually("the reload's line", async || {
+            let log = deployment.entries[0].log();
+            log.contains("\"event\":\"settings-reload\",\"valid\":true")
+                .then_some(())
+        })
+        .await;
+        let answer = Request::new("GET", "/read/1", "r")
+            .send(deployment.entries[0].clients())
+            .await;
+        assert_eq!(answer.expect("an answer").status, 200);
+    });
+}
+
+#[test]
+fn keeper_ends_at_once_when_told() {
+    with_deployment(|mut deployment| async move {
+        deployment.keepers[0].signal(Signal::SIGTERM);
+        assert!(deployment.keepers[0].ended().await.success());
+    });
+}
