Gather changes of the store; registrations apart from what entries follow

Change: after changes a follower waits 0.3 s (upstreams) or 0.15 s (configuration) before it asks again; keepers register under a prefix of their own. Ruled out: fewer watches (each entry needs three; waiting ones are cheap).

--- a/crates/samphiregrade-gateway/src/role/authority.rs
+++ b/crates/samphiregrade-gateway/src/role/authority.rs
@@ -4,18 +4,22 @@
 
 use crate::identity::{IdentityError, LinkIdentity, make_authority, make_identity};
 
-/// Prefix of all keys that instances write for each other.
-pub const SHARED_PREFIX: &str = "samphiregrade/";
+/// Prefix of the keys that every instance follows. Each change there costs a call of each instance, so there
+/// are only two.
+pub const SHARED_PREFIX: &str = "samphiregrade/shared/";
 
 /// Key of the authority.
-pub const AUTHORITY_KEY: &str = "samphiregrade/authority";
+pub const AUTHORITY_KEY: &str = "samphiregrade/shared/authority";
 
 /// Key of the placement of keepers.
-pub const PLACEMENT_KEY: &str = "samphiregrade/placement";
+pub const PLACEMENT_KEY: &str = "samphiregrade/shared/placement";
 
-/// Prefix of the keepers' registrations.
+/// Prefix of the keepers' registrations, which only keepers follow.
 pub const REGISTRATION_PREFIX: &str = "samphiregrade/keepers/";
 
+/// Prefix of all keys that keepers follow.
+pub const KEEPER_PREFIX: &str = "samphiregrade/";
+
 /// Certificate and key of the authority, as PEM text.
 ///
 /// The first keeper makes it. It lies in the platform's key-value service, which only the platform and the
--- a/crates/samphiregrade-gateway/src/role/entry.rs
+++ b/crates/samphiregrade-gateway/src/role/entry.rs
@@ -27,6 +27,13 @@
 /// Part of the machine's memory for chains of turns.
 const TURN_CACHE_SHARE: u64 = 10;
 
+/// Time for which changes of upstreams are gathered: upstreams start and leave in groups, and one that
+/// leaves must get nothing two seconds later.
+const UPSTREAM_GATHER: Duration = Duration::from_millis(300);
+
+/// Time for which changes of the configuration are gathered: one is to be in force within two seconds.
+const CONFIG_GATHER: Duration = Duration::from_millis(150);
+
 /// Events of the key-value service that may wait.
 const EVENT_QUEUE: usize = 64;
 
@@ -247,20 +254,21 @@
     registry: UpstreamRegistry,
     ended: &CancellationToken,
 ) {
-    let follow = |prefix: &'static str| {
+    let follow = |prefix: &'static str, gather: Duration| {
         let (sender, events) = mpsc::channel(EVENT_QUEUE);
         tokio::spawn(follow_prefix(
             store.separate(),
             prefix,
+            gather,
             sender,
             ended.clone(),
         ));
         events
     };
     let dialect = &context.dialect;
-    let configuration = follow(dialect.configuration_key());
-    let upstreams = follow(dialect.upstream_prefix());
-    let shared = follow(SHARED_PREFIX);
+    let configuration = follow(dialect.configuration_key(), CONFIG_GATHER);
+    let upstreams = follow(dialect.upstream_prefix(), UPSTREAM_GATHER);
+    let shared = follow(SHARED_PREFIX, CONFIG_GATHER);
     tokio::spawn(take_configurations(context.clone(), configuration));
     tokio::spawn(take_upstreams(context.clone(), registry, upstreams));
     tokio::spawn(take_shared(
--- a/crates/samphiregrade-gateway/src/role/keeper.rs
+++ b/crates/samphiregrade-gateway/src/role/keeper.rs
@@ -13,7 +13,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::authority::{
-    AUTHORITY_KEY, LinkAuthority, PLACEMENT_KEY, REGISTRATION_PREFIX, SHARED_PREFIX,
+    AUTHORITY_KEY, KEEPER_PREFIX, LinkAuthority, PLACEMENT_KEY, REGISTRATION_PREFIX,
 };
 use super::membership::{MemberView, MembershipStep, next_step};
 use super::probe_server::{ProbeAnswer, serve_probes};
@@ -40,6 +40,9 @@
 /// Pause before the key-value service is asked again for what a start needs.
 const START_PAUSE: Duration = Duration::from_millis(150);
 
+/// Time for which changes are gathered: registrations come together at the start.
+const FOLLOW_GATHER: Duration = Duration::from_millis(100);
+
 /// Events of the key-value service that may wait.
 const EVENT_QUEUE: usize = 64;
 
@@ -245,7 +248,7 @@
     }
 
     async fn run(mut self, stop: &CancellationToken) {
-        let mut shared = self.follow(SHARED_PREFIX, stop);
+        let mut shared = self.follow(KEEPER_PREFIX, stop);
         let mut operators = self.follow(self.dialect.retirement_prefix(), stop);
         let (probed, mut answers) = mpsc::channel(EVENT_QUEUE);
         let mut next_expiry = Instant::now() + EXPIRY_INTERVAL;
@@ -282,6 +285,7 @@
         tokio::spawn(follow_prefix(
             self.store.separate(),
             prefix,
+            FOLLOW_GATHER,
             sender,
             stop.clone(),
         ));
--- a/crates/samphiregrade-gateway/src/store/follow.rs
+++ b/crates/samphiregrade-gateway/src/store/follow.rs
@@ -40,15 +40,19 @@
 }
 
 /// Follows a prefix until cancelled; the events go to the sender.
+///
+/// After changes it waits for `gather` before it asks again, so that changes that come together cost one call.
 pub async fn follow_prefix(
     client: StoreClient,
     prefix: &'static str,
+    gather: Duration,
     events: mpsc::Sender<FollowEvent>,
     cancel: CancellationToken,
 ) {
     let mut follower = PrefixFollower {
         client,
         prefix,
+        gather,
         events,
         position: None,
         pause: FIRST_PAUSE,
@@ -63,6 +67,7 @@
 struct PrefixFollower {
     client: StoreClient,
     prefix: &'static str,
+    gather: Duration,
     events: mpsc::Sender<FollowEvent>,
     /// Revision after which to go on; `None` where everything has to be read.
     position: Option<u64>,
@@ -107,7 +112,12 @@
             return true;
         };
         self.position = Some(page.at);
-        self.events.send(event).await.is_ok()
+        let changed = !page.items.is_empty();
+        let open = self.events.send(event).await.is_ok();
+        if changed {
+            tokio::time::sleep(self.gather).await;
+        }
+        open
     }
 
     async fn fail(&mut self, failure: &StoreFailure) -> bool {
--- a/crates/samphiregrade-gateway/tests/suite/follow.rs
+++ b/crates/samphiregrade-gateway/tests/suite/follow.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use samphiregrade_gateway::observe::GatewayMetrics;
 use samphiregrade_gateway::store::{FollowEvent, StoreClient, follow_prefix};
@@ -60,10 +61,12 @@
     let client = StoreClient::new(address, Arc::new(PlatformDialect), metrics);
     let (sender, events) = mpsc::channel(16);
     let cancel = CancellationToken::new();
-    tokio::spawn(follow_prefix(client, "op/", sender, cancel.clone()));
+    tokio::spawn(follow_prefix(client, "op/", GATHER, sender, cancel.clone()));
     (targets, events, cancel)
 }
 
+const GATHER: Duration = Duration::from_millis(10);
+
 const OLD: &str =
     r#"{"items":[{"key":"op/config","value":"djE=","revision":3}],"hasMore":false,"at":9}"#;
 const NEW: &str =
