Keep turns on disk with an index in memory; homes for shared first parts of prompts

Rebuilding took up to 10 s: all facts of all others, one keeper after the other. Change: the index keeps where a turn stands; a thread of its own reads. The code for equal blocks is gone. A rebuild asks for what its slot has to have and does not have yet, six parts at once. First parts of prompts have homes among the engines, drawn by hash in proportion to their share of the requests. Ruled out: fragments (turns in chunks of 256 kB: 71.9 MB as before).

--- a/crates/samphiregrade-gateway/src/exchange/context.rs
+++ b/crates/samphiregrade-gateway/src/exchange/context.rs
@@ -12,7 +12,7 @@
 use crate::model::DomainId;
 use crate::observe::GatewayMetrics;
 use crate::routing::RouteTable;
-use crate::upstream::UpstreamDirectory;
+use crate::upstream::{FirstParts, UpstreamDirectory};
 
 /// Shared state of an entry instance.
 pub struct EntryContext {
@@ -24,6 +24,8 @@
     pub directory: Arc<ArcSwap<UpstreamDirectory>>,
     /// The keepers; `None` until the deployment's authority is known.
     pub keepers: ArcSwapOption<KeeperClient>,
+    /// How often first parts of prompts are seen here.
+    pub first_parts: FirstParts,
     /// Chains of turns that ended here.
     pub turns: TurnCache,
     /// Counters.
@@ -49,6 +51,7 @@
             routes: ArcSwapOption::empty(),
             directory,
             keepers: ArcSwapOption::empty(),
+            first_parts: FirstParts::default(),
             turns,
             metrics,
             domain,
--- a/crates/samphiregrade-gateway/src/exchange/dispatch.rs
+++ b/crates/samphiregrade-gateway/src/exchange/dispatch.rs
@@ -13,7 +13,7 @@
 use super::refusal::{Refusal, RefusalReason};
 use super::request::RoutedRequest;
 use crate::model::{AnswerMetadata, DispatchOrders};
-use crate::upstream::{Candidate, InFlightGuard, Upstream, WorkEstimate, choose_upstream};
+use crate::upstream::{Candidate, InFlightGuard, Upstream, WorkEstimate, choose_upstream, homes};
 
 /// Longest wait for a connection to an upstream: many round trips within a region.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -173,10 +173,19 @@
         .collect();
     let fit = if trusted.is_empty() { fit } else { trusted };
     let prompt = &request.metadata.prompt;
+    let engines: Vec<u64> = fit.iter().map(|upstream| upstream.tag).collect();
+    let homes = match prompt.first() {
+        Some(first) => {
+            let share = context.first_parts.count(first.tag, now);
+            homes(first.tag, share, &engines)
+        }
+        None => vec![false; fit.len()],
+    };
     let candidates: Vec<Candidate> = fit
         .iter()
-        .map(|upstream| {
-            let mut candidate = upstream.candidate(prompt, &context.domain, now);
+        .zip(homes)
+        .map(|(upstream, home)| {
+            let mut candidate = upstream.candidate(prompt, home, &context.domain, now);
             // Another instance may have sent the turn before; the keepers have told where.
             if let Some(uncached) = request.uncached_at_last_place(&upstream.entry.id) {
                 candidate.uncached_tokens = candidate.uncached_tokens.min(uncached);
--- a/crates/samphiregrade-gateway/src/fact/book.rs
+++ b/crates/samphiregrade-gateway/src/fact/book.rs
@@ -1,35 +1,80 @@
-//! The facts that a keeper has, in memory: pure, without sockets or disk.
+//! The facts that a keeper has: an index in memory, pure, without sockets or disk.
+//!
+//! What turns said is many times larger than all that is known about them, so it stays on disk once it is there;
+//! the index tells where.
 
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use bytes::{BufMut, Bytes, BytesMut};
+use bytes::Bytes;
+use smol_str::SmolStr;
 
-use super::message::{FactExport, FactRecord, ProgramLedger, Reservation, TurnFact, TurnPlace};
+use super::message::{ExportRequest, FactRecord, ProgramLedger, Reservation, TurnFact, TurnPlace};
+use super::placement::KeeperPlacement;
 use crate::model::{ProgramId, TurnId};
 
-/// Parts into which all facts are divided for a keeper that rebuilds.
+/// Parts into which all facts are divided for a keeper that rebuilds: one part of a small disk is well under a
+/// megabyte.
 pub const EXPORT_PARTS: u8 = 128;
 
 /// Time beyond its own for which a fact is kept: a turn that comes at the last moment still finds its
 /// chain, also where it waits for the store.
-const KEEP_MARGIN: Duration = Duration::from_secs(30);
+const KEEP_MARGIN: Duration = Duration::from_secs(10);
 
-/// Inputs are cut into blocks of this size, and equal blocks are kept once. Programs of a class begin with the
-/// same several thousand bytes.
-const BLOCK_BYTES: usize = 1024;
+/// Where a fact's frame stands on disk.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct FrameLocation {
+    /// Number of the segment.
+    pub segment: u64,
+    /// First byte of the frame.
+    pub offset: u64,
+    /// Bytes of the frame.
+    pub length: usize,
+}
 
-type BlockHash = [u8; 16];
+/// What a turn said, or where that stands.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum TurnContent {
+    /// It is not on disk yet.
+    Memory {
+        /// What the client sent.
+        input: Bytes,
+        /// What the upstream answered.
+        output: Bytes,
+    },
+    /// It is on disk.
+    Disk(FrameLocation),
+}
+
+impl TurnContent {
+    /// Returns a turn's content in memory.
+    #[must_use]
+    pub fn of(turn: &TurnFact) -> Self {
+        Self::Memory {
+            input: turn.input.clone(),
+            output: turn.output.clone(),
+        }
+    }
+}
 
 /// What is known of a chain.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct KnownChain {
-    /// Joined inputs and outputs, from the oldest known turn on.
-    pub joined: Bytes,
+    /// Its turns, from the oldest known one on.
+    pub turns: Vec<TurnContent>,
     /// The turn before these, where it is not known.
     pub missing: Option<TurnId>,
 }
 
+/// One part of all facts.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct FactPart {
+    /// Facts that are whole in memory.
+    pub facts: Vec<FactRecord>,
+    /// Turns that stand on disk.
+    pub on_disk: Vec<FrameLocation>,
+}
+
 struct ProgramEntry {
     ledger: ProgramLedger,
     keep: Duration,
@@ -39,25 +84,11 @@
 struct TurnEntry {
     program: ProgramId,
     previous: Option<TurnId>,
-    blocks: Vec<Bytes>,
-    output: Bytes,
+    content: TurnContent,
     spent: u32,
-    place: Option<TurnPlace>,
+    bytes: usize,
     keep: Duration,
     used: Instant,
-    /// Part of an export that it belongs to.
-    part: u8,
-}
-
-impl TurnEntry {
-    fn bytes(&self) -> usize {
-        self.blocks.iter().map(Bytes::len).sum::<usize>() + self.output.len()
-    }
-}
-
-struct SharedBlock {
-    bytes: Bytes,
-    users: usize,
 }
 
 /// All facts of a keeper.
@@ -65,7 +96,6 @@
 pub struct FactBook {
     programs: HashMap<ProgramId, ProgramEntry>,
     turns: HashMap<TurnId, TurnEntry>,
-    blocks: HashMap<BlockHash, SharedBlock>,
     live_bytes: usize,
 }
 
@@ -116,34 +146,26 @@
         let entry = TurnEntry {
             program: turn.program.clone(),
             previous: turn.previous.clone(),
-            blocks: self.share_blocks(&turn.input),
-            output: Bytes::copy_from_slice(&turn.output),
+            content: TurnContent::of(turn),
             spent: turn.spent,
-            place: turn.place.clone(),
+            bytes: turn.input.len() + turn.output.len(),
             keep: turn.keep,
             used: now,
-            part: part_of(&turn.input[..turn.input.len().min(BLOCK_BYTES)]),
         };
-        self.live_bytes += entry.bytes();
+        self.live_bytes += entry.bytes;
         self.turns.insert(turn.turn.clone(), entry);
         self.use_chain(&turn.turn, now);
         true
     }
 
-    fn share_blocks(&mut self, input: &[u8]) -> Vec<Bytes> {
-        let mut shared = Vec::with_capacity(input.len() / BLOCK_BYTES + 1);
-        for block in input.chunks(BLOCK_BYTES) {
-            let entry = self
-                .blocks
-                .entry(block_hash(block))
-                .or_insert_with(|| SharedBlock {
-                    bytes: Bytes::copy_from_slice(block),
-                    users: 0,
-                });
-            entry.users += 1;
-            shared.push(entry.bytes.clone());
+    /// Notes where a fact stands on disk now; memory gives its content up.
+    pub fn place_on_disk(&mut self, fact: &FactRecord, location: FrameLocation) {
+        let FactRecord::Turn(turn) = fact else {
+            return;
+        };
+        if let Some(entry) = self.turns.get_mut(&turn.turn) {
+            entry.content = TurnContent::Disk(location);
         }
-        shared
     }
 
     /// Marks a chain as used, so that its older turns are kept as long as its newest.
@@ -168,72 +190,91 @@
 
     /// Returns what is known of the chain that ends with a turn; `None` where the turn itself is not known.
     pub fn chain(&mut self, turn: &TurnId, now: Instant) -> Option<KnownChain> {
-        let mut line = Vec::new();
-        let mut length = 0;
+        let mut turns = Vec::new();
         let mut next = Some(turn);
         while let Some(id) = next {
             let Some(entry) = self.turns.get(id) else {
                 break;
             };
-            length += entry.bytes();
             next = entry.previous.as_ref();
-            line.push(entry);
+            turns.push(entry.content.clone());
         }
-        if line.is_empty() {
+        if turns.is_empty() {
             return None;
         }
-        let mut chain = BytesMut::with_capacity(length);
-        for entry in line.iter().rev() {
-            for block in &entry.blocks {
-                chain.put_slice(block);
-            }
-            chain.put_slice(&entry.output);
-        }
+        turns.reverse();
         let missing = next.cloned();
         self.use_chain(turn, now);
-        Some(KnownChain {
-            joined: chain.freeze(),
-            missing,
-        })
+        Some(KnownChain { turns, missing })
+    }
+
+    /// Returns the marks of the turns of one part that are known.
+    #[must_use]
+    pub fn known_turns(&self, part: u8) -> Vec<u64> {
+        let turns = self.turns.keys().map(mark_of);
+        turns
+            .filter(|mark| mark.part == part)
+            .map(|mark| mark.number)
+            .collect()
     }
 
-    /// Returns the facts of one part.
-    ///
-    /// Turns whose inputs begin alike are in one part, so that their common blocks go out once.
+    /// Returns the facts of one part, without the turns that are known already and without programs that a
+    /// slot's keeper does not have to have.
     #[must_use]
-    pub fn export(&self, part: u8) -> FactExport {
-        let mut export = FactExport::default();
+    pub fn export(&self, request: &ExportRequest, placement: &KeeperPlacement) -> FactPart {
+        let wanted = |program: &str| {
+            let slot = request.slot.filter(|_| !placement.slots.is_empty());
+            slot.is_none_or(|slot| placement.group(program).contains(&slot))
+        };
+        let mut exported = FactPart::default();
         for (program, entry) in &self.programs {
-            if part_of(program.as_bytes()) != part {
+            if mark_of(program).part != request.part || !wanted(program) {
                 continue;
             }
             for reservation in &entry.ledger.reservations {
+                // A turn says what its reservation says.
                 if self.turns.contains_key(&reservation.turn) {
                     continue;
                 }
-                export.facts.push(FactRecord::Reservation {
+                exported.facts.push(FactRecord::Reservation {
                     program: program.clone(),
                     reservation: reservation.clone(),
                     keep: entry.keep,
                 });
             }
         }
-        let mut places: HashMap<*const u8, u32> = HashMap::new();
         for (turn, entry) in &self.turns {
-            if entry.part != part {
+            let mark = mark_of(turn);
+            let known = mark.part != request.part || request.known.contains(&mark.number);
+            if known || !wanted(&entry.program) {
                 continue;
             }
-            export.facts.push(FactRecord::Turn(bare_turn(turn, entry)));
-            let indices = entry.blocks.iter().map(|block| {
-                *places.entry(block.as_ptr()).or_insert_with(|| {
-                    export.blocks.push(block.clone());
-                    u32::try_from(export.blocks.len() - 1).unwrap_or(u32::MAX)
-                })
-            });
-            let indices = indices.collect();
-            export.inputs.push(indices);
+            match &entry.content {
+                TurnContent::Disk(location) => exported.on_disk.push(*location),
+                TurnContent::Memory { input, output } => {
+                    exported.facts.push(FactRecord::Turn(TurnFact {
+                        program: entry.program.clone(),
+                        turn: turn.clone(),
+                        previous: entry.previous.clone(),
+                        input: input.clone(),
+                        output: output.clone(),
+                        spent: entry.spent,
+                        place: self.place_of(&entry.program, turn),
+                        keep: entry.keep,
+                    }));
+                }
+            }
         }
-        export
+        exported
+    }
+
+    fn place_of(&self, program: &ProgramId, turn: &TurnId) -> Option<TurnPlace> {
+        let ledger = &self.programs.get(program)?.ledger;
+        let known = ledger
+            .reservations
+            .iter()
+            .find(|known| known.turn == *turn)?;
+        known.place.clone()
     }
 
     /// Drops what nobody has used for its time.
@@ -243,33 +284,13 @@
         };
         self.programs
             .retain(|_, entry| !over(entry.used, entry.keep));
-        let mut released: Vec<TurnEntry> = Vec::new();
-        let ended: Vec<TurnId> = self
-            .turns
-            .iter()
-            .filter(|(_, entry)| over(entry.used, entry.keep))
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in ended {
-            released.extend(self.turns.remove(&id));
-        }
-        for entry in released {
-            self.live_bytes = self.live_bytes.saturating_sub(entry.bytes());
-            self.release_blocks(&entry.blocks);
-        }
-    }
-
-    fn release_blocks(&mut self, blocks: &[Bytes]) {
-        for block in blocks {
-            let hash = block_hash(block);
-            let Some(shared) = self.blocks.get_mut(&hash) else {
-                continue;
-            };
-            shared.users -= 1;
-            if shared.users == 0 {
-                self.blocks.remove(&hash);
-            }
-        }
+        let mut released = 0;
+        self.turns.retain(|_, entry| {
+            let keeps = !over(entry.used, entry.keep);
+            released += if keeps { 0 } else { entry.bytes };
+            keeps
+        });
+        self.live_bytes -= released;
     }
 
     /// Returns the turns that are kept.
@@ -278,39 +299,31 @@
         self.turns.len()
     }
 
-    /// Returns the bytes of all turns as they were sent.
+    /// Returns the programs whose budgets are kept.
     #[must_use]
-    pub fn live_bytes(&self) -> usize {
-        self.live_bytes
+    pub fn program_count(&self) -> usize {
+        self.programs.len()
     }
 
-    /// Returns the bytes of input that memory holds, equal blocks counted once.
+    /// Returns the bytes of all turns as they were sent.
     #[must_use]
-    pub fn block_bytes(&self) -> usize {
-        self.blocks.values().map(|block| block.bytes.len()).sum()
-    }
-}
-
-/// Returns a turn's fact without its input.
-fn bare_turn(turn: &TurnId, entry: &TurnEntry) -> TurnFact {
-    TurnFact {
-        program: entry.program.clone(),
-        turn: turn.clone(),
-        previous: entry.previous.clone(),
-        input: Bytes::new(),
-        output: entry.output.clone(),
-        spent: entry.spent,
-        place: entry.place.clone(),
-        keep: entry.keep,
+    pub fn live_bytes(&self) -> usize {
+        self.live_bytes
     }
 }
 
-fn block_hash(block: &[u8]) -> BlockHash {
-    let mut hash = BlockHash::default();
-    hash.copy_from_slice(&blake3::hash(block).as_bytes()[..16]);
-    hash
+/// Which part an id belongs to, and a number that stands for it.
+struct IdMark {
+    part: u8,
+    number: u64,
 }
 
-fn part_of(key: &[u8]) -> u8 {
-    blake3::hash(key).as_bytes()[0] % EXPORT_PARTS
+fn mark_of(id: &SmolStr) -> IdMark {
+    let hash = blake3::hash(id.as_bytes());
+    let mut number = [0; 8];
+    number.copy_from_slice(&hash.as_bytes()[1..9]);
+    IdMark {
+        part: hash.as_bytes()[0] % EXPORT_PARTS,
+        number: u64::from_le_bytes(number),
+    }
 }
--- a/crates/samphiregrade-gateway/src/fact/disk.rs
+++ b/crates/samphiregrade-gateway/src/fact/disk.rs
@@ -7,6 +7,7 @@
 
 use std::fs::{self, File, OpenOptions};
 use std::io::{self, Write};
+use std::ops::Range;
 use std::path::{Path, PathBuf};
 use std::sync::mpsc;
 use std::thread;
@@ -17,9 +18,10 @@
 use thiserror::Error;
 use tokio::sync::oneshot;
 
-use super::book::FactBook;
-use super::message::FactRecord;
+use super::book::{FactBook, FrameLocation};
+use super::message::{FactRecord, TurnFact};
 use super::placement::KeeperPlacement;
+use super::reader::FactReader;
 
 /// Bytes of a frame before its payload: length and checksum.
 const FRAME_HEAD: usize = 12;
@@ -37,7 +39,7 @@
 const QUEUE_LIMIT: usize = 4096;
 
 /// Size at which a segment is ended: a restart reads one into memory at a time.
-const SEGMENT_BYTES: usize = 4 << 20;
+const SEGMENT_BYTES: u64 = 4 << 20;
 
 const STATE_FILE: &str = "state";
 const SEGMENT_PREFIX: &str = "facts-";
@@ -83,8 +85,11 @@
     pub damaged: usize,
 }
 
+/// Where appended facts stand; `None` where they are not durable.
+type AppendReply = oneshot::Sender<Option<Vec<FrameLocation>>>;
+
 enum DiskJob {
-    Append(Vec<FactRecord>, Option<oneshot::Sender<bool>>),
+    Append(Vec<FactRecord>, Option<AppendReply>),
     BeginSegment(oneshot::Sender<bool>),
     DropOlder,
     Remember(DiskState, oneshot::Sender<bool>),
@@ -94,6 +99,7 @@
 #[derive(Clone, Debug)]
 pub struct FactDisk {
     jobs: mpsc::SyncSender<DiskJob>,
+    reader: FactReader,
 }
 
 impl FactDisk {
@@ -122,17 +128,17 @@
             .name("fact-disk".to_owned())
             .spawn(move || writer.run(&queue))
             .map_err(system)?;
-        Ok((Self { jobs }, recovered))
-    }
-
-    /// Appends a fact; resolves to whether it is durable.
-    pub async fn append(&self, fact: FactRecord) -> bool {
-        self.append_all(vec![fact]).await
+        let reader = FactReader::start(folder).map_err(system)?;
+        Ok((Self { jobs, reader }, recovered))
     }
 
-    /// Appends facts with one sync; resolves to whether they are durable.
-    pub async fn append_all(&self, facts: Vec<FactRecord>) -> bool {
-        self.ask(|reply| DiskJob::Append(facts, Some(reply))).await
+    /// Appends facts with one sync; resolves to where they stand, `None` where they are not durable.
+    pub async fn append(&self, facts: Vec<FactRecord>) -> Option<Vec<FrameLocation>> {
+        let (reply, locations) = oneshot::channel();
+        self.jobs
+            .try_send(DiskJob::Append(facts, Some(reply)))
+            .ok()?;
+        locations.await.ok()?
     }
 
     /// Appends a fact that is durable with the next one.
@@ -148,6 +154,11 @@
         }
     }
 
+    /// Reads turns; `None` where not all of them can be read.
+    pub async fn read(&self, locations: Vec<FrameLocation>) -> Option<Vec<TurnFact>> {
+        self.reader.read(locations).await
+    }
+
     /// Begins a new segment, to which all live facts are then written; resolves to whether it began.
     pub async fn begin_segment(&self) -> bool {
         self.ask(DiskJob::BeginSegment).await
@@ -177,12 +188,65 @@
     }
 }
 
+/// Where written bytes begin.
+#[derive(Clone, Copy, Debug)]
+struct WrittenAt {
+    segment: u64,
+    offset: u64,
+}
+
+/// Jobs that are written with one sync.
+#[derive(Default)]
+struct AppendGroup {
+    bytes: Vec<u8>,
+    answers: Vec<GroupAnswer>,
+}
+
+/// Where the frames of one job stand in the group, and who asked.
+struct GroupAnswer {
+    frames: Vec<Range<usize>>,
+    reply: AppendReply,
+}
+
+impl AppendGroup {
+    fn add(&mut self, facts: &[FactRecord], reply: Option<AppendReply>) {
+        let mut frames = Vec::with_capacity(facts.len());
+        for fact in facts {
+            let start = self.bytes.len();
+            encode_frame(fact, &mut self.bytes);
+            frames.push(start..self.bytes.len());
+        }
+        if let Some(reply) = reply {
+            self.answers.push(GroupAnswer { frames, reply });
+        }
+    }
+
+    fn answer(self, written: Option<WrittenAt>) {
+        for answer in self.answers {
+            let locations = written.map(|at| answer.locations(at));
+            // Whoever asked may have given up; the facts are durable all the same.
+            let _ = answer.reply.send(locations);
+        }
+    }
+}
+
+impl GroupAnswer {
+    fn locations(&self, at: WrittenAt) -> Vec<FrameLocation> {
+        let frames = self.frames.iter().map(|frame| FrameLocation {
+            segment: at.segment,
+            offset: at.offset + frame.start as u64,
+            length: frame.len(),
+        });
+        frames.collect()
+    }
+}
+
 struct SegmentWriter {
     folder: PathBuf,
     number: u64,
     file: Option<File>,
     /// Bytes in the open segment.
-    written: usize,
+    written: u64,
     /// Segment that was begun last by a compaction.
     kept_from: u64,
 }
@@ -202,10 +266,12 @@
                     // The asker may have given up; the next segment begins all the same.
                     let _ = reply.send(true);
                 }
-                DiskJob::DropOlder => log_failure("removal of old segments", &self.drop_older()),
+                DiskJob::DropOlder => {
+                    log_failure("removal of old segments", self.drop_older().as_ref().err());
+                }
                 DiskJob::Remember(state, reply) => {
                     let done = self.remember(&state);
-                    log_failure("state", &done);
+                    log_failure("state", done.as_ref().err());
                     // The asker may have given up; the state is written all the same.
                     let _ = reply.send(done.is_ok());
                 }
@@ -217,23 +283,18 @@
     fn append_group(
         &mut self,
         facts: &[FactRecord],
-        reply: Option<oneshot::Sender<bool>>,
+        reply: Option<AppendReply>,
         queue: &mpsc::Receiver<DiskJob>,
     ) -> Option<DiskJob> {
-        let mut bytes = Vec::new();
-        let mut replies = Vec::new();
+        let mut group = AppendGroup::default();
         let mut held = None;
-        encode_frames(facts, &mut bytes);
-        replies.extend(reply);
+        group.add(facts, reply);
         for _ in 1..GROUP_LIMIT {
-            if bytes.len() > GROUP_BYTES {
+            if group.bytes.len() > GROUP_BYTES {
                 break;
             }
             match queue.try_recv() {
-                Ok(DiskJob::Append(facts, reply)) => {
-                    encode_frames(&facts, &mut bytes);
-                    replies.extend(reply);
-                }
+                Ok(DiskJob::Append(facts, reply)) => group.add(&facts, reply),
                 Ok(other) => {
                     held = Some(other);
                     break;
@@ -241,16 +302,14 @@
                 Err(_) => break,
             }
         }
-        let written = self.write_synced(&bytes);
-        log_failure("facts", &written);
-        for reply in replies {
-            // Whoever asked may have given up; the fact is durable all the same.
-            let _ = reply.send(written.is_ok());
-        }
+        let written = self.write_synced(&group.bytes);
+        log_failure("facts", written.as_ref().err());
+        group.answer(written.ok());
         held
     }
 
-    fn write_synced(&mut self, bytes: &[u8]) -> io::Result<()> {
+    /// Writes bytes durably; returns where they begin.
+    fn write_synced(&mut self, bytes: &[u8]) -> io::Result<WrittenAt> {
         let file = match self.file.take() {
             Some(file) => file,
             None => self.next_segment()?,
@@ -258,11 +317,15 @@
         // After a failure the file is not used again: its end may be torn.
         (&file).write_all(bytes)?;
         file.sync_data()?;
-        self.written += bytes.len();
+        let at = WrittenAt {
+            segment: self.number,
+            offset: self.written,
+        };
+        self.written += bytes.len() as u64;
         if self.written < SEGMENT_BYTES {
             self.file = Some(file);
         }
-        Ok(())
+        Ok(at)
     }
 
     fn next_segment(&mut self) -> io::Result<File> {
@@ -299,18 +362,12 @@
     }
 }
 
-fn log_failure(what: &str, result: &io::Result<()>) {
-    if let Err(error) = result {
+fn log_failure(what: &str, failure: Option<&io::Error>) {
+    if let Some(error) = failure {
         log::warn!("{what} not written to disk: {error}; a new file is tried next");
     }
 }
 
-fn encode_frames(facts: &[FactRecord], output: &mut Vec<u8>) {
-    for fact in facts {
-        encode_frame(fact, output);
-    }
-}
-
 fn checksum(payload: &[u8]) -> [u8; 8] {
     let mut sum = [0; 8];
     sum.copy_from_slice(&blake3::hash(payload).as_bytes()[..8]);
@@ -334,15 +391,20 @@
     output.extend_from_slice(&payload);
 }
 
-/// Returns the next whole frame's payload and what follows; `None` at the end or at damage.
-fn next_frame(bytes: &[u8]) -> Option<(&[u8], &[u8])> {
+/// Returns the payload of the whole frame at the front; `None` at the end or at damage.
+fn frame_payload(bytes: &[u8]) -> Option<&[u8]> {
     let length = u32::from_le_bytes(bytes.get(..4)?.try_into().ok()?) as usize;
     if length > FRAME_LIMIT {
         return None;
     }
     let sum = bytes.get(4..FRAME_HEAD)?;
     let payload = bytes.get(FRAME_HEAD..FRAME_HEAD + length)?;
-    (checksum(payload) == sum).then_some((payload, &bytes[FRAME_HEAD + length..]))
+    (checksum(payload) == sum).then_some(payload)
+}
+
+/// Decodes a whole frame; `None` where it is damaged.
+pub(super) fn decode_frame(frame: &[u8]) -> Option<FactRecord> {
+    postcard::from_bytes(frame_payload(frame)?).ok()
 }
 
 fn recover(folder: &Path) -> io::Result<RecoveredFacts> {
@@ -351,35 +413,45 @@
     let state = folder.join(STATE_FILE);
     if state.exists() {
         let bytes = fs::read(&state)?;
-        let payload = next_frame(&bytes).map(|(payload, _)| payload);
+        let payload = frame_payload(&bytes);
         recovered.state = payload.and_then(|payload| postcard::from_bytes(payload).ok());
     }
     for number in segment_numbers(folder)? {
         let bytes = fs::read(segment_path(folder, number))?;
         recovered.bytes += bytes.len() as u64;
-        let mut rest = bytes.as_slice();
-        while let Some((payload, following)) = next_frame(rest) {
-            rest = following;
-            let fact: FactRecord = match postcard::from_bytes(payload) {
-                Ok(fact) => fact,
-                Err(error) => {
-                    log::error!(
-                        "a stored fact can't be decoded: {error}; run the version that wrote it"
-                    );
-                    continue;
-                }
-            };
-            recovered.facts += 1;
-            recovered.book.take(&fact, now);
-        }
-        if !rest.is_empty() {
-            recovered.damaged += 1;
-        }
+        recover_segment(number, &bytes, &mut recovered, now);
     }
     Ok(recovered)
 }
 
-fn segment_path(folder: &Path, number: u64) -> PathBuf {
+fn recover_segment(segment: u64, bytes: &[u8], recovered: &mut RecoveredFacts, now: Instant) {
+    let mut offset = 0;
+    while let Some(payload) = frame_payload(&bytes[offset..]) {
+        let location = FrameLocation {
+            segment,
+            offset: offset as u64,
+            length: FRAME_HEAD + payload.len(),
+        };
+        offset += location.length;
+        match postcard::from_bytes::<FactRecord>(payload) {
+            Ok(fact) => {
+                recovered.facts += 1;
+                recovered.book.take(&fact, now);
+                recovered.book.place_on_disk(&fact, location);
+            }
+            Err(error) => {
+                log::error!(
+                    "a stored fact can't be decoded: {error}; run the version that wrote it"
+                );
+            }
+        }
+    }
+    if offset < bytes.len() {
+        recovered.damaged += 1;
+    }
+}
+
+pub(super) fn segment_path(folder: &Path, number: u64) -> PathBuf {
     folder.join(format!("{SEGMENT_PREFIX}{number:08}"))
 }
 
--- a/crates/samphiregrade-gateway/src/fact/message.rs
+++ b/crates/samphiregrade-gateway/src/fact/message.rs
@@ -2,10 +2,9 @@
 
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use super::book::KnownChain;
 use super::placement::{KeeperPlacement, PlacementGeneration};
 use crate::model::{ProgramId, SessionId, TurnId, UpstreamId};
 
@@ -131,47 +130,37 @@
     Turn(TurnFact),
 }
 
-/// Facts with equal blocks of input once: prompts of a class begin alike.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct FactExport {
-    /// Reservations, and turns with empty inputs.
-    pub facts: Vec<FactRecord>,
-    /// Blocks of inputs.
-    pub blocks: Vec<Bytes>,
-    /// For each turn among the facts, in order, the indices of its input's blocks.
-    pub inputs: Vec<Vec<u32>>,
-}
+impl FactRecord {
+    /// Returns the fact as the index knows it: a turn without what it said.
+    #[must_use]
+    pub fn without_content(&self) -> Self {
+        let mut fact = self.clone();
+        if let Self::Turn(turn) = &mut fact {
+            turn.input = Bytes::new();
+            turn.output = Bytes::new();
+        }
+        fact
+    }
 
-impl FactExport {
-    /// Returns the facts with their whole inputs; a turn whose blocks are missing is left out.
+    /// Returns about how many bytes the fact takes on disk.
     #[must_use]
-    pub fn into_facts(self) -> Vec<FactRecord> {
-        let mut inputs = self.inputs.into_iter();
-        let mut whole = Vec::with_capacity(self.facts.len());
-        for mut fact in self.facts {
-            if let FactRecord::Turn(turn) = &mut fact {
-                let indices = inputs.next().unwrap_or_default();
-                let Some(input) = join_blocks(&self.blocks, &indices) else {
-                    log::error!(
-                        "turn {} was exported without its input; it is left out",
-                        turn.turn
-                    );
-                    continue;
-                };
-                turn.input = input;
-            }
-            whole.push(fact);
+    pub fn bytes(&self) -> usize {
+        match self {
+            Self::Reservation { .. } => 120,
+            Self::Turn(turn) => turn.input.len() + turn.output.len() + 160,
         }
-        whole
     }
 }
 
-fn join_blocks(blocks: &[Bytes], indices: &[u32]) -> Option<Bytes> {
-    let mut input = BytesMut::new();
-    for &index in indices {
-        input.extend_from_slice(blocks.get(usize::try_from(index).ok()?)?);
-    }
-    Some(input.freeze())
+/// What a keeper that rebuilds asks another one for.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct ExportRequest {
+    /// The part, from 0.
+    pub part: u8,
+    /// The slot of the keeper that asks; `None` for all facts of the part.
+    pub slot: Option<usize>,
+    /// Marks of the turns that it has already.
+    pub known: Vec<u64>,
 }
 
 /// A request to a keeper.
@@ -185,11 +174,8 @@
     Note(FactRecord),
     /// Asks for the chain that ends with a turn.
     Chain(TurnId),
-    /// Asks for one of the parts into which all facts are divided.
-    Export {
-        /// The part, from 0.
-        part: u8,
-    },
+    /// Asks for one of the parts into which all facts are divided, as far as a slot's keeper has to have them.
+    Export(ExportRequest),
     /// Asks whether the keeper is there.
     Probe,
 }
@@ -221,18 +207,6 @@
     Unknown,
 }
 
-impl From<KnownChain> for ChainAnswer {
-    fn from(chain: KnownChain) -> Self {
-        match chain.missing {
-            None => Self::Found(chain.joined),
-            Some(missing) => Self::Partial {
-                missing,
-                newer: chain.joined,
-            },
-        }
-    }
-}
-
 /// A keeper's reply.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum KeeperReply {
@@ -250,7 +224,7 @@
     /// One part of all facts.
     Part {
         /// The facts.
-        export: FactExport,
+        facts: Vec<FactRecord>,
         /// Whether the keeper has everything that it ever stored.
         complete: bool,
     },
--- a/crates/samphiregrade-gateway/src/fact/mod.rs
+++ b/crates/samphiregrade-gateway/src/fact/mod.rs
@@ -10,17 +10,19 @@
 mod health;
 mod message;
 mod placement;
+mod reader;
 mod rebuild;
 mod service;
 
-pub use book::{FactBook, KnownChain};
+pub use book::{FactBook, FactPart, FrameLocation, KnownChain, TurnContent};
 pub use client::{ChainLookup, FactFailure, KeeperClient, ReserveOutcome};
 pub use disk::{DiskState, FactDisk, FactDiskError, RecoveredFacts};
 pub use health::KeeperHealth;
 pub use message::{
-    ChainAnswer, FactExport, FactRecord, KeeperEnvelope, KeeperReply, KeeperRequest, ProgramLedger,
-    Reservation, TurnFact, TurnPlace,
+    ChainAnswer, ExportRequest, FactRecord, KeeperEnvelope, KeeperReply, KeeperRequest,
+    ProgramLedger, Reservation, TurnFact, TurnPlace,
 };
 pub use placement::{KeeperPlacement, KeeperSlot, PlacementGeneration};
+pub use reader::FactReader;
 pub use rebuild::rebuild_from_others;
 pub use service::KeeperService;
--- a/crates/samphiregrade-gateway/src/fact/rebuild.rs
+++ b/crates/samphiregrade-gateway/src/fact/rebuild.rs
@@ -1,6 +1,5 @@
 //! Reading back what a keeper without its disk had stored.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use serde::Serialize;
@@ -8,7 +7,7 @@
 use tokio::task::JoinSet;
 
 use super::book::EXPORT_PARTS;
-use super::message::{KeeperEnvelope, KeeperReply, KeeperRequest};
+use super::message::{ExportRequest, KeeperEnvelope, KeeperReply, KeeperRequest};
 use super::placement::{KeeperPlacement, KeeperSlot};
 use super::service::KeeperService;
 use crate::link::LinkEndpoint;
@@ -20,14 +19,19 @@
 /// Pause between two rounds over keepers that could not be read.
 const ROUND_PAUSE: Duration = Duration::from_millis(200);
 
-/// Parts that are asked for at once: each waits for a round trip and a sync.
-const PARTS_AT_ONCE: usize = 4;
+/// Parts that are read at once: each waits for round trips and syncs.
+const PARTS_AT_ONCE: usize = 6;
 
 /// What was read of another keeper.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Serialize)]
 struct ReadSource {
     name: SmolStr,
+    /// Facts that were new here.
+    facts: usize,
+    /// Whether it has lost nothing.
     complete: bool,
+    /// Why not all of it is here; empty where all of it is.
+    failure: String,
 }
 
 /// Reads all facts of the other keepers; ends when nothing more can be learnt.
@@ -40,9 +44,16 @@
     let mut read: Vec<ReadSource> = Vec::new();
     while !service.is_complete() {
         let placement = service.placement();
-        if placement.slot_of(own_name).is_some() {
+        if let Some(own) = placement.slot_of(own_name) {
             read.retain(|source| placement.slot_of(&source.name).is_some());
-            read_sources(service, links, own_name, &placement, &mut read).await;
+            let sources = unread(&placement, own, &read);
+            for source in read_sources(service, links, own, sources).await {
+                Logbook::of_process().record("rebuild", &source);
+                if source.failure.is_empty() {
+                    read.retain(|known| known.name != source.name);
+                    read.push(source);
+                }
+            }
             if is_enough(&read, &placement) {
                 service.set_complete(true).await;
                 return;
@@ -52,28 +63,15 @@
     }
 }
 
-async fn read_sources(
-    service: &KeeperService,
-    links: &LinkEndpoint,
-    own_name: &str,
-    placement: &KeeperPlacement,
-    read: &mut Vec<ReadSource>,
-) {
-    for slot in &placement.slots {
-        let whole = read
-            .iter()
-            .any(|source| source.name == slot.name && source.complete);
-        if slot.name == own_name || whole {
-            continue;
-        }
-        if let Some(complete) = read_keeper(service, links, slot).await {
-            read.retain(|source| source.name != slot.name);
-            read.push(ReadSource {
-                name: slot.name.clone(),
-                complete,
-            });
-        }
-    }
+/// Returns the keepers of which not everything has been read.
+fn unread(placement: &KeeperPlacement, own: usize, read: &[ReadSource]) -> Vec<KeeperSlot> {
+    let whole = |slot: &KeeperSlot| {
+        let mut known = read.iter();
+        known.any(|source| source.name == slot.name && source.complete)
+    };
+    let slots = placement.slots.iter().enumerate();
+    let others = slots.filter(|&(index, slot)| index != own && !whole(slot));
+    others.map(|(_, slot)| slot.clone()).collect()
 }
 
 fn is_enough(read: &[ReadSource], placement: &KeeperPlacement) -> bool {
@@ -81,52 +79,46 @@
     complete >= placement.rebuild_sources() || read.len() + 1 >= placement.slots.len()
 }
 
-#[derive(Serialize)]
-struct RebuildLine<'line> {
-    source: &'line str,
-    facts: usize,
-    complete: bool,
-    failure: &'line str,
-}
-
-/// Reads all parts of one keeper; returns whether it has lost nothing, `None` where not all of it is durable
-/// here.
-async fn read_keeper(
+/// Reads part by part, each from one source after the other, so that a fact comes over the network once.
+async fn read_sources(
     service: &KeeperService,
     links: &LinkEndpoint,
-    source: &KeeperSlot,
-) -> Option<bool> {
+    own: usize,
+    sources: Vec<KeeperSlot>,
+) -> Vec<ReadSource> {
+    let mut results: Vec<ReadSource> = sources.iter().map(unread_source).collect();
     let mut reading = JoinSet::new();
     let mut parts = 0..EXPORT_PARTS;
-    let mut facts = 0;
-    let mut complete = true;
-    let mut failure = None;
     loop {
-        while reading.len() < PARTS_AT_ONCE && failure.is_none() {
+        while reading.len() < PARTS_AT_ONCE {
             let Some(part) = parts.next() else {
                 break;
             };
-            let (service, links, address) = (service.clone(), links.clone(), source.address);
-            reading.spawn(async move { read_part(&service, &links, address, part).await });
+            let (service, links, sources) = (service.clone(), links.clone(), sources.clone());
+            reading.spawn(async move { read_part(&service, &links, own, &sources, part).await });
         }
-        match reading.join_next().await {
-            None => break,
-            Some(Ok(Ok(part))) => {
-                facts += part.facts;
-                complete &= part.complete;
+        let Some(joined) = reading.join_next().await else {
+            return results;
+        };
+        for (result, outcome) in results.iter_mut().zip(joined.unwrap_or_default()) {
+            match outcome {
+                Ok(part) => {
+                    result.facts += part.facts;
+                    result.complete &= part.complete;
+                }
+                Err(failure) => result.failure = failure,
             }
-            Some(Ok(Err(error))) => failure = Some(error),
-            Some(Err(error)) => failure = Some(error.to_string()),
         }
     }
-    let line = RebuildLine {
-        source: &source.name,
-        facts,
-        complete,
-        failure: failure.as_deref().unwrap_or_default(),
-    };
-    Logbook::of_process().record("rebuild", &line);
-    failure.is_none().then_some(complete)
+}
+
+fn unread_source(slot: &KeeperSlot) -> ReadSource {
+    ReadSource {
+        name: slot.name.clone(),
+        facts: 0,
+        complete: true,
+        failure: String::new(),
+    }
 }
 
 /// What one part brought.
@@ -135,31 +127,44 @@
     complete: bool,
 }
 
-/// Reads one part; returns why where it is not whole here.
+/// Reads one part of all sources; returns for each what came, or why it is not whole here.
 async fn read_part(
     service: &KeeperService,
     links: &LinkEndpoint,
-    address: SocketAddr,
+    own: usize,
+    sources: &[KeeperSlot],
     part: u8,
+) -> Vec<Result<ReadPart, String>> {
+    let mut outcomes = Vec::with_capacity(sources.len());
+    for source in sources {
+        let request = ExportRequest {
+            part,
+            slot: Some(own),
+            known: service.known_turns(part),
+        };
+        outcomes.push(read_export(service, links, source, request).await);
+    }
+    outcomes
+}
+
+async fn read_export(
+    service: &KeeperService,
+    links: &LinkEndpoint,
+    source: &KeeperSlot,
+    request: ExportRequest,
 ) -> Result<ReadPart, String> {
     let envelope = KeeperEnvelope {
         generation: service.placement().generation,
-        request: KeeperRequest::Export { part },
+        request: KeeperRequest::Export(request),
     };
-    let reply = links.ask(address, &envelope, PART_TIMEOUT).await;
+    let reply = links.ask(source.address, &envelope, PART_TIMEOUT).await;
     match reply.map_err(|error| error.to_string())? {
-        KeeperReply::Part { export, complete } => {
-            let facts = export.into_facts();
-            let count = facts.len();
-            if !service.take_part(facts).await {
-                return Err("not durable here".to_owned());
-            }
-            Ok(ReadPart {
-                facts: count,
-                complete,
-            })
+        KeeperReply::Part { facts, complete } => {
+            let taken = service.take_part(facts).await;
+            let facts = taken.ok_or_else(|| "not durable here".to_owned())?;
+            Ok(ReadPart { facts, complete })
         }
         KeeperReply::NewerPlacement(_) => Err("it knows a newer placement".to_owned()),
-        _ => Err("it gave another reply than was asked for".to_owned()),
+        _ => Err("it can't read its own facts now".to_owned()),
     }
 }
--- a/crates/samphiregrade-gateway/src/fact/service.rs
+++ b/crates/samphiregrade-gateway/src/fact/service.rs
@@ -3,20 +3,46 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Instant;
 
+use bytes::{Bytes, BytesMut};
 use serde::Serialize;
 use smol_str::SmolStr;
 
-use super::book::FactBook;
+use super::book::{FactBook, FactPart, TurnContent};
 use super::disk::{DiskState, FactDisk, RecoveredFacts};
 use super::message::{
-    ChainAnswer, FactRecord, KeeperEnvelope, KeeperReply, KeeperRequest, ProgramLedger,
+    ChainAnswer, ExportRequest, FactRecord, KeeperEnvelope, KeeperReply, KeeperRequest,
+    ProgramLedger,
 };
 use super::placement::{KeeperPlacement, PlacementGeneration};
+use crate::model::TurnId;
 use crate::observe::Logbook;
 
 /// Bytes that segments may hold beyond twice the live ones before they are compacted.
 const COMPACTION_SLACK: u64 = 24 << 20;
 
+#[derive(Serialize)]
+struct SizeLine {
+    turns: usize,
+    programs: usize,
+    live_bytes: usize,
+    written_bytes: u64,
+    resident_bytes: u64,
+}
+
+/// Returns the memory that the process holds, as the system tells it; 0 where it doesn't.
+fn resident_bytes() -> u64 {
+    const PAGE_BYTES: u64 = 4096;
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text
+        .split(' ')
+        .nth(1)
+        .and_then(|pages| pages.parse::<u64>().ok());
+    pages.unwrap_or(0) * PAGE_BYTES
+}
+
+/// Bytes that are written to disk at a time while facts are read or written again in bulk.
+const GROUP_BYTES: usize = 256 << 10;
+
 struct KeeperState {
     book: FactBook,
     disk_state: DiskState,
@@ -99,18 +125,14 @@
                 self.disk.note(fact);
                 KeeperReply::Stored
             }
-            KeeperRequest::Chain(turn) => {
-                let answer = self.with(|state| match state.book.chain(&turn, now) {
-                    Some(chain) => chain.into(),
-                    None if state.disk_state.complete => ChainAnswer::Absent,
-                    None => ChainAnswer::Unknown,
-                });
-                KeeperReply::Chain(answer)
-            }
-            KeeperRequest::Export { part } => self.with(|state| KeeperReply::Part {
-                export: state.book.export(part),
-                complete: state.disk_state.complete,
-            }),
+            KeeperRequest::Chain(turn) => KeeperReply::Chain(self.chain(&turn, now).await),
+            KeeperRequest::Export(request) => match self.export(&request).await {
+                Some(facts) => KeeperReply::Part {
+                    facts,
+                    complete: self.is_complete(),
+                },
+                None => KeeperReply::NotStored,
+            },
             KeeperRequest::Probe => KeeperReply::Alive {
                 complete: self.is_complete(),
             },
@@ -131,6 +153,62 @@
         })
     }
 
+    /// Returns what is known of a chain, read from disk where it stands there.
+    async fn chain(&self, turn: &TurnId, now: Instant) -> ChainAnswer {
+        let known = self.with(|state| match state.book.chain(turn, now) {
+            Some(chain) => Ok(chain),
+            None if state.disk_state.complete => Err(ChainAnswer::Absent),
+            None => Err(ChainAnswer::Unknown),
+        });
+        let chain = match known {
+            Ok(chain) => chain,
+            Err(answer) => return answer,
+        };
+        let Some(joined) = self.join(chain.turns).await else {
+            return ChainAnswer::Unknown;
+        };
+        match chain.missing {
+            None => ChainAnswer::Found(joined),
+            Some(missing) => ChainAnswer::Partial {
+                missing,
+                newer: joined,
+            },
+        }
+    }
+
+    /// Joins turns' inputs and outputs; `None` where one can't be read.
+    async fn join(&self, turns: Vec<TurnContent>) -> Option<Bytes> {
+        let on_disk = turns.iter().filter_map(|content| match content {
+            TurnContent::Disk(location) => Some(*location),
+            TurnContent::Memory { .. } => None,
+        });
+        let mut read = self.disk.read(on_disk.collect()).await?.into_iter();
+        let mut joined = BytesMut::new();
+        for content in turns {
+            let (input, output) = match content {
+                TurnContent::Memory { input, output } => (input, output),
+                TurnContent::Disk(_) => {
+                    let turn = read.next()?;
+                    (turn.input, turn.output)
+                }
+            };
+            joined.extend_from_slice(&input);
+            joined.extend_from_slice(&output);
+        }
+        Some(joined.freeze())
+    }
+
+    /// Returns one part of all facts, read from disk where they stand there; `None` where one can't be read.
+    async fn export(&self, request: &ExportRequest) -> Option<Vec<FactRecord>> {
+        let FactPart { mut facts, on_disk } = self.with(|state| {
+            let placement = &state.disk_state.placement;
+            state.book.export(request, placement)
+        });
+        let turns = self.disk.read(on_disk).await?;
+        facts.extend(turns.into_iter().map(FactRecord::Turn));
+        Some(facts)
+    }
+
     /// Takes a fact and resolves, once it is durable, to what is known of its program.
     async fn store(&self, fact: FactRecord, now: Instant) -> Option<ProgramLedger> {
         let ledger = self.with(|state| {
@@ -140,27 +218,55 @@
         self.append(vec![fact]).await.then_some(ledger)
     }
 
-    /// Takes facts of another keeper while rebuilding; resolves to whether they are durable.
+    /// Returns the marks of the turns of one part that the keeper has.
+    #[must_use]
+    pub fn known_turns(&self, part: u8) -> Vec<u64> {
+        self.with(|state| {
+            // What the disk has refused is asked for again.
+            if state.unwritten {
+                return Vec::new();
+            }
+            state.book.known_turns(part)
+        })
+    }
+
+    /// Takes facts of another keeper while rebuilding; resolves to how many came, `None` where not all of them
+    /// are durable.
     ///
     /// Facts that are known already are on their way to the disk, in front of the last one here.
-    pub async fn take_part(&self, facts: Vec<FactRecord>) -> bool {
+    pub async fn take_part(&self, facts: Vec<FactRecord>) -> Option<usize> {
         let now = Instant::now();
-        let new = self.with(|state| {
-            let all = state.unwritten;
-            let new = facts
-                .into_iter()
-                .filter(|fact| state.take(fact, now) || all);
-            new.collect::<Vec<_>>()
-        });
-        new.is_empty() || self.append(new).await
+        let mut group = Vec::new();
+        let (mut count, mut bytes) = (0, 0);
+        for fact in facts {
+            count += 1;
+            if !self.with(|state| state.take(&fact, now) || state.unwritten) {
+                continue;
+            }
+            bytes += fact.bytes();
+            group.push(fact);
+            if bytes >= GROUP_BYTES && !self.append(std::mem::take(&mut group)).await {
+                return None;
+            }
+            bytes %= GROUP_BYTES;
+        }
+        let durable = group.is_empty() || self.append(group).await;
+        durable.then_some(count)
     }
 
+    /// Appends facts to the disk, where their content then stands; resolves to whether they are durable.
     async fn append(&self, facts: Vec<FactRecord>) -> bool {
-        let durable = self.disk.append_all(facts).await;
-        if !durable {
+        let indexed: Vec<FactRecord> = facts.iter().map(FactRecord::without_content).collect();
+        let Some(locations) = self.disk.append(facts).await else {
             self.with(|state| state.unwritten = true);
-        }
-        durable
+            return false;
+        };
+        self.with(|state| {
+            for (fact, location) in indexed.iter().zip(locations) {
+                state.book.place_on_disk(fact, location);
+            }
+        });
+        true
     }
 
     /// Returns whether the keeper has everything that it ever stored.
@@ -241,14 +347,29 @@
             }
             compacts
         });
+        let line = self.with(|state| SizeLine {
+            turns: state.book.turn_count(),
+            programs: state.book.program_count(),
+            live_bytes: state.book.live_bytes(),
+            written_bytes: state.written_bytes,
+            resident_bytes: resident_bytes(),
+        });
+        Logbook::of_process().record("keeper-size", &line);
         if !compacts {
             return;
         }
         // Part by part, so that memory never holds a second copy of everything.
         let mut whole = self.disk.begin_segment().await;
         for part in 0..super::book::EXPORT_PARTS {
-            let live = self.with(|state| state.book.export(part)).into_facts();
-            whole &= live.is_empty() || self.disk.append_all(live).await;
+            let all = ExportRequest {
+                part,
+                ..ExportRequest::default()
+            };
+            whole &= match self.export(&all).await {
+                Some(facts) if facts.is_empty() => true,
+                Some(facts) => self.append(facts).await,
+                None => false,
+            };
         }
         if whole {
             self.with(|state| state.unwritten = false);
@@ -259,10 +380,7 @@
 
 impl KeeperState {
     fn take(&mut self, fact: &FactRecord, now: Instant) -> bool {
-        self.written_bytes += match fact {
-            FactRecord::Reservation { .. } => 80,
-            FactRecord::Turn(turn) => (turn.input.len() + turn.output.len() + 120) as u64,
-        };
+        self.written_bytes += fact.bytes() as u64;
         self.book.take(fact, now)
     }
 }
--- a/crates/samphiregrade-gateway/src/upstream/cache.rs
+++ b/crates/samphiregrade-gateway/src/upstream/cache.rs
@@ -28,12 +28,18 @@
 }
 
 impl PrefixCache {
-    /// Returns the tokens of the prompt that are not thought to be cached.
+    /// Returns the tokens of the prompt that are not thought to be cached; those of the first part are where the
+    /// engine is its home, since others send it there.
     #[must_use]
-    pub fn uncached(&self, prompt: &[PromptPart], now: Instant) -> u32 {
+    pub fn uncached(&self, prompt: &[PromptPart], home: bool, now: Instant) -> u32 {
         let mut uncached = 0;
         let mut whole = true;
-        for part in prompt {
+        let rest = if home {
+            prompt.get(1..).unwrap_or_default()
+        } else {
+            prompt
+        };
+        for part in rest {
             let known = self.parts.get(&part.tag).filter(|_| whole);
             let fresh =
                 known.filter(|known| now.saturating_duration_since(known.used) < FORGET_AFTER);
--- a/crates/samphiregrade-gateway/src/upstream/mod.rs
+++ b/crates/samphiregrade-gateway/src/upstream/mod.rs
@@ -4,10 +4,12 @@
 mod breaker;
 mod cache;
 mod directory;
+mod homes;
 mod peer;
 
 pub use balance::{Candidate, WorkEstimate, choose_upstream};
 pub use breaker::{BreakerState, UpstreamBreaker};
 pub use cache::PrefixCache;
 pub use directory::{DepartureRule, UpstreamDirectory, UpstreamRegistry};
+pub use homes::{FirstParts, homes};
 pub use peer::{InFlightGuard, Upstream};
--- a/crates/samphiregrade-gateway/src/upstream/peer.rs
+++ b/crates/samphiregrade-gateway/src/upstream/peer.rs
@@ -45,6 +45,8 @@
 pub struct Upstream {
     /// Its entry, as it was first seen.
     pub entry: UpstreamEntry,
+    /// Hash of its address, the same on every instance and over restarts.
+    pub tag: u64,
     draining: AtomicBool,
     departed: AtomicBool,
     in_flight: AtomicU32,
@@ -59,12 +61,20 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+fn tag_of(entry: &UpstreamEntry) -> u64 {
+    let mut tag = [0; 8];
+    let hash = blake3::hash(entry.address.to_string().as_bytes());
+    tag.copy_from_slice(&hash.as_bytes()[..8]);
+    u64::from_le_bytes(tag)
+}
+
 impl Upstream {
     /// Starts to keep track of an upstream.
     #[must_use]
     pub fn new(entry: UpstreamEntry, now: Instant) -> Self {
         Self {
             cold_until: now + entry.cold,
+            tag: tag_of(&entry),
             entry,
             draining: AtomicBool::new(false),
             departed: AtomicBool::new(false),
@@ -98,13 +108,19 @@
         hold(&self.breaker).state(now) == BreakerState::Closed
     }
 
-    /// Describes it as a choice for a request.
+    /// Describes it as a choice for a request; `home` where it is a home of the prompt's first part.
     #[must_use]
-    pub fn candidate(&self, prompt: &[PromptPart], domain: &DomainId, now: Instant) -> Candidate {
+    pub fn candidate(
+        &self,
+        prompt: &[PromptPart],
+        home: bool,
+        domain: &DomainId,
+        now: Instant,
+    ) -> Candidate {
         let uncached_tokens = if prompt.is_empty() {
             0
         } else {
-            hold(&self.cache).uncached(prompt, now)
+            hold(&self.cache).uncached(prompt, home, now)
         };
         let departed = self.departed.load(Ordering::Relaxed);
         let penalty = match () {
