--- a/tests/deployment/fixture.rs
+++ b/tests/deployment/fixture.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::sync::atomic::{AtomicU16, Ordering};
 use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
@@ -262,19 +263,19 @@
     )
 }
 
+/// Returns ports that no other test of this process gets, below those that the system gives out by itself.
 fn free_ports() -> [u16; 3] {
-    // Links need two ports in a row.
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    const FIRST: u16 = 18_000;
+    const SPAN: u16 = 12_000;
+    let offset = u16::try_from(std::process::id() % 2900).expect("a small number") * 4;
     loop {
-        let sockets: Vec<_> = (0..3)
-            .map(|_| std::net::TcpListener::bind("127.0.0.1:0").expect("a free port"))
-            .collect();
-        let ports: Vec<u16> = sockets
-            .iter()
-            .map(|socket| socket.local_addr().expect("an address").port())
-            .collect();
-        let next = ports[2].checked_add(1);
-        if next.is_some_and(|port| std::net::TcpListener::bind(("127.0.0.1", port)).is_ok()) {
-            return [ports[0], ports[1], ports[2]];
+        // Links need two ports in a row.
+        let step = NEXT.fetch_add(4, Ordering::Relaxed);
+        let base = FIRST + (offset + step) % SPAN;
+        let free = |port: u16| std::net::TcpListener::bind(("127.0.0.1", port)).is_ok();
+        if (base..base + 4).all(free) {
+            return [base, base + 1, base + 2];
         }
     }
 }
--- a/tests/testsuite/guide.rs
+++ b/tests/testsuite/guide.rs
@@ -6,6 +6,7 @@
 
 use samphiregrade::record::RecordKind;
 use samphiregrade::settings::{LimitSection, MembershipSection, ShardSection, UpstreamSection};
+use samphiregrade_gateway::settings::GatewaySettings;
 use samphiregrade_http::OutgoingRequest;
 use serde::Serialize;
 
@@ -42,6 +43,27 @@
     assert!(missing.is_empty(), "{missing:?}");
 }
 
+#[test]
+fn every_settings_key_of_the_gateway_has_its_line() {
+    let text = page("platform-machines.md");
+    let settings = GatewaySettings::parse(
+        "[instance]\nname = \"k\"\nfailure-domain = \"a\"\ndata-folder = \"d\"\n\
+         [listen]\naddress = \"127.0.0.1\"\nclients = \"127.0.0.1:1\"\nreadiness = \"127.0.0.1:2\"\n\
+         link-ports = [3, 5]\n[store]\naddress = \"127.0.0.1:6\"\n",
+    )
+    .expect("good settings");
+    let value = toml::Value::try_from(settings).expect("settings that can be written");
+    let mut missing = Vec::new();
+    for (section, content) in value.as_table().expect("a table") {
+        for key in content.as_table().expect("a section").keys() {
+            if !text.contains(&format!("| `{section}.{key}` |")) {
+                missing.push(format!("{section}.{key}"));
+            }
+        }
+    }
+    assert!(missing.is_empty(), "{missing:?}");
+}
+
 #[test]
 fn every_record_kind_has_its_section() {
     let text = page("records.md");
