--- a/crates/samphiregrade-gateway/src/exchange/dispatch.rs
+++ b/crates/samphiregrade-gateway/src/exchange/dispatch.rs
@@ -33,9 +33,6 @@
 /// How long another request holds a slot, in milliseconds.
 const PLAIN_HOLD: f64 = 18.0;
 
-/// Most urgent rank that requests of operators' priority 0 get, and the last one.
-const LAST_RANK: u8 = 9;
-
 /// An answer whose head has come.
 pub struct LiveAnswer {
     /// Head of the answer.
@@ -320,7 +317,7 @@
     let orders = DispatchOrders {
         time_left: request.time_left(Instant::now()),
         upstream: upstream.entry.id.clone(),
-        priority: engine.then(|| request.route.priority.min(LAST_RANK)),
+        priority: engine.then(|| request.rank()),
         pin: None,
     };
     context.dialect.write_orders(&orders, &mut bytes);
--- a/crates/samphiregrade-gateway/src/exchange/request.rs
+++ b/crates/samphiregrade-gateway/src/exchange/request.rs
@@ -9,6 +9,7 @@
 
 use crate::fact::TurnPlace;
 use crate::model::{RequestMetadata, RouteRecord, ServiceRecord, UpstreamId};
+use crate::upstream::turn_rank;
 
 /// A request whose route and service are known, with its whole body.
 pub struct RoutedRequest {
@@ -44,6 +45,13 @@
         Some(prompt.saturating_sub(place.tokens))
     }
 
+    /// Returns the rank for the upstream.
+    #[must_use]
+    pub fn rank(&self) -> u8 {
+        let begins = self.last_place.is_none() && self.metadata.previous_turn.is_none();
+        turn_rank(self.route.priority, begins)
+    }
+
     /// Returns the time that is left.
     #[must_use]
     pub fn time_left(&self, now: Instant) -> Duration {
--- a/crates/samphiregrade-gateway/src/role/entry.rs
+++ b/crates/samphiregrade-gateway/src/role/entry.rs
@@ -5,38 +5,24 @@
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, Result};
-use arc_swap::ArcSwap;
 use samphiregrade_http::wire::listen;
 use serde::Serialize;
-use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
 
-use super::authority::{AUTHORITY_KEY, LinkAuthority, PLACEMENT_KEY, SHARED_PREFIX};
+use super::beliefs::follow_store;
 use super::probe_server::{ProbeAnswer, serve_probes};
 use super::signals::{check_on_hangup, stop_on_signal};
-use crate::dialect::{Dialect, StoreItem};
+use crate::dialect::Dialect;
 use crate::exchange::{EntryContext, TurnCache, serve_clients};
-use crate::fact::{KeeperClient, KeeperPlacement};
-use crate::link::LinkEndpoint;
+use crate::fact::KeeperPlacement;
 use crate::observe::{GatewayMetrics, Logbook};
-use crate::routing::RouteTable;
 use crate::settings::GatewaySettings;
-use crate::store::{FollowEvent, StoreClient, follow_prefix};
+use crate::store::StoreClient;
 use crate::upstream::{DepartureRule, UpstreamRegistry};
 
 /// Part of the machine's memory for chains of turns.
 const TURN_CACHE_SHARE: u64 = 10;
 
-/// Time for which changes of upstreams are gathered: upstreams start and leave in groups, and one that
-/// leaves must get nothing two seconds later.
-const UPSTREAM_GATHER: Duration = Duration::from_millis(300);
-
-/// Time for which changes of the configuration are gathered: one is to be in force within two seconds.
-const CONFIG_GATHER: Duration = Duration::from_millis(150);
-
-/// Events of the key-value service that may wait.
-const EVENT_QUEUE: usize = 64;
-
 /// Time after the signal to stop within which the platform has stopped sending new connections: it asks
 /// once a second and stops after two misses.
 const LEAVE_ROTATION: Duration = Duration::from_secs(3);
@@ -58,13 +44,6 @@
     version: &'static str,
 }
 
-#[derive(Serialize)]
-struct ConfigLine {
-    version: u64,
-    routes: usize,
-    services: usize,
-}
-
 #[derive(Serialize)]
 struct StopLine {
     open_connections: u32,
@@ -247,201 +226,6 @@
     }
 }
 
-fn follow_store(
-    settings: &GatewaySettings,
-    context: &Arc<EntryContext>,
-    store: &StoreClient,
-    registry: UpstreamRegistry,
-    ended: &CancellationToken,
-) {
-    let follow = |prefix: &'static str, gather: Duration| {
-        let (sender, events) = mpsc::channel(EVENT_QUEUE);
-        tokio::spawn(follow_prefix(
-            store.separate(),
-            prefix,
-            gather,
-            sender,
-            ended.clone(),
-        ));
-        events
-    };
-    let dialect = &context.dialect;
-    let configuration = follow(dialect.configuration_key(), CONFIG_GATHER);
-    let upstreams = follow(dialect.upstream_prefix(), UPSTREAM_GATHER);
-    let shared = follow(SHARED_PREFIX, CONFIG_GATHER);
-    tokio::spawn(take_configurations(context.clone(), configuration));
-    tokio::spawn(take_upstreams(context.clone(), registry, upstreams));
-    tokio::spawn(take_shared(
-        context.clone(),
-        settings.clone(),
-        shared,
-        ended.clone(),
-    ));
-}
-
-async fn take_configurations(context: Arc<EntryContext>, mut events: mpsc::Receiver<FollowEvent>) {
-    while let Some(event) = events.recv().await {
-        let (FollowEvent::All(page) | FollowEvent::Changes(page)) = event else {
-            continue;
-        };
-        for item in page.items {
-            if item.key != context.dialect.configuration_key() {
-                continue;
-            }
-            take_configuration(&context, &item);
-        }
-    }
-}
-
-fn take_configuration(context: &EntryContext, item: &StoreItem) {
-    let Some(value) = &item.value else {
-        log::warn!("the configuration's key was removed; the last one stays in force");
-        return;
-    };
-    let config = match context.dialect.configuration(value) {
-        Ok(config) => config,
-        Err(error) => {
-            log::error!("revision {}: {error}", item.revision);
-            return;
-        }
-    };
-    let known = context.routes.load().as_ref().map(|table| table.version);
-    if known.is_some_and(|known| config.version <= known) {
-        return;
-    }
-    let line = ConfigLine {
-        version: config.version,
-        routes: config.routes.len(),
-        services: config.services.len(),
-    };
-    context
-        .routes
-        .store(Some(Arc::new(RouteTable::new(config))));
-    Logbook::of_process().record("configuration", &line);
-}
-
-async fn take_upstreams(
-    context: Arc<EntryContext>,
-    mut registry: UpstreamRegistry,
-    mut events: mpsc::Receiver<FollowEvent>,
-) {
-    loop {
-        let due = registry.settle(Instant::now());
-        let event = match due {
-            None => events.recv().await,
-            Some(due) => match tokio::time::timeout_at(due.into(), events.recv()).await {
-                Ok(event) => event,
-                Err(_) => continue,
-            },
-        };
-        let Some(event) = event else {
-            return;
-        };
-        let now = Instant::now();
-        match event {
-            FollowEvent::Lost => {}
-            FollowEvent::Regained(_) => registry.unsettle(now),
-            FollowEvent::All(page) => {
-                let entries = page.items.iter().filter_map(|item| decode(&context, item));
-                registry.replace(entries.collect(), now);
-            }
-            FollowEvent::Changes(page) => {
-                for item in &page.items {
-                    apply_change(&context, &mut registry, item, now);
-                }
-            }
-        }
-    }
-}
-
-fn apply_change(
-    context: &EntryContext,
-    registry: &mut UpstreamRegistry,
-    item: &StoreItem,
-    now: Instant,
-) {
-    if item.value.is_some() {
-        if let Some(entry) = decode(context, item) {
-            registry.put(entry, now);
-        }
-        return;
-    }
-    if let Some(id) = context.dialect.upstream_of(&item.key) {
-        registry.remove(&id, now);
-    }
-}
-
-fn decode(context: &EntryContext, item: &StoreItem) -> Option<crate::model::UpstreamEntry> {
-    let id = context.dialect.upstream_of(&item.key)?;
-    match context.dialect.upstream(&id, item.value.as_ref()?) {
-        Ok(entry) => Some(entry),
-        Err(error) => {
-            log::error!("key {}: {error}", item.key);
-            None
-        }
-    }
-}
-
-async fn take_shared(
-    context: Arc<EntryContext>,
-    settings: GatewaySettings,
-    mut events: mpsc::Receiver<FollowEvent>,
-    ended: CancellationToken,
-) {
-    let placement = Arc::new(ArcSwap::from_pointee(KeeperPlacement::default()));
-    while let Some(event) = events.recv().await {
-        let (FollowEvent::All(page) | FollowEvent::Changes(page)) = event else {
-            continue;
-        };
-        for item in &page.items {
-            let Some(value) = &item.value else {
-                continue;
-            };
-            match item.key.as_str() {
-                AUTHORITY_KEY if context.keepers.load().is_none() => {
-                    if let Err(error) = open_links(&context, &settings, &placement, value, &ended) {
-                        log::error!("links to keepers can't be opened: {error:#}");
-                    }
-                }
-                PLACEMENT_KEY => match serde_json::from_slice::<KeeperPlacement>(value) {
-                    Ok(newer) => {
-                        if newer.generation > placement.load().generation {
-                            Logbook::of_process().record("placement", &newer);
-                            placement.store(Arc::new(newer));
-                        }
-                    }
-                    Err(error) => {
-                        log::error!("the placement can't be read: {error}; run one version");
-                    }
-                },
-                _ => {}
-            }
-        }
-    }
-}
-
-fn open_links(
-    context: &EntryContext,
-    settings: &GatewaySettings,
-    placement: &Arc<ArcSwap<KeeperPlacement>>,
-    value: &[u8],
-    ended: &CancellationToken,
-) -> Result<()> {
-    let authority: LinkAuthority =
-        serde_json::from_slice(value).context("reading the authority")?;
-    let identity = authority.identity(&settings.instance.name)?;
-    let links = LinkEndpoint::new(&identity)?;
-    let keepers = KeeperClient::new(
-        links,
-        placement.clone(),
-        context.metrics.clone(),
-        settings.instance.failure_domain.clone(),
-    );
-    tokio::spawn(keepers.clone().watch_health(ended.clone()));
-    context.keepers.store(Some(Arc::new(keepers)));
-    Ok(())
-}
-
 async fn sweep_connections(context: Arc<EntryContext>, ended: CancellationToken) {
     loop {
         tokio::select! {
--- a/crates/samphiregrade-gateway/src/role/mod.rs
+++ b/crates/samphiregrade-gateway/src/role/mod.rs
@@ -1,8 +1,10 @@
 //! The two roles of an instance on a platform's machines.
 
 mod authority;
+mod beliefs;
 mod entry;
 mod keeper;
+mod member;
 mod membership;
 mod probe_server;
 mod signals;
--- a/crates/samphiregrade-gateway/src/upstream/mod.rs
+++ b/crates/samphiregrade-gateway/src/upstream/mod.rs
@@ -7,7 +7,7 @@
 mod homes;
 mod peer;
 
-pub use balance::{Candidate, WorkEstimate, choose_upstream};
+pub use balance::{Candidate, WorkEstimate, choose_upstream, turn_rank};
 pub use breaker::{BreakerState, UpstreamBreaker};
 pub use cache::PrefixCache;
 pub use directory::{DepartureRule, UpstreamDirectory, UpstreamRegistry};
