Start both roles' signals in one place; remove what does nothing

Behaviour is as before. Conclusion: left and noted: decoded fields that nothing decides by yet (target latency, connection limit, longest pin, program deadline, affinity), and the settings' errors that stand in both settings modules.

--- a/crates/samphiregrade-gateway/src/link.rs
+++ b/crates/samphiregrade-gateway/src/link.rs
@@ -319,7 +319,6 @@
                 None => return Err(io::ErrorKind::ConnectionAborted.into()),
             },
             () = tokio::time::sleep_until(silent.into()), if !self.pending.is_empty() => {
-                self.pending.retain(|_, reply| !reply.is_closed());
                 return Err(io::ErrorKind::TimedOut.into());
             }
         }
--- a/crates/samphiregrade-gateway/src/role/entry.rs
+++ b/crates/samphiregrade-gateway/src/role/entry.rs
@@ -11,7 +11,7 @@
 
 use super::beliefs::follow_store;
 use super::probe_server::{ProbeAnswer, serve_probes};
-use super::signals::{check_on_hangup, stop_on_signal};
+use super::signals::follow_signals;
 use crate::dialect::Dialect;
 use crate::exchange::{EntryContext, TurnCache, serve_clients};
 use crate::fact::KeeperPlacement;
@@ -79,10 +79,8 @@
     settings_path: PathBuf,
     dialect: Arc<dyn Dialect>,
 ) -> Result<()> {
-    let stop = CancellationToken::new();
     let ended = CancellationToken::new();
-    stop_on_signal(stop.clone()).context("waiting for signals")?;
-    check_on_hangup(settings_path).context("waiting for signals")?;
+    let stop = follow_signals(settings_path).context("waiting for signals")?;
     let metrics = Arc::new(GatewayMetrics::new().context("making the metrics")?);
     let registry = UpstreamRegistry::new(DepartureRule::for_drain(settings.times.drain()));
     let cache_bytes = settings.instance.memory_megabytes * 1024 * 1024 / TURN_CACHE_SHARE;
--- a/crates/samphiregrade-gateway/src/role/keeper.rs
+++ b/crates/samphiregrade-gateway/src/role/keeper.rs
@@ -12,7 +12,7 @@
 use super::authority::{AUTHORITY_KEY, LinkAuthority};
 use super::member::KeeperMember;
 use super::probe_server::{ProbeAnswer, serve_probes};
-use super::signals::{check_on_hangup, stop_on_signal};
+use super::signals::follow_signals;
 use crate::dialect::{Dialect, StoreChange};
 use crate::fact::{FactDisk, KeeperEnvelope, KeeperService};
 use crate::link::LinkEndpoint;
@@ -44,9 +44,7 @@
     settings_path: PathBuf,
     dialect: Arc<dyn Dialect>,
 ) -> Result<()> {
-    let stop = CancellationToken::new();
-    stop_on_signal(stop.clone()).context("waiting for signals")?;
-    check_on_hangup(settings_path).context("waiting for signals")?;
+    let stop = follow_signals(settings_path).context("waiting for signals")?;
     let metrics = Arc::new(GatewayMetrics::new().context("making the metrics")?);
     let folder = settings
         .instance
--- a/crates/samphiregrade-gateway/src/role/signals.rs
+++ b/crates/samphiregrade-gateway/src/role/signals.rs
@@ -15,12 +15,24 @@
     detail: String,
 }
 
+/// Follows the process's signals; returns the token that the first SIGTERM or SIGINT cancels.
+///
+/// # Errors
+///
+/// The system's error where signals can't be waited for.
+pub fn follow_signals(settings_path: PathBuf) -> std::io::Result<CancellationToken> {
+    let stop = CancellationToken::new();
+    stop_on_signal(stop.clone())?;
+    check_on_hangup(settings_path)?;
+    Ok(stop)
+}
+
 /// Cancels the token at the first SIGTERM or SIGINT.
 ///
 /// # Errors
 ///
 /// The system's error where signals can't be waited for.
-pub fn stop_on_signal(stop: CancellationToken) -> std::io::Result<()> {
+fn stop_on_signal(stop: CancellationToken) -> std::io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
     tokio::spawn(async move {
@@ -40,7 +52,7 @@
 /// # Errors
 ///
 /// The system's error where signals can't be waited for.
-pub fn check_on_hangup(path: PathBuf) -> std::io::Result<()> {
+fn check_on_hangup(path: PathBuf) -> std::io::Result<()> {
     let mut hangup = signal(SignalKind::hangup())?;
     tokio::spawn(async move {
         while hangup.recv().await.is_some() {
