Name the own interface's key-value client after what it is

Cause: `src/platform` and the adapter's folder `platform/` bore one name for two things; a reader could not tell which of them a line speaks of. Change: `src/keyvalue`, types `KeyValue*`, fields `key_value`. The settings section `[platform]` of the own interface and its dump keep their names, which are configuration that users have. Checked: cargo check of all targets; behaviour is unchanged.

--- a/crates/samphiregrade-bench/src/cluster.rs
+++ b/crates/samphiregrade-bench/src/cluster.rs
@@ -12,8 +12,8 @@
 use anyhow::{Context, Result, ensure};
 use samphiregrade::client::CallerClient;
 use samphiregrade::ids::{DomainId, InstanceName, ShardId, UpstreamName};
+use samphiregrade::keyvalue::{EtcdGateway, KeyValueStore, SwapOutcome};
 use samphiregrade::link::{make_authority, make_identity};
-use samphiregrade::platform::{EtcdGateway, PlatformStore, SwapOutcome};
 use samphiregrade::record::{CURRENT_SCHEMA, PolicySpec, RecordEnvelope, RecordKind, record_key};
 use samphiregrade::settings::{
     InstanceSection, LimitSection, LinkSection, ListenSection, MembershipSection, PlatformSection,
--- a/crates/samphiregrade-bench/src/faults.rs
+++ b/crates/samphiregrade-bench/src/faults.rs
@@ -316,7 +316,7 @@
 
 /// Lets operators race: each writes the same record a few times, by compare-and-swap.
 async fn race_writers(cluster: &Cluster, writers: usize, log: &mut FaultLog) -> Result<()> {
-    use samphiregrade::platform::{PlatformStore, SwapOutcome};
+    use samphiregrade::keyvalue::{KeyValueStore, SwapOutcome};
     let key = samphiregrade::record::record_key(RecordKind::Model, "raced");
     let store = cluster.direct_store();
     let mut expected = vec![0; writers];
--- a/src/cmd/record.rs
+++ b/src/cmd/record.rs
@@ -8,8 +8,8 @@
 
 use anyhow::{Context, Result, bail};
 use pico_args::Arguments;
-use samphiregrade::platform::{
-    EtcdGateway, KeyEntry, KeyRange, PlatformClient, PlatformLimits, SwapOutcome,
+use samphiregrade::keyvalue::{
+    EtcdGateway, KeyEntry, KeyRange, KeyValueClient, KeyValueLimits, SwapOutcome,
 };
 use samphiregrade::record::{RECORD_PREFIX, RecordEnvelope, RecordKind, record_diff, record_key};
 use samphiregrade_http::{HttpPool, run_system};
@@ -90,12 +90,12 @@
     run_system(async move {
         let pool = HttpPool::start(1);
         let store = Arc::new(EtcdGateway::new(&arguments.key_value, pool));
-        let client = PlatformClient::new(store, PlatformLimits::default());
+        let client = KeyValueClient::new(store, KeyValueLimits::default());
         run_action(&client, arguments.action).await
     })
 }
 
-async fn run_action(client: &PlatformClient, action: RecordAction) -> Result<ExitCode> {
+async fn run_action(client: &KeyValueClient, action: RecordAction) -> Result<ExitCode> {
     match action {
         RecordAction::List(kind) => list(client, kind).await,
         RecordAction::Get(kind, name) => get(client, kind, &name).await,
@@ -126,7 +126,7 @@
     })
 }
 
-async fn list(client: &PlatformClient, kind: Option<RecordKind>) -> Result<ExitCode> {
+async fn list(client: &KeyValueClient, kind: Option<RecordKind>) -> Result<ExitCode> {
     let reading = client.read(KeyRange::Prefix(prefix(kind))).await?;
     for entry in reading.entries {
         let name = entry.key.strip_prefix(RECORD_PREFIX).unwrap_or(&entry.key);
@@ -142,7 +142,7 @@
     Ok(ExitCode::SUCCESS)
 }
 
-async fn get(client: &PlatformClient, kind: RecordKind, name: &str) -> Result<ExitCode> {
+async fn get(client: &KeyValueClient, kind: RecordKind, name: &str) -> Result<ExitCode> {
     let entry = client.read_key(&record_key(kind, name)).await?;
     let entry = entry.with_context(|| format!("there is no record {kind}/{name}"))?;
     eprintln!("revision={}", entry.revision);
@@ -150,7 +150,7 @@
     Ok(ExitCode::SUCCESS)
 }
 
-async fn put(client: &PlatformClient, path: &PathBuf, base: u64) -> Result<ExitCode> {
+async fn put(client: &KeyValueClient, path: &PathBuf, base: u64) -> Result<ExitCode> {
     let text = if path.as_os_str() == "-" {
         let mut text = String::new();
         std::io::stdin()
@@ -173,7 +173,7 @@
 }
 
 async fn swap(
-    client: &PlatformClient,
+    client: &KeyValueClient,
     key: &SmolStr,
     base: u64,
     value: Option<String>,
@@ -210,7 +210,7 @@
 
 /// Prints changes; with `past_only` those up to now, else until the watch breaks.
 async fn follow(
-    client: &PlatformClient,
+    client: &KeyValueClient,
     range: KeyRange,
     from: u64,
     past_only: bool,
--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -7,8 +7,8 @@
 
 use anyhow::{Context, Result};
 use pico_args::Arguments;
+use samphiregrade::keyvalue::{EtcdGateway, InstanceList};
 use samphiregrade::link::LinkIdentity;
-use samphiregrade::platform::{EtcdGateway, InstanceList};
 use samphiregrade::{Instance, InstanceParts, Settings};
 use samphiregrade_http::{HttpPool, run_system};
 use tokio::runtime::{Builder, Runtime};
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -19,8 +19,8 @@
 
 use crate::client::CallerClient;
 use crate::instance::{Instance, InstanceParts};
+use crate::keyvalue::{InstanceList, KeyValueStore, ListedInstance, MemoryStore, SwapOutcome};
 use crate::link::{make_authority, make_identity};
-use crate::platform::{InstanceList, ListedInstance, MemoryStore, PlatformStore, SwapOutcome};
 use crate::record::record_key;
 use crate::settings::{
     InstanceSection, LimitSection, LinkSection, ListenSection, MembershipSection, PlatformSection,
@@ -136,7 +136,7 @@
 {
     let deployment = &settings.deployment;
     let pool = HttpPool::start(1);
-    let store: Arc<dyn PlatformStore> = Arc::new(MemoryStore::default());
+    let store: Arc<dyn KeyValueStore> = Arc::new(MemoryStore::default());
     let (mut servers, addresses) = start_upstreams(deployment).context("starting the stand-ins")?;
     write_records(deployment, &addresses, store.as_ref()).await?;
     let started = start_instances(&settings, &store, &pool, runtime);
@@ -198,7 +198,7 @@
 async fn write_records(
     deployment: &Deployment,
     addresses: &BTreeMap<SmolStr, SmolStr>,
-    store: &dyn PlatformStore,
+    store: &dyn KeyValueStore,
 ) -> Result<()> {
     let address = |name: &str| addresses.get(name).cloned().unwrap_or_default();
     for record in deployment_records(deployment, address) {
@@ -215,7 +215,7 @@
 
 fn start_instances(
     settings: &DemoSettings,
-    store: &Arc<dyn PlatformStore>,
+    store: &Arc<dyn KeyValueStore>,
     pool: &HttpPool,
     runtime: &Runtime,
 ) -> Result<(Vec<Instance>, Vec<SmolStr>, Vec<Server>)> {
--- a/src/instance/dump.rs
+++ b/src/instance/dump.rs
@@ -8,7 +8,7 @@
 
 use super::InstanceState;
 use crate::ids::{DomainId, RevisionNumber};
-use crate::platform::PlatformStats;
+use crate::keyvalue::KeyValueStats;
 use crate::record::{PolicySpec, RecordProblem};
 use crate::scheduler::QueueDump;
 use crate::shard::{CopyDump, VersionedMap};
@@ -55,7 +55,7 @@
     configuration_revision: RevisionNumber,
     policy: PolicySpec,
     record_problems: Vec<RecordProblem>,
-    platform: PlatformStats,
+    platform: KeyValueStats,
     links: LinkDump,
     requests: RequestDump,
     peers: Vec<PeerDump>,
@@ -79,7 +79,7 @@
             configuration_revision: config.revision(),
             policy: config.policy().clone(),
             record_problems: config.problems().to_vec(),
-            platform: self.platform.stats(),
+            platform: self.key_value.stats(),
             links: LinkDump {
                 sent_bytes,
                 received_bytes,
--- a/src/instance/metrics.rs
+++ b/src/instance/metrics.rs
@@ -34,12 +34,12 @@
     (
         "samphiregrade_platform_calls",
         "Calls of the key-value service",
-        |state| state.platform.stats().calls,
+        |state| state.key_value.stats().calls,
     ),
     (
         "samphiregrade_platform_failures",
         "Calls of it without an answer",
-        |state| state.platform.stats().failures,
+        |state| state.key_value.stats().failures,
     ),
     (
         "samphiregrade_link_sent_bytes",
@@ -133,7 +133,7 @@
     (
         "samphiregrade_platform_reachable",
         "Whether the last call was answered",
-        |state| u64::from(state.platform.is_reachable()),
+        |state| u64::from(state.key_value.is_reachable()),
     ),
     (
         "samphiregrade_calls_waiting",
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -27,9 +27,9 @@
 use tokio_util::task::AbortOnDropHandle;
 
 use crate::ids::{InstanceRef, ShardId};
+use crate::keyvalue::{InstanceList, KeyValueClient, KeyValueLimits, KeyValueStore};
 use crate::link::{IdentityError, LinkIdentity, LinkNetwork};
 use crate::membership::{PeerTable, run_membership};
-use crate::platform::{InstanceList, PlatformClient, PlatformLimits, PlatformStore};
 use crate::record::ConfigView;
 use crate::scheduler::CallQueue;
 use crate::settings::Settings;
@@ -56,7 +56,7 @@
     /// Certificates of its links.
     pub identity: LinkIdentity,
     /// The key-value service.
-    pub store: Arc<dyn PlatformStore>,
+    pub store: Arc<dyn KeyValueStore>,
     /// The instance list.
     pub list: InstanceList,
     /// Client for upstreams.
@@ -91,7 +91,7 @@
     settings: Settings,
     peers: Arc<PeerTable>,
     network: LinkNetwork,
-    platform: PlatformClient,
+    key_value: KeyValueClient,
     maps: Arc<MapKeeper>,
     config: Arc<ArcSwap<ConfigView>>,
     records: RecordKeeper,
@@ -138,12 +138,12 @@
             membership.suspect_after,
         ));
         let network = LinkNetwork::open(parts.peer_socket, &parts.identity)?;
-        let limits = PlatformLimits {
+        let limits = KeyValueLimits {
             calls_per_second: settings.platform.calls_per_second,
             burst: settings.platform.call_burst,
         };
-        let platform = PlatformClient::new(parts.store, limits);
-        let maps = MapKeeper::start(platform.clone(), &me.to_string(), stop.clone());
+        let key_value = KeyValueClient::new(parts.store, limits);
+        let maps = MapKeeper::start(key_value.clone(), &me.to_string(), stop.clone());
         let config = Arc::new(ArcSwap::from_pointee(ConfigView::default()));
         let queue = Arc::new(CallQueue::new(domain, me.incarnation));
         let runner = UpstreamRunner::new(queue.clone(), parts.pool.clone(), config.clone());
@@ -154,7 +154,7 @@
             settings: settings.shards.copy_settings(),
             peers: peers.clone(),
             network: network.clone(),
-            platform: platform.clone(),
+            key_value: key_value.clone(),
             maps: maps.clone(),
             config: config.clone(),
             dispatch: Arc::new(runner.clone()),
@@ -175,7 +175,7 @@
             settings,
             peers,
             network,
-            platform,
+            key_value,
             maps,
             config,
             queue,
@@ -219,7 +219,7 @@
         let orders = OrderContext {
             me: state.peers.view().me.clone(),
             domain: state.settings.instance.failure_domain.clone(),
-            platform: state.platform.clone(),
+            key_value: state.key_value.clone(),
             config: state.config.clone(),
             queue: state.queue.clone(),
             pool: state.pool.clone(),
--- a/src/instance/overseer.rs
+++ b/src/instance/overseer.rs
@@ -8,8 +8,8 @@
 
 use super::InstanceState;
 use crate::ids::{InstanceRef, ShardId};
+use crate::keyvalue::SwapOutcome;
 use crate::link::{LinkError, PeerReply, PeerRequest};
-use crate::platform::SwapOutcome;
 use crate::shard::{LogPosition, MapChange, ShardPlacement, VersionedMap, initial_map, map_key};
 
 /// Time between two looks.
@@ -76,7 +76,7 @@
     map.attempt = format_smolstr!("{}/first", view.me);
     let text = serde_json::to_string(&map).unwrap_or_default();
     let key = map_key(&view.domain);
-    match state.platform.swap(&key, 0, Some(text)).await {
+    match state.key_value.swap(&key, 0, Some(text)).await {
         Ok(SwapOutcome::Swapped(revision)) => {
             log::info!(
                 "shard map made domain={} shards={}",
--- a/src/instance/records.rs
+++ b/src/instance/records.rs
@@ -8,8 +8,8 @@
 
 use super::InstanceState;
 use crate::ids::RevisionNumber;
+use crate::keyvalue::{KeyChange, KeyRange, KeyValueError, RangeReading};
 use crate::link::PeerRequest;
-use crate::platform::{KeyChange, KeyRange, PlatformError, RangeReading};
 use crate::record::{ConfigView, RECORD_PREFIX, RecordChange, RecordDelta, RecordStore};
 use crate::shard::{MAP_PREFIX, VersionedMap};
 
@@ -88,7 +88,7 @@
         let watching = async {
             if state.is_watcher() {
                 if let Err(error) = watch_once(&state).await {
-                    log::debug!("platform not watched error={error}");
+                    log::debug!("key-value service not watched error={error}");
                 }
                 tokio::time::sleep(WATCH_PAUSE).await;
             } else {
@@ -168,11 +168,11 @@
 }
 
 /// Reads everything, then follows the changes until the watch breaks.
-async fn watch_once(state: &InstanceState) -> Result<(), PlatformError> {
+async fn watch_once(state: &InstanceState) -> Result<(), KeyValueError> {
     let range = KeyRange::Prefix(KEY_PREFIX.into());
-    let reading = state.platform.read(range.clone()).await?;
+    let reading = state.key_value.read(range.clone()).await?;
     state.take_reading(&reading);
-    let mut changes = state.platform.watch(range, reading.revision + 1).await?;
+    let mut changes = state.key_value.watch(range, reading.revision + 1).await?;
     while let Some(delta) = next_changes(state, &mut changes).await {
         if state.records.merge(&delta) && !delta.changes.is_empty() {
             state.push_to_partners(&PeerRequest::RecordsUpdate(delta));
--- a/src/platform/client.rs
+++ b/src/keyvalue/client.rs
@@ -10,7 +10,7 @@
 use tokio::sync::mpsc;
 
 use super::{
-    KeyChange, KeyEntry, KeyRange, PlatformError, PlatformStore, RangeReading, SwapOutcome,
+    KeyChange, KeyEntry, KeyRange, KeyValueError, KeyValueStore, RangeReading, SwapOutcome,
 };
 use crate::ids::RevisionNumber;
 
@@ -22,14 +22,14 @@
 
 /// How many calls one instance allows itself.
 #[derive(Clone, Copy, Debug)]
-pub struct PlatformLimits {
+pub struct KeyValueLimits {
     /// Calls a second in the long run.
     pub calls_per_second: f64,
     /// Calls at once after a quiet time.
     pub burst: f64,
 }
 
-impl Default for PlatformLimits {
+impl Default for KeyValueLimits {
     fn default() -> Self {
         Self {
             calls_per_second: 20.0,
@@ -47,7 +47,7 @@
 /// Calls counted since the start.
 #[derive(Clone, Copy, Debug, Serialize)]
 #[serde(rename_all = "kebab-case")]
-pub struct PlatformStats {
+pub struct KeyValueStats {
     /// Calls made.
     pub calls: u64,
     /// Calls without an answer.
@@ -59,8 +59,8 @@
 }
 
 struct ClientInner {
-    store: Arc<dyn PlatformStore>,
-    limits: PlatformLimits,
+    store: Arc<dyn KeyValueStore>,
+    limits: KeyValueLimits,
     bucket: Mutex<TokenBucket>,
     calls: AtomicU64,
     failures: AtomicU64,
@@ -70,23 +70,23 @@
 
 /// The client; cloning it is cheap.
 #[derive(Clone)]
-pub struct PlatformClient {
+pub struct KeyValueClient {
     inner: Arc<ClientInner>,
 }
 
-impl fmt::Debug for PlatformClient {
+impl fmt::Debug for KeyValueClient {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         formatter
-            .debug_struct("PlatformClient")
+            .debug_struct("KeyValueClient")
             .field("stats", &self.stats())
             .finish()
     }
 }
 
-impl PlatformClient {
+impl KeyValueClient {
     /// Makes a client on a store.
     #[must_use]
-    pub fn new(store: Arc<dyn PlatformStore>, limits: PlatformLimits) -> Self {
+    pub fn new(store: Arc<dyn KeyValueStore>, limits: KeyValueLimits) -> Self {
         let bucket = TokenBucket {
             level: limits.burst,
             filled: Instant::now(),
@@ -107,8 +107,8 @@
 
     /// Returns the calls counted so far.
     #[must_use]
-    pub fn stats(&self) -> PlatformStats {
-        PlatformStats {
+    pub fn stats(&self) -> KeyValueStats {
+        KeyValueStats {
             calls: self.inner.calls.load(Ordering::Relaxed),
             failures: self.inner.failures.load(Ordering::Relaxed),
             held_back: self.inner.held_back.load(Ordering::Relaxed),
@@ -127,7 +127,7 @@
     /// # Errors
     ///
     /// Returns why there was no answer; reading again is always right.
-    pub async fn read(&self, range: KeyRange) -> Result<RangeReading, PlatformError> {
+    pub async fn read(&self, range: KeyRange) -> Result<RangeReading, KeyValueError> {
         self.take_token()?;
         self.note(self.inner.store.read(range).await)
     }
@@ -137,7 +137,7 @@
     /// # Errors
     ///
     /// As [`read`](Self::read).
-    pub async fn read_key(&self, key: &SmolStr) -> Result<Option<KeyEntry>, PlatformError> {
+    pub async fn read_key(&self, key: &SmolStr) -> Result<Option<KeyEntry>, KeyValueError> {
         let reading = self.read(KeyRange::Single(key.clone())).await?;
         Ok(reading.entries.into_iter().next())
     }
@@ -150,14 +150,14 @@
     ///
     /// # Errors
     ///
-    /// Returns [`PlatformError::NoAnswer`] only where no try brought an answer; the swap may then
+    /// Returns [`KeyValueError::NoAnswer`] only where no try brought an answer; the swap may then
     /// have taken effect, or may still do so.
     pub async fn swap(
         &self,
         key: &SmolStr,
         expected: RevisionNumber,
         value: Option<String>,
-    ) -> Result<SwapOutcome, PlatformError> {
+    ) -> Result<SwapOutcome, KeyValueError> {
         self.take_token()?;
         let mut doubt = None;
         for _ in 0..SWAP_TRIES {
@@ -173,13 +173,13 @@
                     return Ok(SwapOutcome::Swapped(entry.revision));
                 }
                 (Ok(outcome), _) => return Ok(outcome),
-                (Err(error @ PlatformError::NoAnswer(_)), _) => doubt = Some(error),
+                (Err(error @ KeyValueError::NoAnswer(_)), _) => doubt = Some(error),
                 (Err(error), None) => return Err(error),
                 (Err(_), Some(_)) => {}
             }
             tokio::time::sleep(SWAP_PAUSE).await;
         }
-        Err(doubt.unwrap_or(PlatformError::Limited))
+        Err(doubt.unwrap_or(KeyValueError::Limited))
     }
 
     /// Watches a range from a revision on.
@@ -191,7 +191,7 @@
         &self,
         range: KeyRange,
         from: RevisionNumber,
-    ) -> Result<mpsc::Receiver<KeyChange>, PlatformError> {
+    ) -> Result<mpsc::Receiver<KeyChange>, KeyValueError> {
         self.take_token()?;
         self.note(self.inner.store.watch(range, from).await)
     }
@@ -206,12 +206,12 @@
         key: SmolStr,
         holder: SmolStr,
         time: Duration,
-    ) -> Result<bool, PlatformError> {
+    ) -> Result<bool, KeyValueError> {
         self.take_token()?;
         self.note(self.inner.store.hold_lease(key, holder, time).await)
     }
 
-    fn take_token(&self) -> Result<(), PlatformError> {
+    fn take_token(&self) -> Result<(), KeyValueError> {
         let mut bucket = self
             .inner
             .bucket
@@ -224,17 +224,17 @@
         bucket.filled = now;
         if bucket.level < 1.0 {
             self.inner.held_back.fetch_add(1, Ordering::Relaxed);
-            return Err(PlatformError::Limited);
+            return Err(KeyValueError::Limited);
         }
         bucket.level -= 1.0;
         self.inner.calls.fetch_add(1, Ordering::Relaxed);
         Ok(())
     }
 
-    fn note<Answer>(&self, answer: Result<Answer, PlatformError>) -> Result<Answer, PlatformError> {
+    fn note<Answer>(&self, answer: Result<Answer, KeyValueError>) -> Result<Answer, KeyValueError> {
         let reachable = !matches!(
             answer,
-            Err(PlatformError::Unreachable(_) | PlatformError::NoAnswer(_))
+            Err(KeyValueError::Unreachable(_) | KeyValueError::NoAnswer(_))
         );
         if !reachable {
             self.inner.failures.fetch_add(1, Ordering::Relaxed);
--- a/src/platform/etcd.rs
+++ b/src/keyvalue/etcd.rs
@@ -15,7 +15,7 @@
 use tokio::sync::mpsc;
 
 use super::{
-    KeyChange, KeyEntry, KeyRange, PlatformError, PlatformStore, RangeReading, SwapOutcome,
+    KeyChange, KeyEntry, KeyRange, KeyValueError, KeyValueStore, RangeReading, SwapOutcome,
 };
 use crate::ids::RevisionNumber;
 
@@ -169,7 +169,7 @@
         }
     }
 
-    async fn call<Reply>(&self, path: &str, body: &Value) -> Result<Reply, PlatformError>
+    async fn call<Reply>(&self, path: &str, body: &Value) -> Result<Reply, KeyValueError>
     where
         Reply: DeserializeOwned,
     {
@@ -182,7 +182,7 @@
         path: &str,
         body: &Value,
         timeout: Duration,
-    ) -> Result<IncomingResponse, PlatformError> {
+    ) -> Result<IncomingResponse, KeyValueError> {
         let url = format_smolstr!("{}{path}", self.base);
         let request = OutgoingRequest::post_json(&url, body).with_timeout(timeout);
         let response = self
@@ -192,9 +192,9 @@
             .map_err(|error| failure(&error))?;
         match response.status {
             200 => Ok(response),
-            429 => Err(PlatformError::Limited),
-            503 => Err(PlatformError::Unreachable("status 503".into())),
-            status => Err(PlatformError::NoAnswer(format_smolstr!("status {status}"))),
+            429 => Err(KeyValueError::Limited),
+            503 => Err(KeyValueError::Unreachable("status 503".into())),
+            status => Err(KeyValueError::NoAnswer(format_smolstr!("status {status}"))),
         }
     }
 
@@ -204,7 +204,7 @@
         expected: RevisionNumber,
         value: Option<String>,
         lease: u64,
-    ) -> Result<SwapOutcome, PlatformError> {
+    ) -> Result<SwapOutcome, KeyValueError> {
         let key = encode(&key);
         let write = match &value {
             Some(value) => json!({"request_put": {
@@ -230,7 +230,7 @@
     }
 
     /// Returns a lease that is alive for the time, granted anew where the last has lapsed.
-    async fn live_lease(&self, time: Duration) -> Result<u64, PlatformError> {
+    async fn live_lease(&self, time: Duration) -> Result<u64, KeyValueError> {
         let mut lease = self.lease.lock().await;
         if let Some(id) = *lease {
             let body = json!({"ID": id.to_string()});
@@ -251,7 +251,7 @@
         key: SmolStr,
         holder: SmolStr,
         time: Duration,
-    ) -> Result<bool, PlatformError> {
+    ) -> Result<bool, KeyValueError> {
         let lease = self.live_lease(time).await?;
         match self
             .swap_now(key, 0, Some(holder.to_string()), lease)
@@ -266,7 +266,7 @@
         &self,
         range: KeyRange,
         from: RevisionNumber,
-    ) -> Result<mpsc::Receiver<KeyChange>, PlatformError> {
+    ) -> Result<mpsc::Receiver<KeyChange>, KeyValueError> {
         let mut fields = range.fields();
         fields["start_revision"] = Value::from(from.to_string());
         let body = json!({"create_request": fields});
@@ -318,15 +318,15 @@
     }
 }
 
-fn failure(error: &HttpError) -> PlatformError {
+fn failure(error: &HttpError) -> KeyValueError {
     if error.not_sent() {
-        return PlatformError::Unreachable(error.to_smolstr());
+        return KeyValueError::Unreachable(error.to_smolstr());
     }
-    PlatformError::NoAnswer(error.to_smolstr())
+    KeyValueError::NoAnswer(error.to_smolstr())
 }
 
-impl PlatformStore for EtcdGateway {
-    fn read(&self, range: KeyRange) -> BoxFuture<'_, Result<RangeReading, PlatformError>> {
+impl KeyValueStore for EtcdGateway {
+    fn read(&self, range: KeyRange) -> BoxFuture<'_, Result<RangeReading, KeyValueError>> {
         async move {
             let reply: RangeReply = self.call("/v3/kv/range", &range.fields()).await?;
             Ok(reply.into_reading())
@@ -339,7 +339,7 @@
         key: SmolStr,
         expected: RevisionNumber,
         value: Option<String>,
-    ) -> BoxFuture<'_, Result<SwapOutcome, PlatformError>> {
+    ) -> BoxFuture<'_, Result<SwapOutcome, KeyValueError>> {
         self.swap_now(key, expected, value, 0).boxed()
     }
 
@@ -347,7 +347,7 @@
         &self,
         range: KeyRange,
         from: RevisionNumber,
-    ) -> BoxFuture<'_, Result<mpsc::Receiver<KeyChange>, PlatformError>> {
+    ) -> BoxFuture<'_, Result<mpsc::Receiver<KeyChange>, KeyValueError>> {
         self.watch_now(range, from).boxed()
     }
 
@@ -356,7 +356,7 @@
         key: SmolStr,
         holder: SmolStr,
         time: Duration,
-    ) -> BoxFuture<'_, Result<bool, PlatformError>> {
+    ) -> BoxFuture<'_, Result<bool, KeyValueError>> {
         self.hold_now(key, holder, time).boxed()
     }
 }
--- a/src/platform/instances.rs
+++ b/src/keyvalue/instances.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::{SmolStr, ToSmolStr};
 
-use super::PlatformError;
+use super::KeyValueError;
 use crate::ids::{DomainId, InstanceName};
 
 /// One instance as the list names it.
@@ -39,13 +39,13 @@
     /// # Errors
     ///
     /// Returns why the list could not be read; the last one stays in use.
-    pub async fn read(&self) -> Result<Vec<ListedInstance>, PlatformError> {
+    pub async fn read(&self) -> Result<Vec<ListedInstance>, KeyValueError> {
         match self {
             Self::Fixed(instances) => Ok(instances.clone()),
             Self::Url(url, pool) => {
                 let answer = pool.fetch_json(OutgoingRequest::get(url)).await;
                 let (_, instances) =
-                    answer.map_err(|error| PlatformError::Unreachable(error.to_smolstr()))?;
+                    answer.map_err(|error| KeyValueError::Unreachable(error.to_smolstr()))?;
                 Ok(instances)
             }
         }
--- a/src/platform/memory.rs
+++ b/src/keyvalue/memory.rs
@@ -10,7 +10,7 @@
 use tokio::sync::{broadcast, mpsc};
 
 use super::{
-    KeyChange, KeyEntry, KeyRange, PlatformError, PlatformStore, RangeReading, SwapOutcome,
+    KeyChange, KeyEntry, KeyRange, KeyValueError, KeyValueStore, RangeReading, SwapOutcome,
 };
 use crate::ids::RevisionNumber;
 
@@ -152,8 +152,8 @@
     }
 }
 
-impl PlatformStore for MemoryStore {
-    fn read(&self, range: KeyRange) -> BoxFuture<'_, Result<RangeReading, PlatformError>> {
+impl KeyValueStore for MemoryStore {
+    fn read(&self, range: KeyRange) -> BoxFuture<'_, Result<RangeReading, KeyValueError>> {
         ready(Ok(self.read_now(&range))).boxed()
     }
 
@@ -162,7 +162,7 @@
         key: SmolStr,
         expected: RevisionNumber,
         value: Option<String>,
-    ) -> BoxFuture<'_, Result<SwapOutcome, PlatformError>> {
+    ) -> BoxFuture<'_, Result<SwapOutcome, KeyValueError>> {
         ready(Ok(self.swap_now(key, expected, value))).boxed()
     }
 
@@ -170,7 +170,7 @@
         &self,
         range: KeyRange,
         from: RevisionNumber,
-    ) -> BoxFuture<'_, Result<mpsc::Receiver<KeyChange>, PlatformError>> {
+    ) -> BoxFuture<'_, Result<mpsc::Receiver<KeyChange>, KeyValueError>> {
         ready(Ok(self.watch_now(range, from))).boxed()
     }
 
@@ -179,7 +179,7 @@
         key: SmolStr,
         holder: SmolStr,
         time: Duration,
-    ) -> BoxFuture<'_, Result<bool, PlatformError>> {
+    ) -> BoxFuture<'_, Result<bool, KeyValueError>> {
         ready(Ok(self.hold_now(key, holder, time))).boxed()
     }
 }
--- a/src/platform/mod.rs
+++ b/src/keyvalue/mod.rs
@@ -13,14 +13,14 @@
 
 use crate::ids::RevisionNumber;
 
-pub use client::{PlatformClient, PlatformLimits, PlatformStats};
+pub use client::{KeyValueClient, KeyValueLimits, KeyValueStats};
 pub use etcd::EtcdGateway;
 pub use instances::{InstanceList, ListedInstance};
 pub use memory::MemoryStore;
 
 /// Why a call of the platform brought no answer.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
-pub enum PlatformError {
+pub enum KeyValueError {
     /// The call certainly had no effect.
     #[error("the key-value service can't be reached: {0}; the call is retried later")]
     Unreachable(SmolStr),
@@ -82,9 +82,9 @@
 }
 
 /// A key-value service with compare-and-swap, leases and watches.
-pub trait PlatformStore: Send + Sync {
+pub trait KeyValueStore: Send + Sync {
     /// Reads a range.
-    fn read(&self, range: KeyRange) -> BoxFuture<'_, Result<RangeReading, PlatformError>>;
+    fn read(&self, range: KeyRange) -> BoxFuture<'_, Result<RangeReading, KeyValueError>>;
 
     /// Stores or removes a value where the key's last change is `expected`; 0 where there is none.
     fn swap(
@@ -92,14 +92,14 @@
         key: SmolStr,
         expected: RevisionNumber,
         value: Option<String>,
-    ) -> BoxFuture<'_, Result<SwapOutcome, PlatformError>>;
+    ) -> BoxFuture<'_, Result<SwapOutcome, KeyValueError>>;
 
     /// Watches a range from a revision on; the channel closes when the watch breaks.
     fn watch(
         &self,
         range: KeyRange,
         from: RevisionNumber,
-    ) -> BoxFuture<'_, Result<mpsc::Receiver<KeyChange>, PlatformError>>;
+    ) -> BoxFuture<'_, Result<mpsc::Receiver<KeyChange>, KeyValueError>>;
 
     /// Stores a value that vanishes unless it is stored again within the time.
     ///
@@ -109,5 +109,5 @@
         key: SmolStr,
         holder: SmolStr,
         time: std::time::Duration,
-    ) -> BoxFuture<'_, Result<bool, PlatformError>>;
+    ) -> BoxFuture<'_, Result<bool, KeyValueError>>;
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -5,7 +5,7 @@
 //!
 //! * [`contract`] is what callers and the system promise each other.
 //! * [`instance`] is one process: it listens for callers, operators and other instances.
-//! * [`record`] and [`platform`] bring the operators' configuration from the key-value service.
+//! * [`record`] and [`keyvalue`] bring the operators' configuration from the key-value service.
 //! * [`shard`] keeps programs in several copies and decides which of them may answer.
 //! * [`storage`] keeps copies on the disks of the instances that have one.
 //! * [`program`] is the pure part of that: log entries, budgets and decisions.
@@ -31,9 +31,9 @@
 pub mod demo;
 pub mod ids;
 pub mod instance;
+pub mod keyvalue;
 pub mod link;
 pub mod membership;
-pub mod platform;
 pub mod program;
 pub mod record;
 pub mod scheduler;
--- a/src/membership/prober.rs
+++ b/src/membership/prober.rs
@@ -12,8 +12,8 @@
 
 use super::table::{PeerRecord, PeerTable};
 use crate::ids::InstanceRef;
+use crate::keyvalue::InstanceList;
 use crate::link::{LinkNetwork, PeerReply, PeerRequest, ProbeMessage};
-use crate::platform::InstanceList;
 
 /// Time after the start in which the list is read more often, to find the others soon.
 const YOUNG_TIME: Duration = Duration::from_secs(5);
--- a/src/membership/table.rs
+++ b/src/membership/table.rs
@@ -8,8 +8,8 @@
 use arc_swap::ArcSwap;
 
 use crate::ids::{DomainId, InstanceName, InstanceRef};
+use crate::keyvalue::ListedInstance;
 use crate::link::ProbeMessage;
-use crate::platform::ListedInstance;
 
 /// One other instance.
 #[derive(Clone, Debug)]
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -11,8 +11,8 @@
 use thiserror::Error;
 
 use crate::ids::{DomainId, InstanceName};
+use crate::keyvalue::{KeyValueLimits, ListedInstance};
 use crate::membership::MembershipSettings;
-use crate::platform::{ListedInstance, PlatformLimits};
 use crate::shard::ShardSettings;
 use crate::upstream::PollerSettings;
 
@@ -129,11 +129,11 @@
 }
 
 fn default_calls() -> f64 {
-    PlatformLimits::default().calls_per_second
+    KeyValueLimits::default().calls_per_second
 }
 
 fn default_burst() -> f64 {
-    PlatformLimits::default().burst
+    KeyValueLimits::default().burst
 }
 
 /// Certificates of the links, as PEM files.
--- a/src/shard/actor.rs
+++ b/src/shard/actor.rs
@@ -16,7 +16,7 @@
 use super::primary::PrimaryState;
 use super::role::{HeldRole, RoleChange, decide_role};
 use crate::ids::{InstanceRef, ShardEpoch, ShardId};
-use crate::platform::PlatformError;
+use crate::keyvalue::KeyValueError;
 
 /// Commands that may wait for the task.
 const INBOX: usize = 4096;
@@ -432,8 +432,8 @@
 }
 
 /// Reads the map of a shard's failure domain from the platform.
-pub async fn refresh_map(context: &ShardContext, shard: &ShardId) -> Result<(), PlatformError> {
-    let entry = context.platform.read_key(&map_key(&shard.domain)).await?;
+pub async fn refresh_map(context: &ShardContext, shard: &ShardId) -> Result<(), KeyValueError> {
+    let entry = context.key_value.read_key(&map_key(&shard.domain)).await?;
     let Some(entry) = entry else { return Ok(()) };
     if let Ok(map) = serde_json::from_str(&entry.value) {
         let revision = entry.revision;
--- a/src/shard/context.rs
+++ b/src/shard/context.rs
@@ -17,9 +17,9 @@
 use super::stream::StreamBuffer;
 use crate::contract::{ChatMessage, Refusal};
 use crate::ids::{ClassName, OrganisationId, ProgramId, ShardEpoch, ShardId, UpstreamName};
+use crate::keyvalue::KeyValueClient;
 use crate::link::LinkNetwork;
 use crate::membership::PeerTable;
-use crate::platform::PlatformClient;
 use crate::program::CallIntent;
 use crate::record::ConfigView;
 use crate::storage::{BulkStore, RecoveredCopy};
@@ -144,7 +144,7 @@
     /// The links.
     pub network: LinkNetwork,
     /// The platform.
-    pub platform: PlatformClient,
+    pub key_value: KeyValueClient,
     /// The shard maps.
     pub maps: Arc<MapKeeper>,
     /// The configuration in force.
--- a/src/shard/keeper.rs
+++ b/src/shard/keeper.rs
@@ -17,7 +17,7 @@
     DomainMap, MapChange, MapConflict, MapDelta, ShardPlacement, VersionedMap, map_key,
 };
 use crate::ids::{DomainId, RevisionNumber, ShardEpoch, ShardId};
-use crate::platform::{PlatformClient, PlatformError, SwapOutcome};
+use crate::keyvalue::{KeyValueClient, KeyValueError, SwapOutcome};
 
 /// Time over which changes are collected for one swap.
 const COLLECT_TIME: Duration = Duration::from_millis(10);
@@ -33,7 +33,7 @@
     Conflict(#[from] MapConflict),
     /// The platform gave no answer.
     #[error(transparent)]
-    Platform(#[from] PlatformError),
+    KeyValue(#[from] KeyValueError),
     /// No map is known.
     #[error("there is no shard map of the failure domain yet; it is made within seconds")]
     NoMap,
@@ -79,7 +79,7 @@
 impl MapKeeper {
     /// Starts a keeper with its task for changes; to be called inside a tokio runtime.
     #[must_use]
-    pub fn start(platform: PlatformClient, writer: &str, stop: CancellationToken) -> Arc<Self> {
+    pub fn start(key_value: KeyValueClient, writer: &str, stop: CancellationToken) -> Arc<Self> {
         let (proposals, receiver) = mpsc::channel(1024);
         let keeper = Arc::new(Self {
             maps: ArcSwap::default(),
@@ -90,7 +90,7 @@
         });
         let proposer = MapProposer {
             keeper: keeper.clone(),
-            platform,
+            key_value,
             writer: writer.to_owned(),
             attempts: 0,
         };
@@ -180,7 +180,7 @@
     /// # Errors
     ///
     /// Returns [`ProposeError`]; the change may have been made only where that is
-    /// [`PlatformError::NoAnswer`].
+    /// [`KeyValueError::NoAnswer`].
     pub async fn propose(
         &self,
         shard: &ShardId,
@@ -204,7 +204,7 @@
 
 struct MapProposer {
     keeper: Arc<MapKeeper>,
-    platform: PlatformClient,
+    key_value: KeyValueClient,
     writer: String,
     attempts: u64,
 }
@@ -280,10 +280,10 @@
         domain: &DomainId,
         revision: RevisionNumber,
         next: &DomainMap,
-    ) -> Result<Option<()>, PlatformError> {
+    ) -> Result<Option<()>, KeyValueError> {
         let text = serde_json::to_string(next).unwrap_or_default();
         match self
-            .platform
+            .key_value
             .swap(&map_key(domain), revision, Some(text))
             .await?
         {
--- a/src/shard/primary/replicate.rs
+++ b/src/shard/primary/replicate.rs
@@ -274,7 +274,7 @@
                 Ok(false)
             }
             Err(ProposeError::Stopped) => Err(DeposedError),
-            Err(ProposeError::Platform(_) | ProposeError::NoMap) => {
+            Err(ProposeError::KeyValue(_) | ProposeError::NoMap) => {
                 let only_remote = missing.iter().all(|one| self.is_remote(one));
                 let cut_off = only_remote
                     && suspected.len() == missing.len()
--- a/src/shard/primary/tenure.rs
+++ b/src/shard/primary/tenure.rs
@@ -4,8 +4,8 @@
 
 use super::{DeposedError, PrimaryState};
 use crate::ids::{InstanceRef, ProgramId, UpstreamName};
+use crate::keyvalue::KeyValueError;
 use crate::membership::PeerRecord;
-use crate::platform::PlatformError;
 use crate::program::{ProgramRecord, sweep_expired};
 use crate::shard::actor::refresh_map;
 use crate::shard::command::ShardCommand;
@@ -190,7 +190,7 @@
 
     /// Adds a backup where one is missing.
     async fn add_backup(&mut self) -> Result<(), DeposedError> {
-        if self.detached || !self.context.platform.is_reachable() {
+        if self.detached || !self.context.key_value.is_reachable() {
             return Ok(());
         }
         let Some(candidate) = self.missing_backup() else {
@@ -209,7 +209,7 @@
                 Ok(())
             }
             Err(ProposeError::Conflict(_)) => self.follow_map(),
-            Err(ProposeError::Platform(PlatformError::NoAnswer(_))) => {
+            Err(ProposeError::KeyValue(KeyValueError::NoAnswer(_))) => {
                 // The map may list it: from now on it has to store every entry as well.
                 self.backups.push(candidate);
                 Ok(())
--- a/src/upstream/orders.rs
+++ b/src/upstream/orders.rs
@@ -12,7 +12,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::ids::{DomainId, InstanceRef, ModelName, UpstreamName};
-use crate::platform::{PlatformClient, PlatformError, SwapOutcome};
+use crate::keyvalue::{KeyValueClient, KeyValueError, SwapOutcome};
 use crate::record::{ConfigView, UpstreamKind, UpstreamSpec};
 use crate::scheduler::CallQueue;
 
@@ -43,7 +43,7 @@
     /// Its failure domain.
     pub domain: DomainId,
     /// The platform.
-    pub platform: PlatformClient,
+    pub key_value: KeyValueClient,
     /// The configuration in force.
     pub config: Arc<ArcSwap<ConfigView>>,
     /// What engines report.
@@ -83,7 +83,7 @@
 }
 
 impl ModelOrderer {
-    async fn look(&mut self) -> Result<(), PlatformError> {
+    async fn look(&mut self) -> Result<(), KeyValueError> {
         let config = self.context.config.load_full();
         let wanted = missing_models(&config, &self.context);
         if wanted.is_empty() {
@@ -108,20 +108,20 @@
         Ok(())
     }
 
-    async fn hold_lease(&self) -> Result<bool, PlatformError> {
+    async fn hold_lease(&self) -> Result<bool, KeyValueError> {
         let key = format_smolstr!("samphiregrade/orderer/{}", self.context.domain);
         let holder = format_smolstr!("{}", self.context.me);
         self.context
-            .platform
+            .key_value
             .hold_lease(key, holder, LEASE_TIME)
             .await
     }
 
     /// Takes the next fencing number, or goes on with the own one.
-    async fn take_fence(&self) -> Result<u64, PlatformError> {
+    async fn take_fence(&self) -> Result<u64, KeyValueError> {
         let key = format_smolstr!("samphiregrade/order-fence/{}", self.context.domain);
         let holder = format_smolstr!("{}", self.context.me);
-        let entry = self.context.platform.read_key(&key).await?;
+        let entry = self.context.key_value.read_key(&key).await?;
         let known: Option<OrdererTenure> = entry
             .as_ref()
             .and_then(|entry| serde_json::from_str(&entry.value).ok());
@@ -135,12 +135,12 @@
         let expected = entry.map_or(0, |entry| entry.revision);
         match self
             .context
-            .platform
+            .key_value
             .swap(&key, expected, Some(text))
             .await?
         {
             SwapOutcome::Swapped(_) => Ok(fence),
-            SwapOutcome::Conflict(_) => Err(PlatformError::Limited),
+            SwapOutcome::Conflict(_) => Err(KeyValueError::Limited),
         }
     }
 
