Rank turns by their program's progress; see silent upstreams; judge a cut by programs' groups

Ruled out: the platform's probes (entries answered 503 in time; the new log line `readiness` shows it).

Cause 2: in a burst, engines serve equal ranks in the order of arrival, so that all programs are late. Ranks now know whether a program can still end in time (its first known time left is kept with its reservations) and part new programs by a hash.

Silence now costs, and a client that leaves after a long one counts as a failure.

--- a/crates/samphiregrade-gateway/src/exchange/connection.rs
+++ b/crates/samphiregrade-gateway/src/exchange/connection.rs
@@ -16,7 +16,7 @@
 use super::refusal::{Refusal, RefusalReason};
 use super::relay::{RelayEnd, relay_answer};
 use super::request::RoutedRequest;
-use super::turn::TurnPlan;
+use super::turn::{ProgramStanding, TurnPlan};
 use crate::model::{ClientLimits, RequestKind, RequestMetadata};
 use crate::routing::{RouteTable, service_for};
 
@@ -166,6 +166,7 @@
         let id = metadata.request.clone().unwrap_or_default();
         let mut record = RequestRecord::new(id, started);
         record.program = metadata.program.clone().unwrap_or_default();
+        record.program_left = metadata.program_deadline;
         let keep = head.keeps_connection() && head.minor_version > 0;
         let body = match self.read_body(&head, limits).await {
             BodyEnd::Whole(body) => body,
@@ -278,7 +279,8 @@
             head,
             metadata,
             body,
-            last_place: None,
+            standing: ProgramStanding::default(),
+            urgency: table.urgency(&service.name, route.priority),
             route,
             service,
         };
@@ -394,7 +396,7 @@
         let prepared = tokio::time::timeout_at(request.due.into(), preparing).await;
         let prepared = prepared.unwrap_or(Err(RefusalReason::LateUnsent))?;
         request.body = prepared.body;
-        request.last_place = prepared.last_place;
+        request.standing = prepared.standing;
     }
     dispatch(context, request, record).await
 }
--- a/crates/samphiregrade-gateway/src/exchange/dispatch.rs
+++ b/crates/samphiregrade-gateway/src/exchange/dispatch.rs
@@ -216,7 +216,11 @@
     };
     record.sends += 1;
     record.before_send.get_or_insert(request.started.elapsed());
-    let bytes = encode(context, request, upstream);
+    record.rank = request.service.engine.map(|_| request.rank());
+    let bytes = encode(context, request, upstream, record.rank);
+    let _waiting = request
+        .is_served_first()
+        .then(|| upstream.await_head(Instant::now()));
     let broken = |what: &str, error: String| {
         AttemptEnd::Broken(format!("{} {what}: {error}", upstream.entry.id))
     };
@@ -232,6 +236,7 @@
         if head.status < 200 {
             continue;
         }
+        upstream.hear(Instant::now());
         let metadata = context.dialect.answer_metadata(&head);
         let framing = match head.framing() {
             Ok(framing) => framing,
@@ -301,7 +306,12 @@
     WireSocket::connect(upstream.entry.address, CONNECT_TIMEOUT, &limits).await
 }
 
-fn encode(context: &EntryContext, request: &RoutedRequest, upstream: &Upstream) -> BytesMut {
+fn encode(
+    context: &EntryContext,
+    request: &RoutedRequest,
+    upstream: &Upstream,
+    rank: Option<u8>,
+) -> BytesMut {
     let head = &request.head;
     let mut bytes = BytesMut::with_capacity(1024 + request.body.len());
     bytes.put_slice(&head.method);
@@ -313,11 +323,10 @@
             || field.name.eq_ignore_ascii_case(b"expect");
         !length && !head.fields.is_hop_by_hop(field) && !context.dialect.is_system_header(field)
     });
-    let engine = request.service.engine.is_some();
     let orders = DispatchOrders {
         time_left: request.time_left(Instant::now()),
         upstream: upstream.entry.id.clone(),
-        priority: engine.then(|| request.rank()),
+        priority: rank,
         pin: None,
     };
     context.dialect.write_orders(&orders, &mut bytes);
--- a/crates/samphiregrade-gateway/src/exchange/outcome.rs
+++ b/crates/samphiregrade-gateway/src/exchange/outcome.rs
@@ -30,6 +30,10 @@
     pub load: f64,
     /// Prompt tokens that the chosen upstream was thought not to have.
     pub uncached: u32,
+    /// Rank that it had at an engine; `None` where it was not sent to one.
+    pub rank: Option<u8>,
+    /// Time that its program had left, where its caller said so.
+    pub program_left: Option<Duration>,
     /// Status that the client got; 0 where it got none.
     pub status: u16,
     /// How it ended.
@@ -55,6 +59,10 @@
     sends: u32,
     load: f64,
     uncached: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    rank: Option<u8>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    program_left_ms: Option<f64>,
     status: u16,
     outcome: &'static str,
     #[serde(skip_serializing_if = "str::is_empty")]
@@ -82,6 +90,8 @@
             sends: 0,
             load: 0.0,
             uncached: 0,
+            rank: None,
+            program_left: None,
             status: 0,
             outcome: "unknown",
             detail: String::new(),
@@ -111,6 +121,8 @@
             sends: self.sends,
             load: (self.load * 10.0).round() / 10.0,
             uncached: self.uncached,
+            rank: self.rank,
+            program_left_ms: self.program_left.map(milliseconds),
             status: self.status,
             outcome: self.outcome,
             detail: &self.detail,
--- a/crates/samphiregrade-gateway/src/exchange/request.rs
+++ b/crates/samphiregrade-gateway/src/exchange/request.rs
@@ -7,9 +7,10 @@
 use samphiregrade_http::wire::RequestHead;
 use smol_str::SmolStr;
 
-use crate::fact::TurnPlace;
 use crate::model::{RequestMetadata, RouteRecord, ServiceRecord, UpstreamId};
-use crate::upstream::turn_rank;
+use crate::upstream::{ProgramProgress, UrgencyClass, turn_rank};
+
+use super::turn::ProgramStanding;
 
 /// A request whose route and service are known, with its whole body.
 pub struct RoutedRequest {
@@ -21,8 +22,10 @@
     pub id: SmolStr,
     /// Body for the upstream.
     pub body: Bytes,
-    /// Where the turn before it ran, as far as is known.
-    pub last_place: Option<TurnPlace>,
+    /// What the keepers know of its program.
+    pub standing: ProgramStanding,
+    /// Place of its route's priority among those of its service.
+    pub urgency: UrgencyClass,
     /// The route.
     pub route: Arc<RouteRecord>,
     /// The service.
@@ -38,6 +41,7 @@
     #[must_use]
     pub fn uncached_at_last_place(&self, upstream: &UpstreamId) -> Option<u32> {
         let place = self
+            .standing
             .last_place
             .as_ref()
             .filter(|place| place.upstream == *upstream)?;
@@ -45,11 +49,29 @@
         Some(prompt.saturating_sub(place.tokens))
     }
 
-    /// Returns the rank for the upstream.
+    /// Returns the rank for the engine.
     #[must_use]
     pub fn rank(&self) -> u8 {
-        let begins = self.last_place.is_none() && self.metadata.previous_turn.is_none();
-        turn_rank(self.route.priority, begins)
+        turn_rank(self.urgency, &self.progress())
+    }
+
+    /// Returns whether its answer should begin at once: it is no turn that may have to wait behind others.
+    #[must_use]
+    pub fn is_served_first(&self) -> bool {
+        let progress = self.progress();
+        self.service.engine.is_none() || progress.has_begun() && !progress.is_late()
+    }
+
+    fn progress(&self) -> ProgramProgress {
+        let mut progress = self.standing.progress;
+        progress.left = self.metadata.program_deadline;
+        if let Some(program) = &self.metadata.program {
+            progress.tag = blake3::hash(program.as_bytes()).as_bytes()[0];
+        }
+        if self.metadata.previous_turn.is_some() {
+            progress.ended_turns = progress.ended_turns.max(1);
+        }
+        progress
     }
 
     /// Returns the time that is left.
--- a/crates/samphiregrade-gateway/src/exchange/turn.rs
+++ b/crates/samphiregrade-gateway/src/exchange/turn.rs
@@ -11,6 +11,7 @@
     ChainLookup, FactFailure, FactRecord, Reservation, ReserveOutcome, TurnFact, TurnPlace,
 };
 use crate::model::{ProgramId, SessionId, TurnId, UpstreamId};
+use crate::upstream::ProgramProgress;
 
 /// How long budgets last where a route keeps no turns: a stopped program that comes back is still known.
 const BUDGET_RETENTION: Duration = Duration::from_mins(1);
@@ -40,6 +41,8 @@
     pub session: SessionId,
     /// Tokens of the whole prompt.
     pub prompt_tokens: u32,
+    /// Time that the program has left, where its caller says so.
+    pub program_left: Option<Duration>,
 }
 
 /// A turn that may be dispatched.
@@ -47,8 +50,17 @@
 pub struct PreparedTurn {
     /// Body for the upstream.
     pub body: Bytes,
-    /// Where the turn before it ran, as far as is known.
+    /// Where the turn before it ran, and how far its program has come, as far as is known.
+    pub standing: ProgramStanding,
+}
+
+/// What the keepers know of a program when one of its turns comes.
+#[derive(Clone, Debug, Default)]
+pub struct ProgramStanding {
+    /// Where the line's turn before this one ran.
     pub last_place: Option<TurnPlace>,
+    /// How far the program has come.
+    pub progress: ProgramProgress,
 }
 
 impl TurnPlan {
@@ -84,6 +96,7 @@
             input: request.body.clone(),
             session: metadata.session.clone().unwrap_or_default(),
             prompt_tokens: metadata.usage.map_or(0, |usage| usage.prompt),
+            program_left: metadata.program_deadline,
         })
     }
 
@@ -99,7 +112,7 @@
     ) -> Result<PreparedTurn, RefusalReason> {
         let (reserved, chain) = tokio::join!(self.reserve(context), self.chain(context));
         let chain = chain?;
-        let last_place = reserved?;
+        let standing = reserved?;
         let body = match chain {
             None => body.clone(),
             Some(chain) => {
@@ -109,13 +122,13 @@
                 whole.freeze()
             }
         };
-        Ok(PreparedTurn { body, last_place })
+        Ok(PreparedTurn { body, standing })
     }
 
-    /// Sets tokens aside; resolves to where the turn before this one ran.
-    async fn reserve(&self, context: &EntryContext) -> Result<Option<TurnPlace>, RefusalReason> {
+    /// Sets tokens aside; resolves to what is known of the program.
+    async fn reserve(&self, context: &EntryContext) -> Result<ProgramStanding, RefusalReason> {
         let Some(budget) = self.budget else {
-            return Ok(None);
+            return Ok(ProgramStanding::default());
         };
         let keepers = context
             .keepers
@@ -124,7 +137,10 @@
         let fact = self.reservation(None, None);
         let reserving = keepers.reserve(&self.program, fact, budget, &self.turn, self.most);
         match reserving.await {
-            Ok(ReserveOutcome::Held(ledger)) => Ok(ledger.last_place(Some(&self.session)).cloned()),
+            Ok(ReserveOutcome::Held(ledger)) => Ok(ProgramStanding {
+                last_place: ledger.last_place(Some(&self.session)).cloned(),
+                progress: ledger.progress(),
+            }),
             Ok(ReserveOutcome::OverBudget(ledger)) => {
                 log::info!(
                     "program {} is over its budget of {budget} with {} turns known",
@@ -163,6 +179,7 @@
                 most: self.most,
                 spent,
                 place,
+                program_left: self.program_left,
             },
             keep: self.keep,
         }
--- a/crates/samphiregrade-gateway/src/fact/book.rs
+++ b/crates/samphiregrade-gateway/src/fact/book.rs
@@ -138,6 +138,7 @@
             most: turn.spent,
             spent: Some(turn.spent),
             place: turn.place.clone(),
+            program_left: None,
         };
         self.take_reservation(&turn.program, reservation, turn.keep, now);
         if self.turns.contains_key(&turn.turn) {
--- a/crates/samphiregrade-gateway/src/fact/client.rs
+++ b/crates/samphiregrade-gateway/src/fact/client.rs
@@ -5,6 +5,7 @@
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
+use serde::Serialize;
 use thiserror::Error;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
@@ -13,10 +14,10 @@
 use super::message::{
     ChainAnswer, FactRecord, KeeperEnvelope, KeeperReply, KeeperRequest, ProgramLedger,
 };
-use super::placement::{KeeperPlacement, KeeperSlot};
+use super::placement::{KeeperPlacement, KeeperSlot, PlacementGeneration};
 use crate::link::LinkEndpoint;
 use crate::model::{DomainId, ProgramId, TurnId};
-use crate::observe::GatewayMetrics;
+use crate::observe::{GatewayMetrics, Logbook};
 
 /// Longest wait for one keeper: dozens of round trips and syncs, and short against a client's deadline.
 const ASK_TIMEOUT: Duration = Duration::from_millis(400);
@@ -59,6 +60,14 @@
     Absent,
 }
 
+#[derive(Serialize)]
+struct ReachLine {
+    cut_off: bool,
+    generation: PlacementGeneration,
+    within_reach: usize,
+    keepers: usize,
+}
+
 /// The client of all keepers; cloning it is cheap.
 #[derive(Clone)]
 pub struct KeeperClient {
@@ -90,8 +99,7 @@
     /// Returns how long too few keepers have answered for every program to be served; zero while enough do.
     #[must_use]
     pub fn cut_off_for(&self) -> Duration {
-        self.health
-            .cut_off_for(&self.placement.load(), Instant::now())
+        self.health.cut_off_for(Instant::now())
     }
 
     /// Asks each keeper that has been silent for a while whether it is there, until cancelled.
@@ -102,6 +110,9 @@
                 () = tokio::time::sleep(HEALTH_INTERVAL) => {}
             }
             let placement = self.placement.load_full();
+            if self.health.judge(&placement, Instant::now()) {
+                self.log_reach(&placement);
+            }
             for slot in self.health.silent(&placement, Instant::now()) {
                 let client = self.clone();
                 let placement = placement.clone();
@@ -114,6 +125,17 @@
         }
     }
 
+    fn log_reach(&self, placement: &KeeperPlacement) {
+        let now = Instant::now();
+        let line = ReachLine {
+            cut_off: !self.health.cut_off_for(now).is_zero(),
+            generation: placement.generation,
+            within_reach: self.health.reachable(&placement.slots, now),
+            keepers: placement.slots.len(),
+        };
+        Logbook::of_process().record("keepers-reach", &line);
+    }
+
     /// Returns the placement that the client follows.
     #[must_use]
     pub fn placement(&self) -> KeeperPlacement {
--- a/crates/samphiregrade-gateway/src/fact/health.rs
+++ b/crates/samphiregrade-gateway/src/fact/health.rs
@@ -1,12 +1,16 @@
 //! Which keepers have answered lately: whether this instance is cut off from them.
+//!
+//! Answers the pattern of a cut failure domain. Its own entries reach too few keepers for nearly every program, and
+//! clients are better off elsewhere; the others miss some keepers of each program and go on. Where all entries
+//! took themselves out of rotation together, clients would be sent to all of them, those in the cut domain too.
 
 use std::collections::HashMap;
-use std::sync::{Mutex, PoisonError};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 use smol_str::SmolStr;
 
-use super::placement::{KeeperPlacement, KeeperSlot};
+use super::placement::{KeeperPlacement, KeeperSlot, PlacementGeneration};
 
 /// Silence after which a keeper is asked whether it is there.
 const ASK_AFTER: Duration = Duration::from_millis(200);
@@ -14,17 +18,36 @@
 /// Silence after which a keeper counts as out of reach: a question and its answer fit twice.
 const OUT_OF_REACH: Duration = Duration::from_millis(650);
 
-/// When each keeper answered last.
+/// Groups that stand for all programs' groups; their share tells within some hundredths.
+const SAMPLE_GROUPS: u32 = 64;
+
+/// Share of the programs that an instance has to be able to serve; with less it is cut off. Keepers that are lost
+/// for all instances cost all of them the same, so that going elsewhere helps only where most is lost here.
+const LEAST_SHARE: f64 = 0.5;
+
+/// Groups of a placement, drawn as those of programs are.
+#[derive(Debug, Default)]
+struct SampleGroups {
+    generation: PlacementGeneration,
+    groups: Vec<Vec<usize>>,
+}
+
+/// When each keeper answered last, and what that comes to.
 #[derive(Debug, Default)]
 pub struct KeeperHealth {
     heard: Mutex<HashMap<SmolStr, Instant>>,
+    samples: Mutex<SampleGroups>,
+    cut_since: Mutex<Option<Instant>>,
+}
+
+fn hold<Value>(mutex: &Mutex<Value>) -> MutexGuard<'_, Value> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
 impl KeeperHealth {
     /// Notes an answer.
     pub fn note(&self, name: &SmolStr, now: Instant) {
-        let mut heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
-        heard.insert(name.clone(), now);
+        hold(&self.heard).insert(name.clone(), now);
     }
 
     /// Returns the keepers that have been silent for a while.
@@ -42,30 +65,60 @@
         silences.filter(|&silence| silence < OUT_OF_REACH).count()
     }
 
-    /// Returns how long more keepers have been out of reach than every program's group can spare.
+    /// Judges anew whether the instance is cut off; returns whether that has changed.
+    pub fn judge(&self, placement: &KeeperPlacement, now: Instant) -> bool {
+        let cut_off = self.served_share(placement, now) < LEAST_SHARE;
+        let mut since = hold(&self.cut_since);
+        if since.is_some() == cut_off {
+            return false;
+        }
+        // The silence that tells of a cut is as old as the cut.
+        *since = cut_off.then(|| now.checked_sub(OUT_OF_REACH).unwrap_or(now));
+        true
+    }
+
+    /// Returns how long the instance has been cut off, as it was judged last; zero while it isn't.
     #[must_use]
-    pub fn cut_off_for(&self, placement: &KeeperPlacement, now: Instant) -> Duration {
+    pub fn cut_off_for(&self, now: Instant) -> Duration {
+        hold(&self.cut_since).map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
+    }
+
+    /// Returns the share of programs of which enough keepers are within reach.
+    fn served_share(&self, placement: &KeeperPlacement, now: Instant) -> f64 {
         if placement.slots.is_empty() {
-            return Duration::ZERO;
+            return 1.0;
         }
-        let mut silences: Vec<Duration> = placement
+        let within_reach: Vec<bool> = placement
             .slots
             .iter()
-            .map(|slot| self.silence(&slot.name, now))
+            .map(|slot| self.silence(&slot.name, now) < OUT_OF_REACH)
             .collect();
-        silences.sort_unstable_by(|left, right| right.cmp(left));
-        let spared = placement.copies - placement.majority();
-        let decisive = silences.get(spared).copied().unwrap_or(Duration::ZERO);
-        if decisive < OUT_OF_REACH {
-            return Duration::ZERO;
+        let mut samples = hold(&self.samples);
+        samples.follow(placement);
+        let mut served = 0_u32;
+        for group in &samples.groups {
+            let members = group.iter().filter(|&&index| within_reach[index]).count();
+            served += u32::from(members >= placement.majority());
         }
-        decisive
+        f64::from(served) / f64::from(SAMPLE_GROUPS)
     }
 
     /// Returns how long a keeper has been silent; the first look at it starts the clock.
     fn silence(&self, name: &SmolStr, now: Instant) -> Duration {
-        let mut heard = self.heard.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut heard = hold(&self.heard);
         let last = heard.entry(name.clone()).or_insert(now);
         now.saturating_duration_since(*last)
     }
 }
+
+impl SampleGroups {
+    fn follow(&mut self, placement: &KeeperPlacement) {
+        if self.generation == placement.generation && !self.groups.is_empty() {
+            return;
+        }
+        self.generation = placement.generation;
+        self.groups = (0..SAMPLE_GROUPS)
+            .map(|number| placement.group(&format!("sample {number}")))
+            .collect();
+    }
+}
--- a/crates/samphiregrade-gateway/src/fact/message.rs
+++ b/crates/samphiregrade-gateway/src/fact/message.rs
@@ -7,6 +7,7 @@
 
 use super::placement::{KeeperPlacement, PlacementGeneration};
 use crate::model::{ProgramId, SessionId, TurnId, UpstreamId};
+use crate::upstream::ProgramProgress;
 
 /// A turn whose answer is whole: never changed once written.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -51,6 +52,8 @@
     pub spent: Option<u32>,
     /// Where it ran, once it has ended.
     pub place: Option<TurnPlace>,
+    /// Time that its program had left when it came, where its caller said so.
+    pub program_left: Option<Duration>,
 }
 
 /// Reservations of a program that a keeper knows.
@@ -84,6 +87,7 @@
         if known.place.is_none() {
             known.place = reservation.place;
         }
+        known.program_left = known.program_left.max(reservation.program_left);
         *known != before
     }
 
@@ -100,6 +104,21 @@
         own.or_else(|| places().next())
     }
 
+    /// Returns how far the program has come; its own hash and the time that it has left now are the caller's.
+    #[must_use]
+    pub fn progress(&self) -> ProgramProgress {
+        let mut progress = ProgramProgress::default();
+        for reservation in &self.reservations {
+            progress.first_left = progress.first_left.max(reservation.program_left);
+            if reservation.place.is_none() {
+                continue;
+            }
+            progress.ended_turns += 1;
+            progress.made_tokens += u64::from(reservation.spent.unwrap_or(0));
+        }
+        progress
+    }
+
     /// Returns whether the budget holds one more turn, counting at their most all that have not ended.
     #[must_use]
     pub fn holds(&self, budget: u64, turn: &TurnId, most: u32) -> bool {
--- a/crates/samphiregrade-gateway/src/role/entry.rs
+++ b/crates/samphiregrade-gateway/src/role/entry.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, Result};
@@ -50,6 +51,15 @@
     seconds: f64,
 }
 
+#[derive(Serialize)]
+struct ReadinessLine {
+    ready: bool,
+    stopping: bool,
+    configured: bool,
+    /// How long the instance has been cut off from the keepers, in milliseconds.
+    cut_off_ms: u128,
+}
+
 #[derive(Serialize)]
 struct EntryDump<'dump> {
     instance: &'dump str,
@@ -154,8 +164,9 @@
         let listener = listen(address).context("listening for readiness")?;
         let context = context.clone();
         let ready_path = dialect.readiness_path();
+        let told = Arc::new(AtomicBool::new(false));
         let handler = move |path: &str| ProbeAnswer {
-            status: if path == ready_path && context.is_ready() {
+            status: if path == ready_path && tell_readiness(&context, &told) {
                 200
             } else {
                 503
@@ -173,6 +184,21 @@
     Ok(())
 }
 
+/// Returns whether the instance is ready, and logs where that has changed since it was told last.
+fn tell_readiness(context: &EntryContext, told: &AtomicBool) -> bool {
+    let ready = context.is_ready();
+    if told.swap(ready, Ordering::Relaxed) != ready {
+        let line = ReadinessLine {
+            ready,
+            stopping: context.is_stopping(),
+            configured: context.routes.load().is_some(),
+            cut_off_ms: context.cut_off_for().as_millis(),
+        };
+        Logbook::of_process().record("readiness", &line);
+    }
+    ready
+}
+
 fn answer_operator(context: &EntryContext, name: &str, path: &str) -> ProbeAnswer {
     if path == "/dump" {
         let body = serde_json::to_vec(&dump(context, name)).unwrap_or_default();
--- a/crates/samphiregrade-gateway/src/routing.rs
+++ b/crates/samphiregrade-gateway/src/routing.rs
@@ -9,6 +9,8 @@
     ClientLimits, ConfigVersion, RouteRecord, RoutingConfig, ServiceName, ServiceRecord,
 };
 
+use crate::upstream::UrgencyClass;
+
 /// One version of the configuration, made ready for look-ups.
 #[derive(Debug, Default)]
 pub struct RouteTable {
@@ -18,12 +20,15 @@
     pub limits: ClientLimits,
     hosts: HashMap<SmolStr, Vec<Arc<RouteRecord>>>,
     services: HashMap<ServiceName, Arc<ServiceRecord>>,
+    /// Priorities of all routes to a service, the most urgent first.
+    priorities: HashMap<ServiceName, Vec<u8>>,
 }
 
 impl RouteTable {
     /// Makes a configuration ready.
     #[must_use]
     pub fn new(config: RoutingConfig) -> Self {
+        let priorities = priorities_by_service(&config.routes);
         let mut hosts: HashMap<SmolStr, Vec<Arc<RouteRecord>>> = HashMap::new();
         for route in config.routes {
             let host = route.host.to_ascii_lowercase().into();
@@ -42,6 +47,7 @@
             limits: config.limits,
             hosts,
             services,
+            priorities,
         }
     }
 
@@ -58,6 +64,20 @@
             .find(|route| path.starts_with(route.path_prefix.as_str()))
     }
 
+    /// Returns the place of a priority among those of all routes to a service.
+    #[must_use]
+    pub fn urgency(&self, service: &str, priority: u8) -> UrgencyClass {
+        let Some(known) = self.priorities.get(service) else {
+            return UrgencyClass::default();
+        };
+        let index = known.partition_point(|&other| other < priority);
+        let small = |number| u8::try_from(number).unwrap_or(u8::MAX);
+        UrgencyClass {
+            index: small(index),
+            count: small(known.len()),
+        }
+    }
+
     /// Returns a service.
     #[must_use]
     pub fn service(&self, name: &str) -> Option<&Arc<ServiceRecord>> {
@@ -65,6 +85,19 @@
     }
 }
 
+fn priorities_by_service(routes: &[RouteRecord]) -> HashMap<ServiceName, Vec<u8>> {
+    let mut priorities: HashMap<ServiceName, Vec<u8>> = HashMap::new();
+    for route in routes {
+        for share in &route.shares {
+            let known = priorities.entry(share.service.clone()).or_default();
+            if let Err(place) = known.binary_search(&route.priority) {
+                known.insert(place, route.priority);
+            }
+        }
+    }
+    priorities
+}
+
 /// Returns the service that a request of the route goes to; requests of one key go to one service.
 #[must_use]
 pub fn service_for<'route>(route: &'route RouteRecord, key: &str) -> Option<&'route ServiceName> {
--- a/crates/samphiregrade-gateway/src/upstream/balance.rs
+++ b/crates/samphiregrade-gateway/src/upstream/balance.rs
@@ -23,20 +23,6 @@
 /// takes some 0.035 ms longer, a turn has about 256 steps, and both the new request and the others wait.
 const BATCH_MILLISECONDS: f64 = 18.0;
 
-/// Least urgent rank that an engine knows; 0 is the most urgent.
-const LAST_RANK: u8 = 9;
-
-/// Returns the rank of a turn at an engine: the operators' priority first, then turns of programs that have
-/// begun.
-///
-/// Answers the pattern of a burst of new programs: those that have begun end in time, and the new ones wait
-/// at their first turn, where least is lost.
-#[must_use]
-pub fn turn_rank(priority: u8, begins: bool) -> u8 {
-    let rank = priority.saturating_mul(2).saturating_add(u8::from(begins));
-    rank.min(LAST_RANK)
-}
-
 /// An upstream as a choice.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Candidate {
--- a/crates/samphiregrade-gateway/src/upstream/mod.rs
+++ b/crates/samphiregrade-gateway/src/upstream/mod.rs
@@ -6,10 +6,14 @@
 mod directory;
 mod homes;
 mod peer;
+mod rank;
+mod silence;
 
-pub use balance::{Candidate, WorkEstimate, choose_upstream, turn_rank};
+pub use balance::{Candidate, WorkEstimate, choose_upstream};
 pub use breaker::{BreakerState, UpstreamBreaker};
 pub use cache::PrefixCache;
 pub use directory::{DepartureRule, UpstreamDirectory, UpstreamRegistry};
 pub use homes::{FirstParts, homes};
-pub use peer::{InFlightGuard, Upstream};
+pub use peer::{HeadWait, InFlightGuard, Upstream};
+pub use rank::{ProgramProgress, UrgencyClass, turn_rank};
+pub use silence::{SilenceWatch, WaitNumber};
--- a/crates/samphiregrade-gateway/src/upstream/peer.rs
+++ b/crates/samphiregrade-gateway/src/upstream/peer.rs
@@ -9,6 +9,7 @@
 use super::balance::Candidate;
 use super::breaker::{BreakerState, UpstreamBreaker};
 use super::cache::PrefixCache;
+use super::silence::{SilenceWatch, WaitNumber};
 use crate::model::{DomainId, PromptPart, ReportedLoad, UpstreamEntry};
 
 /// Age at which a reported load counts half: requests last some hundreds of milliseconds.
@@ -55,6 +56,7 @@
     idle: Mutex<Vec<IdleSocket>>,
     breaker: Mutex<UpstreamBreaker>,
     cache: Mutex<PrefixCache>,
+    silence: Mutex<SilenceWatch>,
 }
 
 fn hold<Value>(mutex: &Mutex<Value>) -> std::sync::MutexGuard<'_, Value> {
@@ -83,6 +85,7 @@
             idle: Mutex::default(),
             breaker: Mutex::default(),
             cache: Mutex::default(),
+            silence: Mutex::default(),
         }
     }
 
@@ -128,6 +131,7 @@
             () if now < self.cold_until => COLD_PENALTY,
             () => Duration::ZERO,
         };
+        let penalty = penalty + hold(&self.silence).penalty(now);
         Candidate {
             load: self.load(now),
             slots: f64::from(self.entry.slots),
@@ -159,6 +163,20 @@
         }
     }
 
+    /// Notes that a request was sent whose answer should begin at once; the guard ends the wait.
+    #[must_use]
+    pub fn await_head(self: &Arc<Self>, now: Instant) -> HeadWait {
+        HeadWait {
+            number: hold(&self.silence).begin(now),
+            upstream: self.clone(),
+        }
+    }
+
+    /// Notes that the upstream has said something.
+    pub fn hear(&self, now: Instant) {
+        hold(&self.silence).hear(now);
+    }
+
     /// Notes the load that an answer told.
     pub fn note_load(&self, load: ReportedLoad, now: Instant) {
         let own = self.in_flight.load(Ordering::Relaxed);
@@ -232,3 +250,22 @@
         self.upstream.in_flight.fetch_sub(1, Ordering::Relaxed);
     }
 }
+
+/// A request that waits for its answer's head. Dropped after a long silence, it counts as a failure.
+pub struct HeadWait {
+    upstream: Arc<Upstream>,
+    number: WaitNumber,
+}
+
+impl Drop for HeadWait {
+    fn drop(&mut self) {
+        let now = Instant::now();
+        let failing = hold(&self.upstream.silence).end(self.number, now);
+        if failing && self.upstream.fail(now, true) {
+            log::info!(
+                "upstream {} is left alone for a while: it has said nothing for too long",
+                self.upstream.entry.id
+            );
+        }
+    }
+}
--- /dev/null
+++ b/crates/samphiregrade-gateway/src/upstream/silence.rs
@@ -0,0 +1,78 @@
+//! How long an upstream has owed an answer's head: pure.
+//!
+//! Answers the pattern of an upstream that takes connections and requests and says nothing, while its health
+//! check may be good. Nothing fails there: clients leave after seconds, and every program that meets it is late.
+
+use std::time::{Duration, Instant};
+
+/// Silence that says nothing yet: some ten times the usual time to an answer's head, on engines and on plain
+/// services alike; an engine that reads several long prompts takes half of it.
+const ALLOWED: Duration = Duration::from_millis(250);
+
+/// Silence after which an upstream counts as failing when its client has left: no prompt takes as long for a
+/// request that engines serve first.
+const FAILING_AFTER: Duration = Duration::from_millis(600);
+
+/// What a millisecond of silence beyond the allowed costs in the choice of an upstream, in milliseconds: enough to
+/// outweigh a whole cached prompt (some 300 ms) soon.
+const COST: u32 = 4;
+
+/// Number of a request that waits for its answer's head.
+pub type WaitNumber = u64;
+
+#[derive(Clone, Copy, Debug)]
+struct OpenWait {
+    number: WaitNumber,
+    since: Instant,
+}
+
+/// The requests that wait for an upstream to answer.
+#[derive(Clone, Debug, Default)]
+pub struct SilenceWatch {
+    next: WaitNumber,
+    /// In the order of sending.
+    open: Vec<OpenWait>,
+    heard: Option<Instant>,
+}
+
+impl SilenceWatch {
+    /// Notes that a request was sent whose answer should begin at once.
+    pub fn begin(&mut self, now: Instant) -> WaitNumber {
+        self.next += 1;
+        self.open.push(OpenWait {
+            number: self.next,
+            since: now,
+        });
+        self.next
+    }
+
+    /// Notes that the upstream has said something.
+    pub fn hear(&mut self, now: Instant) {
+        self.heard = Some(now);
+    }
+
+    /// Notes that a request does not wait any more; returns whether the upstream counts as failing with it.
+    pub fn end(&mut self, number: WaitNumber, now: Instant) -> bool {
+        let failing = self.silence(now) >= FAILING_AFTER;
+        self.open.retain(|wait| wait.number != number);
+        failing
+    }
+
+    /// Returns how long the upstream has said nothing although it should.
+    #[must_use]
+    pub fn silence(&self, now: Instant) -> Duration {
+        let Some(oldest) = self.open.first() else {
+            return Duration::ZERO;
+        };
+        let since = self
+            .heard
+            .map_or(oldest.since, |heard| heard.max(oldest.since));
+        now.saturating_duration_since(since)
+    }
+
+    /// Returns the time that the silence adds to a request that would be sent there.
+    #[must_use]
+    pub fn penalty(&self, now: Instant) -> Duration {
+        self.silence(now).saturating_sub(ALLOWED) * COST
+    }
+}
--- a/crates/samphiregrade-gateway/tests/suite/facts.rs
+++ b/crates/samphiregrade-gateway/tests/suite/facts.rs
@@ -52,6 +52,7 @@
         most,
         spent,
         place: None,
+        program_left: None,
     }
 }
 
@@ -173,6 +174,7 @@
     let mut ledger = ProgramLedger::default();
     for (turn, place) in [("a", place("s", "i-1")), ("b", place("t", "i-2"))] {
         ledger.add(Reservation {
+            program_left: None,
             place,
             ..reservation(turn, 1, Some(1))
         });
--- a/crates/samphiregrade-gateway/tests/suite/keepers.rs
+++ b/crates/samphiregrade-gateway/tests/suite/keepers.rs
@@ -126,6 +126,7 @@
             most,
             spent: None,
             place: None,
+            program_left: None,
         },
         keep: Duration::from_mins(1),
     }
--- a/crates/samphiregrade-gateway/tests/suite/keepers_model.rs
+++ b/crates/samphiregrade-gateway/tests/suite/keepers_model.rs
@@ -105,6 +105,7 @@
                     most: 100,
                     spent: None,
                     place: None,
+                    program_left: None,
                 };
                 let fact = FactRecord::Reservation {
                     program: "p".into(),
