Soak of real processes under drawn faults; silence of whole failure domains; fewer calls for upstreams

Cause 1: until now no run injected faults from outside real processes at random. Clocks and disks that misbehave are not injected.

Cause 2: a cut failure domain was found out upstream by upstream.

Cause 3: every entry asks again after each change of an upstream; changes are now gathered for a quarter of the time for draining.

--- a/crates/samphiregrade-gateway/src/exchange/dispatch.rs
+++ b/crates/samphiregrade-gateway/src/exchange/dispatch.rs
@@ -15,8 +15,9 @@
 use crate::model::{AnswerMetadata, DispatchOrders};
 use crate::upstream::{Candidate, InFlightGuard, Upstream, WorkEstimate, choose_upstream, homes};
 
-/// Longest wait for a connection to an upstream: many round trips within a region.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest wait for a connection to an upstream: dozens of round trips within a region. A packet that is lost
+/// comes again after seconds only, so that another upstream is tried before.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Longest head of an answer.
 const HEAD_LIMIT: usize = 32 << 10;
@@ -208,6 +209,9 @@
     record: &mut RequestRecord,
 ) -> AttemptEnd {
     let guard = upstream.begin();
+    let _waiting = request
+        .is_served_first()
+        .then(|| upstream.await_head(Instant::now()));
     let mut socket = match open(upstream).await {
         Ok(socket) => socket,
         Err(error) => {
@@ -218,9 +222,6 @@
     record.before_send.get_or_insert(request.started.elapsed());
     record.rank = request.service.engine.map(|_| request.rank());
     let bytes = encode(context, request, upstream, record.rank);
-    let _waiting = request
-        .is_served_first()
-        .then(|| upstream.await_head(Instant::now()));
     let broken = |what: &str, error: String| {
         AttemptEnd::Broken(format!("{} {what}: {error}", upstream.entry.id))
     };
@@ -303,7 +304,12 @@
         return Ok(socket);
     }
     let limits = SocketLimits::default();
-    WireSocket::connect(upstream.entry.address, CONNECT_TIMEOUT, &limits).await
+    let address = upstream.entry.address;
+    let connected = WireSocket::connect(address, CONNECT_TIMEOUT, &limits).await;
+    if connected.is_ok() {
+        upstream.hear_domain(Instant::now());
+    }
+    connected
 }
 
 fn encode(
--- a/crates/samphiregrade-gateway/src/role/beliefs.rs
+++ b/crates/samphiregrade-gateway/src/role/beliefs.rs
@@ -21,9 +21,9 @@
 use crate::store::{FollowEvent, StoreClient, follow_prefix};
 use crate::upstream::UpstreamRegistry;
 
-/// Time for which changes of upstreams are gathered: upstreams start and leave in groups, and one that
-/// leaves must get nothing two seconds later.
-const UPSTREAM_GATHER: Duration = Duration::from_millis(300);
+/// Part of the time for draining for which changes of upstreams are gathered: they start and leave in groups, every
+/// entry asks again after each change, and the service's rates grow more slowly than the fleet.
+const UPSTREAM_GATHER_SHARE: f64 = 0.25;
 
 /// Time for which changes of the configuration are gathered: one is to be in force within two seconds.
 const CONFIG_GATHER: Duration = Duration::from_millis(150);
@@ -59,7 +59,8 @@
     };
     let dialect = &context.dialect;
     let configuration = follow(dialect.configuration_key(), CONFIG_GATHER);
-    let upstreams = follow(dialect.upstream_prefix(), UPSTREAM_GATHER);
+    let upstream_gather = settings.times.drain().mul_f64(UPSTREAM_GATHER_SHARE);
+    let upstreams = follow(dialect.upstream_prefix(), upstream_gather);
     let shared = follow(SHARED_PREFIX, CONFIG_GATHER);
     tokio::spawn(take_configurations(context.clone(), configuration));
     tokio::spawn(take_upstreams(context.clone(), registry, upstreams));
--- a/crates/samphiregrade-gateway/src/role/member.rs
+++ b/crates/samphiregrade-gateway/src/role/member.rs
@@ -79,7 +79,7 @@
     ) -> Self {
         let own = KeeperSlot {
             name: settings.instance.name.clone(),
-            address: settings.listen.links(),
+            address: settings.listen.advertised_links(),
             domain: settings.instance.failure_domain.clone(),
         };
         Self {
--- a/crates/samphiregrade-gateway/src/settings.rs
+++ b/crates/samphiregrade-gateway/src/settings.rs
@@ -91,9 +91,18 @@
     /// Ports for links between instances, first and last; links take the first one, metrics and
     /// the dump the second one (TCP).
     pub link_ports: [u16; 2],
+    /// Address at which other instances reach the links, where something stands in between (TCP).
+    #[serde(default)]
+    pub advertised_links: Option<SocketAddr>,
 }
 
 impl ListenSection {
+    /// Returns the address at which other instances reach the links.
+    #[must_use]
+    pub fn advertised_links(&self) -> SocketAddr {
+        self.advertised_links.unwrap_or_else(|| self.links())
+    }
+
     /// Returns the address for links.
     #[must_use]
     pub fn links(&self) -> SocketAddr {
--- a/crates/samphiregrade-gateway/src/upstream/directory.rs
+++ b/crates/samphiregrade-gateway/src/upstream/directory.rs
@@ -7,8 +7,8 @@
 use arc_swap::ArcSwap;
 use serde::Serialize;
 
-use super::peer::Upstream;
-use crate::model::{ServiceName, UpstreamEntry, UpstreamId, UpstreamState};
+use super::peer::{DomainSilence, Upstream};
+use crate::model::{DomainId, ServiceName, UpstreamEntry, UpstreamId, UpstreamState};
 use crate::observe::Logbook;
 
 /// Time after the key-value service's return within which lapsed entries come back: they are back within
@@ -74,6 +74,7 @@
 pub struct UpstreamRegistry {
     directory: Arc<ArcSwap<UpstreamDirectory>>,
     known: HashMap<UpstreamId, Arc<Upstream>>,
+    domains: HashMap<DomainId, Arc<DomainSilence>>,
     departures: Vec<Departure>,
     rule: DepartureRule,
     unsettled_until: Option<Instant>,
@@ -86,6 +87,7 @@
         Self {
             directory: Arc::default(),
             known: HashMap::new(),
+            domains: HashMap::new(),
             departures: Vec::new(),
             rule,
             unsettled_until: None,
@@ -126,7 +128,8 @@
             return;
         }
         log_upstream("upstream-added", &entry);
-        let upstream = Upstream::new(entry, now);
+        let domain = self.domains.entry(entry.domain.clone()).or_default();
+        let upstream = Upstream::new(entry, domain.clone(), now);
         upstream.set_draining(draining);
         self.known
             .insert(upstream.entry.id.clone(), Arc::new(upstream));
--- a/crates/samphiregrade-gateway/src/upstream/mod.rs
+++ b/crates/samphiregrade-gateway/src/upstream/mod.rs
@@ -14,6 +14,6 @@
 pub use cache::PrefixCache;
 pub use directory::{DepartureRule, UpstreamDirectory, UpstreamRegistry};
 pub use homes::{FirstParts, homes};
-pub use peer::{HeadWait, InFlightGuard, Upstream};
+pub use peer::{DomainSilence, HeadWait, InFlightGuard, Upstream};
 pub use rank::{ProgramProgress, UrgencyClass, turn_rank};
 pub use silence::{SilenceWatch, WaitNumber};
--- a/crates/samphiregrade-gateway/src/upstream/peer.rs
+++ b/crates/samphiregrade-gateway/src/upstream/peer.rs
@@ -57,8 +57,12 @@
     breaker: Mutex<UpstreamBreaker>,
     cache: Mutex<PrefixCache>,
     silence: Mutex<SilenceWatch>,
+    domain_silence: Arc<DomainSilence>,
 }
 
+/// Silence of all upstreams of a failure domain together: the way there may be cut.
+pub type DomainSilence = Mutex<SilenceWatch>;
+
 fn hold<Value>(mutex: &Mutex<Value>) -> std::sync::MutexGuard<'_, Value> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
@@ -73,7 +77,7 @@
 impl Upstream {
     /// Starts to keep track of an upstream.
     #[must_use]
-    pub fn new(entry: UpstreamEntry, now: Instant) -> Self {
+    pub fn new(entry: UpstreamEntry, domain_silence: Arc<DomainSilence>, now: Instant) -> Self {
         Self {
             cold_until: now + entry.cold,
             tag: tag_of(&entry),
@@ -86,6 +90,7 @@
             breaker: Mutex::default(),
             cache: Mutex::default(),
             silence: Mutex::default(),
+            domain_silence,
         }
     }
 
@@ -131,7 +136,9 @@
             () if now < self.cold_until => COLD_PENALTY,
             () => Duration::ZERO,
         };
-        let penalty = penalty + hold(&self.silence).penalty(now);
+        let silence = hold(&self.silence).penalty(now);
+        let silence = silence.max(hold(&self.domain_silence).penalty(now));
+        let penalty = penalty + silence;
         Candidate {
             load: self.load(now),
             slots: f64::from(self.entry.slots),
@@ -168,6 +175,7 @@
     pub fn await_head(self: &Arc<Self>, now: Instant) -> HeadWait {
         HeadWait {
             number: hold(&self.silence).begin(now),
+            domain_number: hold(&self.domain_silence).begin(now),
             upstream: self.clone(),
         }
     }
@@ -175,6 +183,12 @@
     /// Notes that the upstream has said something.
     pub fn hear(&self, now: Instant) {
         hold(&self.silence).hear(now);
+        self.hear_domain(now);
+    }
+
+    /// Notes that there is a way to the upstream's failure domain.
+    pub fn hear_domain(&self, now: Instant) {
+        hold(&self.domain_silence).hear(now);
     }
 
     /// Notes the load that an answer told.
@@ -255,11 +269,13 @@
 pub struct HeadWait {
     upstream: Arc<Upstream>,
     number: WaitNumber,
+    domain_number: WaitNumber,
 }
 
 impl Drop for HeadWait {
     fn drop(&mut self) {
         let now = Instant::now();
+        hold(&self.upstream.domain_silence).end(self.domain_number, now);
         let failing = hold(&self.upstream.silence).end(self.number, now);
         if failing && self.upstream.fail(now, true) {
             log::info!(
--- a/crates/samphiregrade-gateway/tests/suite/upstreams.rs
+++ b/crates/samphiregrade-gateway/tests/suite/upstreams.rs
@@ -73,7 +73,11 @@
 #[test]
 fn load_counts_own_requests_and_fades_others() {
     let now = Instant::now();
-    let upstream = std::sync::Arc::new(Upstream::new(entry("i-1", UpstreamState::Ready), now));
+    let upstream = std::sync::Arc::new(Upstream::new(
+        entry("i-1", UpstreamState::Ready),
+        std::sync::Arc::default(),
+        now,
+    ));
     let own = upstream.begin();
     let load = ReportedLoad {
         running: 5,
@@ -86,3 +90,29 @@
     drop(own);
     assert!((upstream.load(now) - 4.0).abs() < 0.01);
 }
+
+#[test]
+fn silent_failure_domain_costs_at_all_of_its_upstreams() {
+    let now = Instant::now();
+    let mut registry = UpstreamRegistry::new(DepartureRule::for_drain(DRAIN));
+    let far = |id: &str| UpstreamEntry {
+        domain: "b".into(),
+        ..entry(id, UpstreamState::Ready)
+    };
+    registry.put(entry("i-1", UpstreamState::Ready), now);
+    registry.put(far("i-2"), now);
+    registry.put(far("i-3"), now);
+    let directory = registry.directory().load_full();
+    let upstreams = directory.of("engines");
+    let later = now + Duration::from_millis(500);
+    let penalty = |index: usize| {
+        let candidate = upstreams[index].candidate(&[], false, &"a".into(), later);
+        candidate.penalty
+    };
+    let _waiting = upstreams[1].await_head(now);
+    assert!(penalty(2) > Duration::from_millis(400));
+    assert_eq!(penalty(0), Duration::ZERO);
+    upstreams[2].hear_domain(later);
+    assert_eq!(penalty(2), Duration::ZERO);
+    assert!(penalty(1) > Duration::from_millis(400));
+}
--- a/crates/samphiregrade-standins/src/proxy.rs
+++ b/crates/samphiregrade-standins/src/proxy.rs
@@ -12,8 +12,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use smol_str::SmolStr;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::watch;
 
@@ -28,6 +27,8 @@
 /// Faults of one link.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
+// Each is a fault of its own, and they may come together.
+#[allow(clippy::struct_excessive_bools)]
 pub struct LinkFaults {
     /// Delay of each read in milliseconds.
     pub delay_ms: u64,
@@ -35,6 +36,10 @@
     pub cut: bool,
     /// Keep connections open, but deliver nothing.
     pub half_open: bool,
+    /// Keep connections open, but deliver nothing of what the far side sends.
+    pub one_way: bool,
+    /// Reset every connection that is open when the fault comes.
+    pub reset: bool,
     /// Share of datagrams dropped, from 0 to 1.
     pub drop: f64,
 }
@@ -85,27 +90,36 @@
         }
     }
 
-    async fn carry_connection(self, near: TcpStream, target: SocketAddr) {
-        let Ok(far) = TcpStream::connect(target).await else {
+    async fn carry_connection(self, mut near: TcpStream, target: SocketAddr) {
+        let Ok(mut far) = TcpStream::connect(target).await else {
             return;
         };
         let _ = near.set_nodelay(true);
         let _ = far.set_nodelay(true);
-        let (near_read, near_write) = near.into_split();
-        let (far_read, far_write) = far.into_split();
+        let (near_read, near_write) = near.split();
+        let (far_read, far_write) = far.split();
         let mut faults = self.faults.subscribe();
         tokio::select! {
             () = async {
                 tokio::join!(
-                    self.carry_bytes(near_read, far_write),
-                    self.carry_bytes(far_read, near_write),
+                    self.carry_bytes(near_read, far_write, false),
+                    self.carry_bytes(far_read, near_write, true),
                 );
             } => {}
-            _ = faults.wait_for(|faults| faults.cut) => {}
+            _ = faults.wait_for(|faults| faults.cut || faults.reset) => {}
+        }
+        if faults.borrow().reset {
+            // Dropped without lingering, a connection is reset.
+            let _ = near.set_zero_linger();
+            let _ = far.set_zero_linger();
         }
     }
 
-    async fn carry_bytes(&self, mut from: OwnedReadHalf, mut to: OwnedWriteHalf) {
+    async fn carry_bytes<Source, Sink>(&self, mut from: Source, mut to: Sink, back: bool)
+    where
+        Source: AsyncRead + Unpin,
+        Sink: AsyncWrite + Unpin,
+    {
         let mut faults = self.faults.subscribe();
         let mut buffer = vec![0; BUFFER];
         loop {
@@ -117,7 +131,8 @@
             if delay > 0 {
                 tokio::time::sleep(Duration::from_millis(delay)).await;
             }
-            if faults.wait_for(|faults| !faults.half_open).await.is_err() {
+            let delivers = |faults: &LinkFaults| !(faults.half_open || back && faults.one_way);
+            if faults.wait_for(delivers).await.is_err() {
                 return;
             }
             self.bytes.fetch_add(count as u64, Ordering::Relaxed);
