Give up turns whose failure domain is silent; notice a cut sooner

Cause: turns under way at the moment of a cut waited for upstreams on the other side until their clients left (2.4 s) or their deadline, and clients in the cut domain were told to come back after 3.2 s. A turn is now answered 502 when nothing has been heard from its upstream's whole domain for 0.7 s and its own answer has not begun; its caller begins it anew. Plain calls that may run once only are left to wait: their callers can't send them again. Keepers count as out of reach after 450 ms in place of 650. Ruled out: ending streams that have begun (an engine that preempts a run may be silent as long without a cut).

--- a/crates/samphiregrade-gateway/src/exchange/dispatch.rs
+++ b/crates/samphiregrade-gateway/src/exchange/dispatch.rs
@@ -28,6 +28,9 @@
 /// Connections that may fail before one attempt of a client is refused: each has cost no more than a round trip.
 const CONNECT_TRIES: usize = 3;
 
+/// Pause between two looks at whether an upstream is still within reach.
+const REACH_PAUSE: Duration = Duration::from_millis(100);
+
 /// How long a turn holds a slot, in milliseconds: some 256 tokens at 0.8 ms each.
 const TURN_HOLD: f64 = 220.0;
 
@@ -229,8 +232,16 @@
         Ok(whole) => whole,
         Err(error) => return broken("not written", error.to_string()),
     };
+    let sent = Instant::now();
     loop {
-        let head = match read_head(&mut socket).await {
+        let read = tokio::select! {
+            biased;
+            read = read_head(&mut socket) => read,
+            () = lost_sight(upstream, sent), if request.may_begin_anew() => {
+                Err("its failure domain is out of reach".to_owned())
+            }
+        };
+        let head = match read {
             Ok(head) => head,
             Err(error) => return broken("gave no answer", error),
         };
@@ -356,6 +367,13 @@
     }
 }
 
+/// Ends when no answer can be expected any more because the way to the upstream is cut.
+async fn lost_sight(upstream: &Upstream, sent: Instant) {
+    while !upstream.is_out_of_reach(sent, Instant::now()) {
+        tokio::time::sleep(REACH_PAUSE).await;
+    }
+}
+
 async fn skip_body(socket: &mut WireSocket, framing: BodyFraming) -> Result<(), String> {
     if framing == BodyFraming::UntilClose {
         return Err("its body ends with the connection".to_owned());
--- a/crates/samphiregrade-gateway/src/exchange/refusal.rs
+++ b/crates/samphiregrade-gateway/src/exchange/refusal.rs
@@ -13,8 +13,8 @@
 const START_WAIT: Duration = Duration::from_millis(300);
 
 /// Time after the cut within which clients of an instance that is cut off are sent to another one: it notices
-/// within a second, and the platform asks twice, a second apart.
-const ELSEWHERE_AFTER: Duration = Duration::from_millis(3200);
+/// within six tenths of a second, and the platform asks twice, a second apart.
+const ELSEWHERE_AFTER: Duration = Duration::from_millis(2700);
 
 /// Why a request gets an answer of the instance's own.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
--- a/crates/samphiregrade-gateway/src/exchange/relay.rs
+++ b/crates/samphiregrade-gateway/src/exchange/relay.rs
@@ -141,6 +141,7 @@
                 () = self.client.hung_up() => return Err(Stop::Client),
                 () = tokio::time::sleep_until(self.request.due.into()) => return Err(Stop::Due),
             };
+            answer.guard.upstream().hear_domain(Instant::now());
             if count == 0 {
                 let closed = answer.decoder.close();
                 closed.map_err(|error| Stop::Upstream(error.to_string()))?;
--- a/crates/samphiregrade-gateway/src/exchange/request.rs
+++ b/crates/samphiregrade-gateway/src/exchange/request.rs
@@ -62,6 +62,14 @@
         self.service.engine.is_none() || progress.has_begun() && !progress.is_late()
     }
 
+    /// Returns whether its caller may send it again where it is not known whether it ran: it may run more than once,
+    /// or it is a turn, which leaves nothing behind but its answer.
+    #[must_use]
+    pub fn may_begin_anew(&self) -> bool {
+        let is_turn = self.service.engine.is_some() && self.metadata.program.is_some();
+        self.route.may_repeat() || is_turn
+    }
+
     fn progress(&self) -> ProgramProgress {
         let mut progress = self.standing.progress;
         progress.left = self.metadata.program_deadline;
--- a/crates/samphiregrade-gateway/src/fact/client.rs
+++ b/crates/samphiregrade-gateway/src/fact/client.rs
@@ -29,7 +29,7 @@
 const BACKGROUND_TRIES: usize = 3;
 
 /// Time between two looks at silent keepers.
-const HEALTH_INTERVAL: Duration = Duration::from_millis(150);
+const HEALTH_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Why a fact is not known to be durable, or a question has no sure answer.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
--- a/crates/samphiregrade-gateway/src/fact/health.rs
+++ b/crates/samphiregrade-gateway/src/fact/health.rs
@@ -13,10 +13,11 @@
 use super::placement::{KeeperPlacement, KeeperSlot, PlacementGeneration};
 
 /// Silence after which a keeper is asked whether it is there.
-const ASK_AFTER: Duration = Duration::from_millis(200);
+const ASK_AFTER: Duration = Duration::from_millis(150);
 
-/// Silence after which a keeper counts as out of reach: a question and its answer fit twice.
-const OUT_OF_REACH: Duration = Duration::from_millis(650);
+/// Silence after which a keeper counts as out of reach: a question and its answer fit once with a tenth of a second
+/// to spare, since keepers answer probes without their disks.
+const OUT_OF_REACH: Duration = Duration::from_millis(450);
 
 /// Groups that stand for all programs' groups; their share tells within some hundredths.
 const SAMPLE_GROUPS: u32 = 64;
--- a/crates/samphiregrade-gateway/src/upstream/peer.rs
+++ b/crates/samphiregrade-gateway/src/upstream/peer.rs
@@ -191,6 +191,13 @@
         hold(&self.domain_silence).hear(now);
     }
 
+    /// Returns whether its failure domain has been silent for so long that an answer that has been waited for since
+    /// then can't be expected any more.
+    #[must_use]
+    pub fn is_out_of_reach(&self, waited_since: Instant, now: Instant) -> bool {
+        hold(&self.domain_silence).is_out_of_reach(waited_since, now)
+    }
+
     /// Notes the load that an answer told.
     pub fn note_load(&self, load: ReportedLoad, now: Instant) {
         let own = self.in_flight.load(Ordering::Relaxed);
--- a/crates/samphiregrade-gateway/src/upstream/silence.rs
+++ b/crates/samphiregrade-gateway/src/upstream/silence.rs
@@ -13,6 +13,10 @@
 /// request that engines serve first.
 const FAILING_AFTER: Duration = Duration::from_millis(600);
 
+/// Silence of a whole failure domain after which a request that has waited as long is given up: the way there is cut,
+/// and its caller is better off beginning anew than waiting for its deadline.
+const OUT_OF_REACH: Duration = Duration::from_millis(700);
+
 /// What a millisecond of silence beyond the allowed costs in the choice of an upstream, in milliseconds: enough to
 /// outweigh a whole cached prompt (some 300 ms) soon.
 const COST: u32 = 4;
@@ -70,6 +74,13 @@
         now.saturating_duration_since(since)
     }
 
+    /// Returns whether an answer that has been waited for since then can't be expected any more.
+    #[must_use]
+    pub fn is_out_of_reach(&self, waited_since: Instant, now: Instant) -> bool {
+        let waited = now.saturating_duration_since(waited_since);
+        waited.min(self.silence(now)) >= OUT_OF_REACH
+    }
+
     /// Returns the time that the silence adds to a request that would be sent there.
     #[must_use]
     pub fn penalty(&self, now: Instant) -> Duration {
--- a/crates/samphiregrade-gateway/tests/suite/silence.rs
+++ b/crates/samphiregrade-gateway/tests/suite/silence.rs
@@ -45,3 +45,15 @@
     watch.hear(start + STEP);
     assert!(!watch.end(number, start + STEP));
 }
+
+#[test]
+fn request_is_given_up_when_its_whole_domain_is_silent() {
+    let start = Instant::now();
+    let mut domain = SilenceWatch::default();
+    domain.begin(start);
+    assert!(!domain.is_out_of_reach(start, start + 5 * STEP));
+    assert!(domain.is_out_of_reach(start, start + 8 * STEP));
+    assert!(!domain.is_out_of_reach(start + 5 * STEP, start + 8 * STEP));
+    domain.hear(start + 6 * STEP);
+    assert!(!domain.is_out_of_reach(start, start + 12 * STEP));
+}
