Weigh a batch by what it costs: one millisecond a request, not eighteen

Cause: placement took 18 ms for each request believed to run at an engine. A step takes 0.004 ms longer for it (the engines' own figures), some 1 ms over a turn; the figure in use was taken for 0.035 ms a step and both sides. With many entries the believed loads are old (mean 0.1 where some 4 run), so that the dear batch moved turns away from their cached prompts for nothing.

--- a/crates/samphiregrade-gateway/src/upstream/balance.rs
+++ b/crates/samphiregrade-gateway/src/upstream/balance.rs
@@ -19,9 +19,11 @@
 /// processor is shared a little even before the slots are full.
 const PLAIN_SHARING: f64 = 0.35;
 
-/// What one more request in an engine's batch costs, in milliseconds for each request that runs there: a step
-/// takes some 0.035 ms longer, a turn has about 256 steps, and both the new request and the others wait.
-const BATCH_MILLISECONDS: f64 = 18.0;
+/// What one more request in an engine's batch costs, in milliseconds for each request that runs there: a step takes
+/// some 0.004 ms longer for it, and a turn has about 256 steps. Views of loads are old and poor where there are many
+/// entries, so that a dearer batch moves turns away from their cached prompts for nothing (the paired runs stand in
+/// docs/design/deployment.md).
+const BATCH_MILLISECONDS: f64 = 1.0;
 
 /// An upstream as a choice.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
--- a/crates/samphiregrade-gateway/tests/suite/balance.rs
+++ b/crates/samphiregrade-gateway/tests/suite/balance.rs
@@ -215,3 +215,29 @@
     assert!(breaker.fail(now, true));
     assert_eq!(breaker.state(now), BreakerState::Open);
 }
+
+#[test]
+fn cached_chain_is_worth_more_than_a_few_requests_fewer_in_the_batch() {
+    let work = WorkEstimate {
+        hold_milliseconds: 220.0,
+        on_engine: true,
+    };
+    let cached = Candidate {
+        load: 4.0,
+        slots: 8.0,
+        uncached_tokens: 1_000,
+        ..Candidate::default()
+    };
+    let empty = Candidate {
+        load: 0.0,
+        uncached_tokens: 14_000,
+        ..cached
+    };
+    assert_eq!(choose_upstream(&[empty, cached], &work, 0.5), Some(1));
+    let two_fewer = Candidate {
+        load: 2.0,
+        uncached_tokens: 3_000,
+        ..cached
+    };
+    assert_eq!(choose_upstream(&[two_fewer, cached], &work, 0.5), Some(1));
+}
