One attempt at an upstream stands in its own module

Cause: dispatch.rs held the choice of upstreams and the exchange with one of them, with a function of eight arguments; and the look at a silent failure domain began only once the whole request had been written, which a full window can hold up. The exchange is a type now (`SentRequest`), and the look covers its writing too.

--- /dev/null
+++ b/crates/samphiregrade-gateway/src/exchange/attempt.rs
@@ -0,0 +1,269 @@
+//! One attempt of a request at one upstream: sent, and its answer's head awaited.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bytes::{BufMut, BytesMut};
+use samphiregrade_http::wire::{
+    BodyDecoder, BodyFraming, BodyPiece, ResponseHead, SocketLimits, WireSocket,
+};
+
+use super::context::EntryContext;
+use super::outcome::RequestRecord;
+use super::request::RoutedRequest;
+use crate::model::{AnswerMetadata, DispatchOrders};
+use crate::upstream::{InFlightGuard, Upstream};
+
+/// Longest wait for a connection to an upstream: dozens of round trips within a region. A packet that is lost
+/// comes again after seconds only, so that another upstream is tried before.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Longest head of an answer.
+const HEAD_LIMIT: usize = 32 << 10;
+
+/// Bytes of a foreign answer that are read over; more are not worth it.
+const FOREIGN_LIMIT: usize = 1 << 20;
+
+/// Pause between two looks at whether an upstream is still within reach.
+const REACH_PAUSE: Duration = Duration::from_millis(100);
+
+/// An answer whose head has come.
+pub struct LiveAnswer {
+    /// Head of the answer.
+    pub head: ResponseHead,
+    /// The upstream's connection.
+    pub socket: WireSocket,
+    /// Where its body ends.
+    pub decoder: BodyDecoder,
+    /// How its body is framed.
+    pub framing: BodyFraming,
+    /// Counts the request as being at its upstream.
+    pub guard: InFlightGuard,
+    /// Whether the connection can be used again after a whole answer.
+    pub reusable: bool,
+}
+
+/// How an attempt ended.
+pub(super) enum AttemptEnd {
+    /// The head of an answer to this request.
+    Answered(Box<LiveAnswer>),
+    /// Nothing has left.
+    NotSent(String),
+    /// The upstream says that it did not run the request.
+    NotExecuted(u16, Option<Duration>),
+    /// The request may have run.
+    Broken(String),
+}
+
+/// Sends a request to an upstream; resolves to the head of its answer, or to what is known of the request's fate.
+pub(super) async fn attempt(
+    context: &EntryContext,
+    request: &RoutedRequest,
+    upstream: &Arc<Upstream>,
+    record: &mut RequestRecord,
+) -> AttemptEnd {
+    let guard = upstream.begin();
+    let _waiting = request
+        .is_served_first()
+        .then(|| upstream.await_head(Instant::now()));
+    let socket = match open(upstream).await {
+        Ok(socket) => socket,
+        Err(error) => {
+            return AttemptEnd::NotSent(format!("{} not reached: {error}", upstream.entry.id));
+        }
+    };
+    record.sends += 1;
+    record.before_send.get_or_insert(request.started.elapsed());
+    record.rank = request.service.engine.map(|_| request.rank());
+    let bytes = encode(context, request, upstream, record.rank);
+    let sending = SentRequest {
+        context,
+        request,
+        upstream,
+        socket,
+        guard,
+        reusable: true,
+    };
+    let sent = Instant::now();
+    let end = tokio::select! {
+        biased;
+        end = sending.carry(&bytes) => end,
+        () = lost_sight(upstream, sent), if request.may_begin_anew() => {
+            Err("gave no answer: its failure domain is out of reach".to_owned())
+        }
+    };
+    end.unwrap_or_else(|error| AttemptEnd::Broken(format!("{} {error}", upstream.entry.id)))
+}
+
+/// A request on its connection.
+struct SentRequest<'attempt> {
+    context: &'attempt EntryContext,
+    request: &'attempt RoutedRequest,
+    upstream: &'attempt Arc<Upstream>,
+    socket: WireSocket,
+    guard: InFlightGuard,
+    /// Whether the connection can be used again after a whole answer.
+    reusable: bool,
+}
+
+impl SentRequest<'_> {
+    /// Sends the bytes and reads heads until one belongs to the request; the error says what went wrong after
+    /// something had been sent.
+    async fn carry(mut self, bytes: &[u8]) -> Result<AttemptEnd, String> {
+        let writing = self.socket.write_until_answered(bytes).await;
+        self.reusable = writing.map_err(|error| format!("not written: {error}"))?;
+        loop {
+            let head = read_head(&mut self.socket)
+                .await
+                .map_err(|error| format!("gave no answer: {error}"))?;
+            if head.status < 200 {
+                continue;
+            }
+            self.upstream.hear(Instant::now());
+            let framing = head
+                .framing()
+                .map_err(|error| format!("answered badly: {error}"))?;
+            let metadata = self.context.dialect.answer_metadata(&head);
+            let own = &self.request.id;
+            if metadata.request.as_ref().is_none_or(|id| id == own) {
+                return Ok(self.conclude(head, &metadata, framing));
+            }
+            // A late second answer to an earlier request stands before the one to this request.
+            self.reusable = false;
+            skip_body(&mut self.socket, framing)
+                .await
+                .map_err(|error| format!("sent a foreign answer: {error}"))?;
+        }
+    }
+
+    fn conclude(
+        self,
+        head: ResponseHead,
+        metadata: &AnswerMetadata,
+        framing: BodyFraming,
+    ) -> AttemptEnd {
+        let now = Instant::now();
+        if let Some(load) = metadata.load {
+            self.upstream.note_load(load, now);
+        }
+        if metadata.not_executed || head.status == 421 {
+            if head.status == 421 {
+                note_failure(self.upstream, true, "another upstream has its address");
+            }
+            return AttemptEnd::NotExecuted(head.status, metadata.retry_after);
+        }
+        if self.upstream.succeed() {
+            log::info!("upstream {} answers again", self.upstream.entry.id);
+        }
+        if let Some(engine) = &self.request.service.engine {
+            let prompt = &self.request.metadata.prompt;
+            self.upstream.note_prompt(prompt, engine.cache_tokens, now);
+        }
+        let whole = framing != BodyFraming::UntilClose;
+        AttemptEnd::Answered(Box::new(LiveAnswer {
+            decoder: BodyDecoder::new(framing),
+            reusable: self.reusable && head.keeps_connection() && whole,
+            head,
+            socket: self.socket,
+            framing,
+            guard: self.guard,
+        }))
+    }
+}
+
+/// Notes that an upstream failed, and logs where it is left alone for a while with it.
+pub(super) fn note_failure(upstream: &Upstream, certain: bool, reason: &str) {
+    if upstream.fail(Instant::now(), certain) {
+        log::info!(
+            "upstream {} is left alone for a while: {reason}",
+            upstream.entry.id
+        );
+    }
+}
+
+async fn open(upstream: &Upstream) -> std::io::Result<WireSocket> {
+    if let Some(socket) = upstream.take_idle(Instant::now()) {
+        return Ok(socket);
+    }
+    let limits = SocketLimits::default();
+    let address = upstream.entry.address;
+    let connected = WireSocket::connect(address, CONNECT_TIMEOUT, &limits).await;
+    if connected.is_ok() {
+        upstream.hear_domain(Instant::now());
+    }
+    connected
+}
+
+fn encode(
+    context: &EntryContext,
+    request: &RoutedRequest,
+    upstream: &Upstream,
+    rank: Option<u8>,
+) -> BytesMut {
+    let head = &request.head;
+    let mut bytes = BytesMut::with_capacity(1024 + request.body.len());
+    bytes.put_slice(&head.method);
+    bytes.put_u8(b' ');
+    bytes.put_slice(&head.target);
+    bytes.put_slice(b" HTTP/1.1\r\n");
+    head.fields.write_if(&mut bytes, |field| {
+        let length = field.name.eq_ignore_ascii_case(b"content-length")
+            || field.name.eq_ignore_ascii_case(b"expect");
+        !length && !head.fields.is_hop_by_hop(field) && !context.dialect.is_system_header(field)
+    });
+    let orders = DispatchOrders {
+        time_left: request.time_left(Instant::now()),
+        upstream: upstream.entry.id.clone(),
+        priority: rank,
+        pin: None,
+    };
+    context.dialect.write_orders(&orders, &mut bytes);
+    if !request.body.is_empty() || head.method.as_ref() != b"GET" {
+        bytes.put_slice(format!("Content-Length: {}\r\n", request.body.len()).as_bytes());
+    }
+    bytes.put_slice(b"\r\n");
+    bytes.put_slice(&request.body);
+    bytes
+}
+
+async fn read_head(socket: &mut WireSocket) -> Result<ResponseHead, String> {
+    loop {
+        let taken = ResponseHead::take(&mut socket.buffer, HEAD_LIMIT);
+        if let Some(head) = taken.map_err(|error| error.to_string())? {
+            return Ok(head);
+        }
+        if socket.fill().await.map_err(|error| error.to_string())? == 0 {
+            return Err("the connection ended".to_owned());
+        }
+    }
+}
+
+/// Ends when no answer can be expected any more because the way to the upstream is cut.
+async fn lost_sight(upstream: &Upstream, sent: Instant) {
+    while !upstream.is_out_of_reach(sent, Instant::now()) {
+        tokio::time::sleep(REACH_PAUSE).await;
+    }
+}
+
+async fn skip_body(socket: &mut WireSocket, framing: BodyFraming) -> Result<(), String> {
+    if framing == BodyFraming::UntilClose {
+        return Err("its body ends with the connection".to_owned());
+    }
+    let mut decoder = BodyDecoder::new(framing);
+    let mut skipped = 0;
+    while skipped < FOREIGN_LIMIT {
+        match decoder
+            .take(&mut socket.buffer)
+            .map_err(|error| error.to_string())?
+        {
+            BodyPiece::End => return Ok(()),
+            BodyPiece::Data(data) => skipped += data.len(),
+            BodyPiece::More => {
+                if socket.fill().await.map_err(|error| error.to_string())? == 0 {
+                    return Err("the connection ended".to_owned());
+                }
+            }
+        }
+    }
+    Err("it is too long".to_owned())
+}
--- a/crates/samphiregrade-gateway/src/exchange/connection.rs
+++ b/crates/samphiregrade-gateway/src/exchange/connection.rs
@@ -10,8 +10,9 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
+use super::attempt::LiveAnswer;
 use super::context::EntryContext;
-use super::dispatch::{LiveAnswer, dispatch};
+use super::dispatch::dispatch;
 use super::outcome::RequestRecord;
 use super::refusal::{Refusal, RefusalReason};
 use super::relay::{RelayEnd, relay_answer};
--- a/crates/samphiregrade-gateway/src/exchange/mod.rs
+++ b/crates/samphiregrade-gateway/src/exchange/mod.rs
@@ -1,5 +1,6 @@
 //! A request's way: from a client's connection over the decisions to an upstream and back.
 
+mod attempt;
 mod connection;
 mod context;
 mod dispatch;
--- a/crates/samphiregrade-gateway/src/exchange/relay.rs
+++ b/crates/samphiregrade-gateway/src/exchange/relay.rs
@@ -7,8 +7,8 @@
     BodyFraming, BodyPiece, LAST_CHUNK, ResponseHead, WireSocket, append_chunk,
 };
 
+use super::attempt::LiveAnswer;
 use super::context::EntryContext;
-use super::dispatch::LiveAnswer;
 use super::events::EventTap;
 use super::refusal::RefusalReason;
 use super::request::RoutedRequest;
