--- a/src/record/view.rs
+++ b/src/record/view.rs
@@ -114,6 +114,13 @@
         self.upstreams.iter()
     }
 
+    /// Returns the model that a call means: the one that it asks for, or the one that its class names.
+    #[must_use]
+    pub fn wanted_model(&self, asked: Option<&ModelName>, class: &str) -> Option<ModelName> {
+        let by_class = || self.class(class).map(|class| class.model.clone());
+        asked.cloned().or_else(by_class)
+    }
+
     /// Returns whether any upstream serves the model.
     #[must_use]
     pub fn serves_model(&self, model: &str) -> bool {
--- a/src/scheduler/queue/state.rs
+++ b/src/scheduler/queue/state.rs
@@ -159,7 +159,7 @@
         now: Instant,
     ) -> Option<(UpstreamName, Arc<UpstreamSpec>)> {
         let waiting = &self.waiting[index];
-        let model = wanted_model(&waiting.job, config)?;
+        let model = wanted_model(&waiting.job.intent.spec, &waiting.job.class, config)?;
         let candidates: Vec<(UpstreamName, Arc<UpstreamSpec>)> = config
             .upstreams()
             .filter(|(_, spec)| spec.kind == UpstreamKind::Engine && spec.models.contains(&model))
@@ -284,12 +284,11 @@
 
 /// Returns the model that a call asks for, or that its class names.
 #[must_use]
-pub fn wanted_model(job: &DispatchJob, config: &ConfigView) -> Option<SmolStr> {
-    let CallSpec::Model(call) = &job.intent.spec else {
+pub fn wanted_model(spec: &CallSpec, class: &str, config: &ConfigView) -> Option<SmolStr> {
+    let CallSpec::Model(call) = spec else {
         return None;
     };
-    let by_class = || config.class(&job.class).map(|class| class.model.clone());
-    call.model.clone().or_else(by_class)
+    config.wanted_model(call.model.as_ref(), class)
 }
 
 fn first_message(job: &DispatchJob) -> Option<&str> {
--- a/src/shard/primary/stage.rs
+++ b/src/shard/primary/stage.rs
@@ -6,7 +6,7 @@
 use tokio::sync::oneshot;
 
 use super::{CallKey, DeposedError, PrimaryState, RunningCall};
-use crate::contract::{BeginReply, HistoryReply, ProgramReply, Refusal, RefusalKind};
+use crate::contract::{BeginReply, CallSpec, HistoryReply, ProgramReply, Refusal, RefusalKind};
 use crate::ids::{OrganisationId, ProgramId, SequenceNumber, TokenCount, UpstreamName};
 use crate::program::{
     BeginDecision, CallArrival, CallDecision, CallIntent, CallOutcome, CallPhase, CallResult,
@@ -378,7 +378,29 @@
             let refusal = Refusal::not_run(RefusalKind::Unprotected, detail);
             return Some(refusal.with_retry_after(wait * 5));
         }
-        None
+        self.unknown_upstream(intent)
+    }
+
+    /// Refuses a new call of a model or service that no record names: it would wait for its deadline.
+    fn unknown_upstream(&self, intent: &CallIntent) -> Option<Refusal> {
+        let config = self.context.config.load();
+        if config.revision() == 0 {
+            // What is not known yet must not be judged.
+            return None;
+        }
+        let detail = match &intent.spec {
+            CallSpec::Service(call) if config.serves_service(&call.service) => return None,
+            CallSpec::Service(call) => format!("no record names the service `{}`", call.service),
+            CallSpec::Model(call) => {
+                let record = self.copy.book().program(&intent.program)?;
+                let model = config.wanted_model(call.model.as_ref(), &record.begin.class)?;
+                if config.serves_model(&model) {
+                    return None;
+                }
+                format!("no record of an upstream names the model `{model}`")
+            }
+        };
+        Some(Refusal::not_run(RefusalKind::UnknownUpstream, detail))
     }
 
     fn start_call(
--- a/src/upstream/runner.rs
+++ b/src/upstream/runner.rs
@@ -204,7 +204,9 @@
 
     async fn run_model(&self, chosen: ChosenJob) {
         let config = self.inner.config.load_full();
-        let model = crate::scheduler::wanted_model(&chosen.job, &config).unwrap_or_default();
+        let model =
+            crate::scheduler::wanted_model(&chosen.job.intent.spec, &chosen.job.class, &config)
+                .unwrap_or_default();
         let ChosenJob {
             job,
             upstream,
--- a/tests/testsuite/bad_input.rs
+++ b/tests/testsuite/bad_input.rs
@@ -112,6 +112,18 @@
             "tool",
         ),
         (&format!("{calls}/1"), json!({}), 400, "messages"),
+        (
+            &format!("{calls}/1"),
+            json!({"model": "nobody", "messages": [{"role": "user", "content": "a"}], "max_tokens": 5}),
+            422,
+            "nobody",
+        ),
+        (
+            &format!("{calls}/1"),
+            json!({"service": "nowhere", "tool": "a", "arguments": {}, "idempotent": true}),
+            422,
+            "nowhere",
+        ),
         ("/v1/nothing", json!({}), 404, "/v1/nothing"),
         ("/v1/programs/nonsense/end", json!({}), 404, "nonsense"),
     ];
