--- a/crates/samphiregrade-gateway/src/upstream/balance.rs
+++ b/crates/samphiregrade-gateway/src/upstream/balance.rs
@@ -22,7 +22,7 @@
 /// What one more request in an engine's batch costs, in milliseconds for each request that runs there: a step takes
 /// some 0.004 ms longer for it, and a turn has about 256 steps. Views of loads are old and poor where there are many
 /// entries, so that a dearer batch moves turns away from their cached prompts for nothing (the paired runs stand in
-/// docs/design/deployment.md).
+/// docs/design/urgency.md).
 const BATCH_MILLISECONDS: f64 = 1.0;
 
 /// An upstream as a choice.
--- a/crates/samphiregrade-gateway/src/upstream/rank.rs
+++ b/crates/samphiregrade-gateway/src/upstream/rank.rs
@@ -11,7 +11,7 @@
 //! * those that have waited too long at their first turn go last of their class: they take what the others leave.
 //!
 //! The operators' priorities come before all of this. Figures of the paired runs, also of the orders that were
-//! left, stand in docs/design/deployment.md.
+//! left, stand in docs/design/urgency.md.
 
 use std::time::Duration;
 
