Tell a failed write at once, not after its further tries

Cause: a turn that too few keepers confirm is tried again in the background, and each task that does so kept the channel open on which the caller waits. Ruled out: waiting for the further tries on purpose; their success is told to nobody. Test: of twelve tries none but the first ones may have failed when the caller is told; it counted all twelve before.

--- a/crates/samphiregrade-gateway/src/fact/client.rs
+++ b/crates/samphiregrade-gateway/src/fact/client.rs
@@ -340,6 +340,8 @@
                 let failed = reply.is_none();
                 // The asker may have its majority already.
                 let _ = sender.send(reply).await;
+                // The asker waits for all senders; it must not wait for the further tries.
+                drop(sender);
                 let lasting = matches!(request, KeeperRequest::Store(_));
                 if failed && lasting {
                     client.insist(slot, request).await;
--- a/crates/samphiregrade-gateway/tests/suite/keepers.rs
+++ b/crates/samphiregrade-gateway/tests/suite/keepers.rs
@@ -241,3 +241,36 @@
     assert_eq!(client.placement().generation, newer.generation);
     assert_eq!(client.store(&"p".into(), fact).await, Ok(()));
 }
+
+#[tokio::test]
+async fn failed_write_is_told_before_its_further_tries() {
+    let authority = make_authority().expect("an authority");
+    let mut slots = Vec::new();
+    for name in ["a", "b", "c"] {
+        slots.push(KeeperSlot {
+            name: name.into(),
+            address: free_address().await,
+            domain: name.into(),
+        });
+    }
+    let metrics = Arc::new(GatewayMetrics::new().expect("metrics"));
+    let client = KeeperClient::new(
+        endpoint(&authority, "client"),
+        Arc::new(ArcSwap::from_pointee(KeeperPlacement::first(slots, 1))),
+        metrics.clone(),
+        "a".into(),
+    );
+    let fact = turn("t1", None, b"in", b"out");
+    let stored = client.store(&"p".into(), fact).await;
+    assert_eq!(stored, Err(FactFailure::TooFew));
+    let text = String::from_utf8(metrics.render().expect("metrics")).expect("text");
+    let failed = text
+        .lines()
+        .find(|line| {
+            line.starts_with("samphiregrade_keeper_calls_total") && line.contains("failed")
+        })
+        .and_then(|line| line.rsplit(' ').next()?.parse::<f64>().ok())
+        .expect("a count");
+    // Each of three keepers is tried four times in all; the caller is not kept waiting for that.
+    assert!(failed < 12.0, "{failed} calls had failed");
+}
