--- a/crates/samphiregrade-gateway/src/exchange/request.rs
+++ b/crates/samphiregrade-gateway/src/exchange/request.rs
@@ -58,8 +58,11 @@
     /// Returns whether its answer should begin at once: it is no turn that may have to wait behind others.
     #[must_use]
     pub fn is_served_first(&self) -> bool {
+        if self.service.engine.is_none() {
+            return true;
+        }
         let progress = self.progress();
-        self.service.engine.is_none() || progress.has_begun() && !progress.is_late()
+        progress.has_begun() && !progress.is_late()
     }
 
     /// Returns whether its caller may send it again where it is not known whether it ran: it may run more than once,
--- a/crates/samphiregrade-gateway/src/fact/health.rs
+++ b/crates/samphiregrade-gateway/src/fact/health.rs
@@ -5,12 +5,13 @@
 //! took themselves out of rotation together, clients would be sent to all of them, those in the cut domain too.
 
 use std::collections::HashMap;
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use smol_str::SmolStr;
 
 use super::placement::{KeeperPlacement, KeeperSlot, PlacementGeneration};
+use crate::hold::hold;
 
 /// Silence after which a keeper is asked whether it is there.
 const ASK_AFTER: Duration = Duration::from_millis(150);
@@ -41,10 +42,6 @@
     cut_since: Mutex<Option<Instant>>,
 }
 
-fn hold<Value>(mutex: &Mutex<Value>) -> MutexGuard<'_, Value> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 impl KeeperHealth {
     /// Notes an answer.
     pub fn note(&self, name: &SmolStr, now: Instant) {
--- /dev/null
+++ b/crates/samphiregrade-gateway/src/hold.rs
@@ -0,0 +1,8 @@
+//! Holding a lock whose former holder may have panicked.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// Locks a mutex: what it guards here is whole between any two statements.
+pub(crate) fn hold<Value>(mutex: &Mutex<Value>) -> MutexGuard<'_, Value> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/samphiregrade-gateway/src/lib.rs
+++ b/crates/samphiregrade-gateway/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod dialect;
 pub mod exchange;
 pub mod fact;
+mod hold;
 pub mod identity;
 pub mod link;
 pub mod model;
--- a/crates/samphiregrade-gateway/src/upstream/peer.rs
+++ b/crates/samphiregrade-gateway/src/upstream/peer.rs
@@ -1,7 +1,7 @@
 //! One upstream: its connections, its load, its breaker and its cache.
 
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use samphiregrade_http::wire::WireSocket;
@@ -10,6 +10,7 @@
 use super::breaker::{BreakerState, UpstreamBreaker};
 use super::cache::PrefixCache;
 use super::silence::{SilenceWatch, WaitNumber};
+use crate::hold::hold;
 use crate::model::{DomainId, PromptPart, ReportedLoad, UpstreamEntry};
 
 /// Age at which a reported load counts half: requests last some hundreds of milliseconds.
@@ -63,10 +64,6 @@
 /// Silence of all upstreams of a failure domain together: the way there may be cut.
 pub type DomainSilence = Mutex<SilenceWatch>;
 
-fn hold<Value>(mutex: &Mutex<Value>) -> std::sync::MutexGuard<'_, Value> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 fn tag_of(entry: &UpstreamEntry) -> u64 {
     let mut tag = [0; 8];
     let hash = blake3::hash(entry.address.to_string().as_bytes());
