Reset connections that carry requests when they are closed

Cause: a request that was given up while its path was cut was closed in order, so the kernel kept its bytes and delivered them when the path healed: the client had been told 502 or 504 and the request ran seconds later. Ruled out: the upstream's own queue (it had not seen the request), a second dispatch (one send in the log). Change: every connection that carries requests to a peer (upstreams, links between instances, the key-value service) is opened with SO_LINGER 0, in the one place that sets a connection's options. Whatever ends such a connection (cut, timeout, hang-up, stop) now drops what has not left. The fault proxy loses what it holds back when its sender resets, as a path that drops packets does.

--- a/crates/samphiregrade-gateway/src/exchange/attempt.rs
+++ b/crates/samphiregrade-gateway/src/exchange/attempt.rs
@@ -185,7 +185,7 @@
     if let Some(socket) = upstream.take_idle(Instant::now()) {
         return Ok(socket);
     }
-    let limits = SocketLimits::default();
+    let limits = SocketLimits::for_requests();
     let address = upstream.entry.address;
     let connected = WireSocket::connect(address, CONNECT_TIMEOUT, &limits).await;
     if connected.is_ok() {
--- a/crates/samphiregrade-gateway/src/link.rs
+++ b/crates/samphiregrade-gateway/src/link.rs
@@ -14,7 +14,7 @@
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use rustls::pki_types::ServerName;
-use samphiregrade_http::wire::{SocketLimits, limit_silence, listen};
+use samphiregrade_http::wire::{SocketLimits, apply_limits, listen};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use thiserror::Error;
@@ -224,7 +224,7 @@
 
     async fn connect(&self) -> io::Result<TlsStream<TcpStream>> {
         let stream = TcpStream::connect(self.address).await?;
-        limit_silence(&stream, &SocketLimits::default())?;
+        apply_limits(&stream, &SocketLimits::for_requests())?;
         let name = ServerName::try_from(SERVER_NAME).map_err(io::Error::other)?;
         self.connector.connect(name, stream).await
     }
@@ -374,7 +374,7 @@
     Reply: Serialize + Send + 'static,
     Answering: Future<Output = Reply> + Send + 'static,
 {
-    limit_silence(&stream, &SocketLimits::default())?;
+    apply_limits(&stream, &SocketLimits::default())?;
     let mut link = tokio::time::timeout(CONNECT_TIMEOUT, acceptor.accept(stream)).await??;
     let (replies, mut answered) = mpsc::channel::<(u64, Vec<u8>)>(QUEUE_LIMIT);
     let mut received = BytesMut::new();
--- a/crates/samphiregrade-gateway/src/store/client.rs
+++ b/crates/samphiregrade-gateway/src/store/client.rs
@@ -40,7 +40,7 @@
     #[error("the key has been changed meanwhile; it is read again")]
     Changed,
     /// The answer can't be decoded.
-    #[error("{0}")]
+    #[error("{0}; everything is read again")]
     Unreadable(String),
 }
 
@@ -97,7 +97,12 @@
             if first {
                 whole.at = page.at;
             }
-            let more = page.has_more && !page.items.is_empty();
+            whole.nameless += page.nameless;
+            let more = page.has_more;
+            if more && page.items.is_empty() {
+                let reason = format!("a page of {} items names no key", page.nameless);
+                return Err(StoreFailure::Unreadable(reason));
+            }
             whole.items.extend(page.items);
             if !more {
                 return Ok(whole);
@@ -174,11 +179,12 @@
     ) -> Result<(StoreAnswer, Option<WireSocket>), String> {
         let text = |error: std::io::Error| error.to_string();
         let quiet = kept.and_then(|mut socket| socket.is_quiet().then_some(socket));
-        let mut socket = match quiet {
-            Some(socket) => socket,
-            None => WireSocket::connect(self.address, CONNECT_TIMEOUT, &SocketLimits::default())
-                .await
-                .map_err(text)?,
+        let mut socket = if let Some(socket) = quiet {
+            socket
+        } else {
+            let limits = SocketLimits::for_requests();
+            let connecting = WireSocket::connect(self.address, CONNECT_TIMEOUT, &limits);
+            connecting.await.map_err(text)?
         };
         socket.write(&self.encode(call)).await.map_err(text)?;
         let head = loop {
--- a/crates/samphiregrade-http/src/wire/mod.rs
+++ b/crates/samphiregrade-http/src/wire/mod.rs
@@ -10,4 +10,4 @@
 
 pub use framing::{BodyDecoder, BodyFraming, BodyPiece, FramingError, LAST_CHUNK, append_chunk};
 pub use head::{HeadError, HeaderField, HeaderFields, RequestHead, ResponseHead, decimal};
-pub use socket::{SocketLimits, WireSocket, limit_silence, listen};
+pub use socket::{SocketLimits, WireSocket, apply_limits, listen};
--- a/crates/samphiregrade-http/src/wire/socket.rs
+++ b/crates/samphiregrade-http/src/wire/socket.rs
@@ -17,7 +17,7 @@
 /// Room made before each read.
 const READ_ROOM: usize = 8 << 10;
 
-/// When a silent peer is given up.
+/// When a silent peer is given up, and what becomes of bytes that have not left.
 #[derive(Clone, Copy, Debug)]
 pub struct SocketLimits {
     /// Silence after which the system asks whether the peer is there.
@@ -28,6 +28,20 @@
     pub probe_count: u32,
     /// Longest time that sent bytes may stay unacknowledged.
     pub unacknowledged: Duration,
+    /// Whether closing resets the connection. An orderly close leaves queued bytes to the kernel, which goes on
+    /// sending them for seconds: a request that was given up while its path was cut would still arrive after it.
+    pub reset_on_close: bool,
+}
+
+impl SocketLimits {
+    /// Returns the limits of a connection that carries requests to a peer: nothing arrives after it is closed.
+    #[must_use]
+    pub fn for_requests() -> Self {
+        Self {
+            reset_on_close: true,
+            ..Self::default()
+        }
+    }
 }
 
 impl Default for SocketLimits {
@@ -37,6 +51,7 @@
             probe_interval: Duration::from_secs(1),
             probe_count: 2,
             unacknowledged: Duration::from_secs(4),
+            reset_on_close: false,
         }
     }
 }
@@ -59,14 +74,17 @@
     TcpListener::from_std(socket.into())
 }
 
-/// Makes a connection send at once, and end when its peer falls silent.
+/// Makes a connection send at once, end when its peer falls silent, and close as its limits say.
 ///
 /// # Errors
 ///
 /// The system's error where an option can't be set.
-pub fn limit_silence(stream: &TcpStream, limits: &SocketLimits) -> io::Result<()> {
+pub fn apply_limits(stream: &TcpStream, limits: &SocketLimits) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let options = SockRef::from(stream);
+    if limits.reset_on_close {
+        options.set_linger(Some(Duration::ZERO))?;
+    }
     let keepalive = TcpKeepalive::new()
         .with_time(limits.probe_after)
         .with_interval(limits.probe_interval)
@@ -90,7 +108,7 @@
     ///
     /// The system's error where an option can't be set.
     pub fn new(stream: TcpStream, limits: &SocketLimits) -> io::Result<Self> {
-        limit_silence(&stream, limits)?;
+        apply_limits(&stream, limits)?;
         Ok(Self {
             stream,
             buffer: BytesMut::new(),
--- a/crates/samphiregrade-standins/src/proxy.rs
+++ b/crates/samphiregrade-standins/src/proxy.rs
@@ -12,7 +12,8 @@
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 use smol_str::SmolStr;
-use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream, UdpSocket};
 use tokio::sync::watch;
 
@@ -34,7 +35,8 @@
     pub delay_ms: u64,
     /// Close every connection and accept none; drop every datagram.
     pub cut: bool,
-    /// Keep connections open, but deliver nothing.
+    /// Keep connections open, but deliver nothing; what is held back is lost where its sender resets the connection,
+    /// as on a path that drops packets.
     pub half_open: bool,
     /// Keep connections open, but deliver nothing of what the far side sends.
     pub one_way: bool,
@@ -115,11 +117,7 @@
         }
     }
 
-    async fn carry_bytes<Source, Sink>(&self, mut from: Source, mut to: Sink, back: bool)
-    where
-        Source: AsyncRead + Unpin,
-        Sink: AsyncWrite + Unpin,
-    {
+    async fn carry_bytes(&self, mut from: ReadHalf<'_>, mut to: WriteHalf<'_>, back: bool) {
         let mut faults = self.faults.subscribe();
         let mut buffer = vec![0; BUFFER];
         loop {
@@ -132,9 +130,14 @@
                 tokio::time::sleep(Duration::from_millis(delay)).await;
             }
             let delivers = |faults: &LinkFaults| !(faults.half_open || back && faults.one_way);
+            let held_back = !delivers(&faults.borrow());
             if faults.wait_for(delivers).await.is_err() {
                 return;
             }
+            if held_back && was_reset(&from) {
+                let _ = to.shutdown().await;
+                return;
+            }
             self.bytes.fetch_add(count as u64, Ordering::Relaxed);
             if to.write_all(&buffer[..count]).await.is_err() {
                 return;
@@ -205,6 +208,12 @@
     }
 }
 
+/// Returns whether the peer has reset the connection.
+fn was_reset(half: &ReadHalf<'_>) -> bool {
+    let stream: &TcpStream = half.as_ref();
+    !matches!(stream.take_error(), Ok(None))
+}
+
 /// Sends a datagram; a failure is a loss, as on any network.
 async fn send_datagram(datagram: &[u8], socket: &UdpSocket, to: Option<SocketAddr>) {
     let _ = match to {
