Tell an upstream's starts apart; let bad entries harm nobody else

Cause: an upstream may start again under its id; the registry kept the old object with its cache view, load, breaker and connections. One item that could not be decoded failed the whole page of a read, and with it every upstream. Change: an entry carries when its upstream started. Another start, address or service makes it a new upstream; an entry of a start that is over says nothing. Items of a page are decoded one by one: those without a key are counted and logged, others come as unreadable. A bad write over a good entry takes the upstream out at once until a readable one comes; a bad configuration, placement, registration or authority leaves the last good one in force. Turns remember which start of an upstream ran them (facts on disk have a new field: keepers start with empty disks after this change).

--- a/crates/samphiregrade-gateway/src/dialect.rs
+++ b/crates/samphiregrade-gateway/src/dialect.rs
@@ -35,13 +35,35 @@
     pub body: Vec<u8>,
 }
 
-/// A value of the key-value service.
+/// What lies under a key of the key-value service.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum StoreValue {
+    /// The bytes that were written.
+    Present(Vec<u8>),
+    /// Nothing any more.
+    Removed,
+    /// Something that can't be decoded; the reason.
+    Unreadable(SmolStr),
+}
+
+impl StoreValue {
+    /// Returns the bytes, where there are any that can be read.
+    #[must_use]
+    pub fn bytes(&self) -> Option<&[u8]> {
+        match self {
+            Self::Present(bytes) => Some(bytes),
+            Self::Removed | Self::Unreadable(_) => None,
+        }
+    }
+}
+
+/// A key of the key-value service with its value.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct StoreItem {
-    /// Its key.
+    /// The key.
     pub key: SmolStr,
-    /// Its value; `None` where it was removed.
-    pub value: Option<Vec<u8>>,
+    /// Its value.
+    pub value: StoreValue,
     /// Revision of its last change.
     pub revision: StoreRevision,
 }
@@ -51,6 +73,8 @@
 pub struct StorePage {
     /// The values, or the changes in order.
     pub items: Vec<StoreItem>,
+    /// Items that name no key: nobody can tell whose they are.
+    pub nameless: usize,
     /// Whether more values follow after the last one.
     pub has_more: bool,
     /// Revision of the service at that time.
@@ -130,7 +154,7 @@
     /// Composes a change.
     fn change_call(&self, change: &StoreChange) -> StoreCall;
 
-    /// Decodes a page of a read or what a watch brought.
+    /// Decodes a page of a read or what a watch brought. An item that can't be decoded harms no other one.
     ///
     /// # Errors
     ///
--- a/crates/samphiregrade-gateway/src/exchange/connection.rs
+++ b/crates/samphiregrade-gateway/src/exchange/connection.rs
@@ -332,6 +332,7 @@
         record.first_answer = Some(record.started.elapsed());
         let context = self.context.clone();
         let keep = keep && !context.sends_away();
+        let upstream = answer.guard.upstream().clone();
         let end = relay_answer(
             &context,
             &mut self.socket,
@@ -345,7 +346,7 @@
                 record.status = status;
                 record.outcome = "answered";
                 if let Some(plan) = turn.filter(|plan| !plan.retained || status != 200) {
-                    plan.settle(&context, spent, Some(&record.upstream));
+                    plan.settle(&context, spent, Some(&upstream.entry));
                 }
                 keep
             }
--- a/crates/samphiregrade-gateway/src/exchange/dispatch.rs
+++ b/crates/samphiregrade-gateway/src/exchange/dispatch.rs
@@ -134,7 +134,7 @@
         .map(|(upstream, home)| {
             let mut candidate = upstream.candidate(prompt, home, &context.domain, now);
             // Another instance may have sent the turn before; the keepers have told where.
-            if let Some(uncached) = request.uncached_at_last_place(&upstream.entry.id) {
+            if let Some(uncached) = request.uncached_at_last_place(&upstream.entry) {
                 candidate.uncached_tokens = candidate.uncached_tokens.min(uncached);
             }
             candidate
--- a/crates/samphiregrade-gateway/src/exchange/relay.rs
+++ b/crates/samphiregrade-gateway/src/exchange/relay.rs
@@ -13,7 +13,7 @@
 use super::refusal::RefusalReason;
 use super::request::RoutedRequest;
 use super::turn::TurnPlan;
-use crate::model::UpstreamId;
+use crate::model::UpstreamEntry;
 
 /// How the client is told where the body ends.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -124,7 +124,7 @@
             let ended = self.take_pieces(answer, &mut output)?;
             if ended && retained {
                 self.flush(&mut output).await?;
-                self.commit(&answer.guard.upstream().entry.id).await?;
+                self.commit(&answer.guard.upstream().entry).await?;
             }
             if ended {
                 if self.framing == ClientFraming::Chunked {
@@ -193,7 +193,7 @@
         }
     }
 
-    async fn commit(&mut self, upstream: &UpstreamId) -> Result<(), Stop> {
+    async fn commit(&mut self, upstream: &UpstreamEntry) -> Result<(), Stop> {
         let Some(plan) = self.turn else {
             return Ok(());
         };
--- a/crates/samphiregrade-gateway/src/exchange/request.rs
+++ b/crates/samphiregrade-gateway/src/exchange/request.rs
@@ -7,7 +7,7 @@
 use samphiregrade_http::wire::RequestHead;
 use smol_str::SmolStr;
 
-use crate::model::{RequestMetadata, RouteRecord, ServiceRecord, UpstreamId};
+use crate::model::{RequestMetadata, RouteRecord, ServiceRecord, UpstreamEntry};
 use crate::upstream::{ProgramProgress, UrgencyClass, turn_rank};
 
 use super::turn::ProgramStanding;
@@ -39,12 +39,11 @@
 impl RoutedRequest {
     /// Returns the tokens that an upstream would have to read where the turn before ran there.
     #[must_use]
-    pub fn uncached_at_last_place(&self, upstream: &UpstreamId) -> Option<u32> {
-        let place = self
-            .standing
-            .last_place
-            .as_ref()
-            .filter(|place| place.upstream == *upstream)?;
+    pub fn uncached_at_last_place(&self, upstream: &UpstreamEntry) -> Option<u32> {
+        let place =
+            self.standing.last_place.as_ref().filter(|place| {
+                place.upstream == upstream.id && place.started == upstream.started
+            })?;
         let prompt = self.metadata.usage?.prompt;
         Some(prompt.saturating_sub(place.tokens))
     }
--- a/crates/samphiregrade-gateway/src/exchange/turn.rs
+++ b/crates/samphiregrade-gateway/src/exchange/turn.rs
@@ -10,7 +10,7 @@
 use crate::fact::{
     ChainLookup, FactFailure, FactRecord, Reservation, ReserveOutcome, TurnFact, TurnPlace,
 };
-use crate::model::{ProgramId, SessionId, TurnId, UpstreamId};
+use crate::model::{ProgramId, SessionId, TurnId, UpstreamEntry};
 use crate::upstream::ProgramProgress;
 
 /// How long budgets last where a route keeps no turns: a stopped program that comes back is still known.
@@ -186,16 +186,18 @@
     }
 
     /// Describes where the turn ran.
-    fn place(&self, upstream: Option<&UpstreamId>, spent: u32) -> Option<TurnPlace> {
+    fn place(&self, upstream: Option<&UpstreamEntry>, spent: u32) -> Option<TurnPlace> {
+        let upstream = upstream?;
         Some(TurnPlace {
             session: self.session.clone(),
-            upstream: upstream?.clone(),
+            upstream: upstream.id.clone(),
+            started: upstream.started,
             tokens: self.prompt_tokens.saturating_add(spent),
         })
     }
 
     /// Tells the keepers what the turn took, and where it ran.
-    pub fn settle(&self, context: &EntryContext, spent: u32, upstream: Option<&UpstreamId>) {
+    pub fn settle(&self, context: &EntryContext, spent: u32, upstream: Option<&UpstreamEntry>) {
         if self.budget.is_none() {
             return;
         }
@@ -215,7 +217,7 @@
         context: &EntryContext,
         output: Bytes,
         spent: u32,
-        upstream: &UpstreamId,
+        upstream: &UpstreamEntry,
     ) -> Result<(), FactFailure> {
         let keepers = context
             .keepers
--- a/crates/samphiregrade-gateway/src/fact/message.rs
+++ b/crates/samphiregrade-gateway/src/fact/message.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::placement::{KeeperPlacement, PlacementGeneration};
-use crate::model::{ProgramId, SessionId, TurnId, UpstreamId};
+use crate::model::{ProgramId, SessionId, TurnId, UpstreamId, UpstreamStart};
 use crate::upstream::ProgramProgress;
 
 /// A turn whose answer is whole: never changed once written.
@@ -37,6 +37,8 @@
     pub session: SessionId,
     /// The upstream.
     pub upstream: UpstreamId,
+    /// When it had started: one that has started again since has nothing cached.
+    pub started: Option<UpstreamStart>,
     /// Tokens of its prompt and its answer.
     pub tokens: u32,
 }
--- a/crates/samphiregrade-gateway/src/model/mod.rs
+++ b/crates/samphiregrade-gateway/src/model/mod.rs
@@ -11,7 +11,7 @@
     ServiceShare,
 };
 pub use metadata::{AnswerMetadata, DispatchOrders, PromptPart, RequestMetadata, TokenUsage};
-pub use upstream::{ReportedLoad, UpstreamEntry, UpstreamState};
+pub use upstream::{ReportedLoad, UpstreamEntry, UpstreamStart, UpstreamState};
 
 /// Name of a failure domain.
 pub type DomainId = SmolStr;
@@ -19,7 +19,7 @@
 /// Name of a service that upstreams belong to.
 pub type ServiceName = SmolStr;
 
-/// Id of one start of an upstream.
+/// Id of an upstream; it may keep it when it starts again.
 pub type UpstreamId = SmolStr;
 
 /// Id of one attempt of a client.
--- a/crates/samphiregrade-gateway/src/role/beliefs.rs
+++ b/crates/samphiregrade-gateway/src/role/beliefs.rs
@@ -10,11 +10,11 @@
 use tokio_util::sync::CancellationToken;
 
 use super::authority::{AUTHORITY_KEY, LinkAuthority, PLACEMENT_KEY, SHARED_PREFIX};
-use crate::dialect::StoreItem;
+use crate::dialect::{StoreItem, StorePage, StoreRevision, StoreValue};
 use crate::exchange::EntryContext;
 use crate::fact::{KeeperClient, KeeperPlacement};
 use crate::link::LinkEndpoint;
-use crate::model::UpstreamEntry;
+use crate::model::{UpstreamEntry, UpstreamId};
 use crate::observe::Logbook;
 use crate::routing::RouteTable;
 use crate::settings::GatewaySettings;
@@ -38,6 +38,13 @@
     services: usize,
 }
 
+#[derive(Serialize)]
+struct BadEntryLine<'line> {
+    upstream: &'line str,
+    revision: StoreRevision,
+    reason: &'line str,
+}
+
 /// Follows the configuration, the upstreams and the keepers until ended.
 pub(super) fn follow_store(
     settings: &GatewaySettings,
@@ -87,9 +94,19 @@
 }
 
 fn take_configuration(context: &EntryContext, item: &StoreItem) {
-    let Some(value) = &item.value else {
-        log::warn!("the configuration's key was removed; the last one stays in force");
-        return;
+    let value = match &item.value {
+        StoreValue::Present(value) => value,
+        StoreValue::Removed => {
+            log::warn!("the configuration's key was removed; the last one stays in force");
+            return;
+        }
+        StoreValue::Unreadable(reason) => {
+            log::error!(
+                "revision {}: the configuration can't be read: {reason}; the last one stays in force",
+                item.revision
+            );
+            return;
+        }
     };
     let config = match context.dialect.configuration(value) {
         Ok(config) => config,
@@ -135,44 +152,59 @@
             FollowEvent::Lost => {}
             FollowEvent::Regained(_) => registry.unsettle(now),
             FollowEvent::All(page) => {
-                let entries = page.items.iter().filter_map(|item| decode(&context, item));
-                registry.replace(entries.collect(), now);
+                let mut entries = Vec::with_capacity(page.items.len());
+                for change in changes(&context, &page) {
+                    match change {
+                        UpstreamChange::Entry(entry) => entries.push(entry),
+                        UpstreamChange::Gone(id) => registry.remove(&id, now),
+                        UpstreamChange::Bad(id) => registry.reject(&id, now),
+                    }
+                }
+                registry.replace(entries, now);
             }
             FollowEvent::Changes(page) => {
-                for item in &page.items {
-                    apply_change(&context, &mut registry, item, now);
+                for change in changes(&context, &page) {
+                    match change {
+                        UpstreamChange::Entry(entry) => registry.put(entry, now),
+                        UpstreamChange::Gone(id) => registry.remove(&id, now),
+                        UpstreamChange::Bad(id) => registry.reject(&id, now),
+                    }
                 }
             }
         }
     }
 }
 
-fn apply_change(
-    context: &EntryContext,
-    registry: &mut UpstreamRegistry,
-    item: &StoreItem,
-    now: Instant,
-) {
-    if item.value.is_some() {
-        if let Some(entry) = decode(context, item) {
-            registry.put(entry, now);
-        }
-        return;
-    }
-    if let Some(id) = context.dialect.upstream_of(&item.key) {
-        registry.remove(&id, now);
-    }
+/// What an item under the upstreams' prefix says.
+enum UpstreamChange {
+    Entry(UpstreamEntry),
+    Gone(UpstreamId),
+    /// The entry can't be read.
+    Bad(UpstreamId),
+}
+
+fn changes(context: &EntryContext, page: &StorePage) -> Vec<UpstreamChange> {
+    let items = page.items.iter();
+    items.filter_map(|item| decode(context, item)).collect()
 }
 
-fn decode(context: &EntryContext, item: &StoreItem) -> Option<UpstreamEntry> {
+fn decode(context: &EntryContext, item: &StoreItem) -> Option<UpstreamChange> {
     let id = context.dialect.upstream_of(&item.key)?;
-    match context.dialect.upstream(&id, item.value.as_ref()?) {
-        Ok(entry) => Some(entry),
-        Err(error) => {
-            log::error!("key {}: {error}", item.key);
-            None
-        }
-    }
+    let reason = match &item.value {
+        StoreValue::Removed => return Some(UpstreamChange::Gone(id)),
+        StoreValue::Unreadable(reason) => reason.clone(),
+        StoreValue::Present(value) => match context.dialect.upstream(&id, value) {
+            Ok(entry) => return Some(UpstreamChange::Entry(entry)),
+            Err(error) => error.reason.into(),
+        },
+    };
+    let line = BadEntryLine {
+        upstream: &id,
+        revision: item.revision,
+        reason: &reason,
+    };
+    Logbook::of_process().record("upstream-entry-bad", &line);
+    Some(UpstreamChange::Bad(id))
 }
 
 async fn take_shared(
@@ -187,7 +219,7 @@
             continue;
         };
         for item in &page.items {
-            let Some(value) = &item.value else {
+            let Some(value) = item.value.bytes() else {
                 continue;
             };
             match item.key.as_str() {
--- a/crates/samphiregrade-gateway/src/role/keeper.rs
+++ b/crates/samphiregrade-gateway/src/role/keeper.rs
@@ -153,6 +153,6 @@
         .items
         .into_iter()
         .find(|item| item.key == AUTHORITY_KEY);
-    let value = item.and_then(|item| item.value);
-    Ok(value.and_then(|value| serde_json::from_slice(&value).ok()))
+    let value = item.as_ref().and_then(|item| item.value.bytes());
+    Ok(value.and_then(|value| serde_json::from_slice(value).ok()))
 }
--- a/crates/samphiregrade-gateway/src/role/member.rs
+++ b/crates/samphiregrade-gateway/src/role/member.rs
@@ -11,7 +11,7 @@
 
 use super::authority::{KEEPER_PREFIX, PLACEMENT_KEY, REGISTRATION_PREFIX};
 use super::membership::{MemberView, MembershipStep, next_step};
-use crate::dialect::{Dialect, StoreChange, StoreItem, StoreRevision};
+use crate::dialect::{Dialect, StoreChange, StoreItem, StoreRevision, StoreValue};
 use crate::fact::{
     KeeperEnvelope, KeeperPlacement, KeeperReply, KeeperRequest, KeeperService, KeeperSlot,
     rebuild_from_others,
@@ -162,7 +162,7 @@
 
     fn take_registration(&mut self, name: &str, item: &StoreItem) {
         self.registered_since = Instant::now();
-        let value = item.value.as_ref();
+        let value = item.value.bytes();
         let slot = value.and_then(|value| serde_json::from_slice::<KeeperSlot>(value).ok());
         self.registration_revisions
             .insert(name.into(), item.revision);
@@ -173,7 +173,7 @@
     }
 
     async fn take_placement(&mut self, item: &StoreItem) {
-        let Some(value) = &item.value else {
+        let Some(value) = item.value.bytes() else {
             return;
         };
         self.placement_revision = self.placement_revision.max(item.revision);
@@ -197,7 +197,7 @@
                 continue;
             };
             self.retiring.retain(|other| *other != name);
-            if item.value.is_some() {
+            if item.value != StoreValue::Removed {
                 self.retiring.push(name);
             }
         }
--- a/crates/samphiregrade-gateway/src/store/follow.rs
+++ b/crates/samphiregrade-gateway/src/store/follow.rs
@@ -112,6 +112,10 @@
             return true;
         };
         self.position = Some(page.at);
+        if page.nameless > 0 {
+            let reason = format!("{} items name no key; the others hold", page.nameless);
+            self.log("store-items-nameless", reason, Duration::ZERO);
+        }
         let changed = !page.items.is_empty();
         let open = self.events.send(event).await.is_ok();
         if changed {
--- a/crates/samphiregrade-gateway/src/upstream/directory.rs
+++ b/crates/samphiregrade-gateway/src/upstream/directory.rs
@@ -8,7 +8,9 @@
 use serde::Serialize;
 
 use super::peer::{DomainSilence, Upstream};
-use crate::model::{DomainId, ServiceName, UpstreamEntry, UpstreamId, UpstreamState};
+use crate::model::{
+    DomainId, ServiceName, UpstreamEntry, UpstreamId, UpstreamStart, UpstreamState,
+};
 use crate::observe::Logbook;
 
 /// Time after the key-value service's return within which lapsed entries come back: they are back within
@@ -60,6 +62,7 @@
 #[derive(Serialize)]
 struct UpstreamLine<'line> {
     upstream: &'line str,
+    started: Option<UpstreamStart>,
     service: &'line str,
     domain: &'line str,
     address: String,
@@ -109,26 +112,43 @@
     }
 
     /// Takes an entry.
+    ///
+    /// One that describes another start of a known upstream makes it a new one, of which nothing is known; one that
+    /// describes a start that is over comes too late and says nothing.
     pub fn put(&mut self, entry: UpstreamEntry, now: Instant) {
+        let Some(known) = self.known.get(&entry.id) else {
+            log_upstream("upstream-added", &entry);
+            self.add(entry, now);
+            return;
+        };
+        if known.entry.is_after(&entry) {
+            log_upstream("upstream-entry-outdated", &entry);
+            return;
+        }
         self.departures.retain(|departure| departure.id != entry.id);
-        let draining = entry.state == UpstreamState::Draining;
-        if let Some(known) = self.known.get(&entry.id) {
-            known.set_departed(false);
-            if known.takes_requests() == draining {
-                known.set_draining(draining);
-                log_upstream(
-                    if draining {
-                        "upstream-draining"
-                    } else {
-                        "upstream-ready"
-                    },
-                    &entry,
-                );
-            }
+        if !known.entry.is_same_start(&entry) {
+            log_upstream("upstream-started-again", &entry);
+            known.set_draining(true);
+            self.add(entry, now);
             return;
         }
-        log_upstream("upstream-added", &entry);
+        let draining = entry.state == UpstreamState::Draining;
+        known.set_departed(false);
+        if known.takes_requests() == draining {
+            known.set_draining(draining);
+            let event = if draining {
+                "upstream-draining"
+            } else {
+                "upstream-ready"
+            };
+            log_upstream(event, &entry);
+        }
+    }
+
+    /// Starts to keep track of an upstream, in place of a known one with its id.
+    fn add(&mut self, entry: UpstreamEntry, now: Instant) {
         let domain = self.domains.entry(entry.domain.clone()).or_default();
+        let draining = entry.state == UpstreamState::Draining;
         let upstream = Upstream::new(entry, domain.clone(), now);
         upstream.set_draining(draining);
         self.known
@@ -136,6 +156,16 @@
         self.publish();
     }
 
+    /// Notes that an entry can't be read any more: it names no upstream to use, whoever wrote it. A readable one brings
+    /// the upstream back.
+    pub fn reject(&mut self, id: &UpstreamId, now: Instant) {
+        let Some(upstream) = self.known.get(id) else {
+            return;
+        };
+        upstream.set_draining(true);
+        self.remove(id, now);
+    }
+
     /// Notes that an entry is gone.
     pub fn remove(&mut self, id: &UpstreamId, now: Instant) {
         let Some(upstream) = self.known.get(id) else {
@@ -158,7 +188,7 @@
         });
     }
 
-    /// Takes all entries as they are: those that are missing are gone.
+    /// Takes all entries as they are: those that are missing are gone. Those that can't be read are rejected before.
     pub fn replace(&mut self, entries: Vec<UpstreamEntry>, now: Instant) {
         let missing: Vec<UpstreamId> = self
             .known
@@ -215,6 +245,7 @@
 fn log_upstream(event: &'static str, entry: &UpstreamEntry) {
     let line = UpstreamLine {
         upstream: &entry.id,
+        started: entry.started,
         service: &entry.service,
         domain: &entry.domain,
         address: entry.address.to_string(),
--- a/crates/samphiregrade-gateway/tests/suite/facts.rs
+++ b/crates/samphiregrade-gateway/tests/suite/facts.rs
@@ -166,6 +166,7 @@
 fn place_of_the_own_line_goes_before_the_programs() {
     let place = |session: &str, upstream: &str| {
         Some(TurnPlace {
+            started: None,
             session: session.into(),
             upstream: upstream.into(),
             tokens: 10,
--- a/crates/samphiregrade-gateway/tests/suite/upstreams.rs
+++ b/crates/samphiregrade-gateway/tests/suite/upstreams.rs
@@ -1,8 +1,9 @@
 //! Upstreams that come, drain, lapse and come back.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use samphiregrade_gateway::model::{ReportedLoad, UpstreamEntry, UpstreamState};
+use samphiregrade_gateway::model::{PromptPart, ReportedLoad, UpstreamEntry, UpstreamState};
 use samphiregrade_gateway::upstream::{DepartureRule, Upstream, UpstreamRegistry};
 
 const DRAIN: Duration = Duration::from_secs(2);
@@ -10,6 +11,7 @@
 fn entry(id: &str, state: UpstreamState) -> UpstreamEntry {
     UpstreamEntry {
         id: id.into(),
+        started: None,
         service: "engines".into(),
         address: "127.0.0.1:9".parse().expect("an address"),
         domain: "a".into(),
@@ -19,6 +21,21 @@
     }
 }
 
+/// An entry of an upstream that started at a time, with everything else as ever.
+fn started(id: &str, started: u64) -> UpstreamEntry {
+    UpstreamEntry {
+        started: Some(started),
+        ..entry(id, UpstreamState::Ready)
+    }
+}
+
+fn only(registry: &UpstreamRegistry) -> Arc<Upstream> {
+    let directory = registry.directory().load_full();
+    let upstreams = directory.of("engines");
+    assert_eq!(upstreams.len(), 1);
+    upstreams[0].clone()
+}
+
 fn usable(registry: &UpstreamRegistry) -> Vec<String> {
     let directory = registry.directory().load_full();
     let upstreams = directory
@@ -116,3 +133,95 @@
     assert_eq!(penalty(2), Duration::ZERO);
     assert!(penalty(1) > Duration::from_millis(400));
 }
+
+#[test]
+fn upstream_that_started_again_holds_nothing_of_before() {
+    let now = Instant::now();
+    let mut registry = UpstreamRegistry::new(DepartureRule::for_drain(DRAIN));
+    registry.put(started("i-1", 1000), now);
+    let before = only(&registry);
+    let prompt = [PromptPart {
+        tag: 7,
+        tokens: 900,
+    }];
+    before.note_prompt(&prompt, 100_000, now);
+    before.fail(now, true);
+    let load = ReportedLoad {
+        running: 5,
+        waiting: 2,
+        slots: 8,
+    };
+    before.note_load(load, now);
+    let again = UpstreamEntry {
+        slots: 4,
+        ..started("i-1", 2000)
+    };
+    registry.put(again, now);
+    let after = only(&registry);
+    let candidate = after.candidate(&prompt, false, &"a".into(), now);
+    assert_eq!(candidate.uncached_tokens, 900);
+    assert!(candidate.load < 0.01 && after.is_trusted(now));
+    assert!((candidate.slots - 4.0).abs() < 0.01);
+    assert!(!before.takes_requests(), "who still holds it sends nothing");
+}
+
+#[test]
+fn entry_of_a_start_that_is_over_says_nothing() {
+    let now = Instant::now();
+    let mut registry = UpstreamRegistry::new(DepartureRule::for_drain(DRAIN));
+    registry.put(started("i-1", 2000), now);
+    let late = UpstreamEntry {
+        state: UpstreamState::Draining,
+        ..started("i-1", 1000)
+    };
+    registry.put(late, now);
+    assert!(only(&registry).takes_requests());
+}
+
+#[test]
+fn same_start_keeps_what_is_known_of_it() {
+    let now = Instant::now();
+    let mut registry = UpstreamRegistry::new(DepartureRule::for_drain(DRAIN));
+    registry.put(started("i-1", 1000), now);
+    let before = only(&registry);
+    registry.put(started("i-1", 1000), now);
+    registry.put(entry("i-1", UpstreamState::Ready), now);
+    assert!(Arc::ptr_eq(&before, &only(&registry)));
+}
+
+#[test]
+fn known_id_with_another_address_or_service_is_another_upstream() {
+    let now = Instant::now();
+    let mut registry = UpstreamRegistry::new(DepartureRule::for_drain(DRAIN));
+    registry.put(entry("i-1", UpstreamState::Ready), now);
+    let moved = UpstreamEntry {
+        address: "127.0.0.1:10".parse().expect("an address"),
+        ..entry("i-1", UpstreamState::Ready)
+    };
+    registry.put(moved.clone(), now);
+    assert_eq!(only(&registry).entry.address, moved.address);
+    let lent = UpstreamEntry {
+        service: "tools".into(),
+        ..moved
+    };
+    registry.put(lent, now);
+    assert!(usable(&registry).is_empty());
+    assert_eq!(registry.directory().load().of("tools").len(), 1);
+}
+
+#[test]
+fn rejected_entry_names_no_upstream_until_it_can_be_read_again() {
+    let now = Instant::now();
+    let mut registry = UpstreamRegistry::new(DepartureRule::for_drain(DRAIN));
+    registry.put(entry("i-1", UpstreamState::Ready), now);
+    registry.put(entry("i-2", UpstreamState::Ready), now);
+    registry.reject(&"i-1".into(), now);
+    assert_eq!(usable(&registry), ["i-2"]);
+    registry.put(entry("i-1", UpstreamState::Ready), now);
+    assert_eq!(usable(&registry), ["i-1", "i-2"]);
+    registry.reject(&"i-1".into(), now);
+    let due = registry.settle(now).expect("a time to look again");
+    registry.settle(due);
+    registry.put(entry("i-1", UpstreamState::Ready), due);
+    assert_eq!(usable(&registry), ["i-1", "i-2"]);
+}
