End upstream connections by own times only; bytes not acknowledged tell a cut

Change: connections that carry requests to upstreams have no keep-alive and no user timeout: the instance's own times end all waiting, by a reset. While a head is awaited, bytes that the upstream's system has not acknowledged after 350 ms show that the way there is cut: systems acknowledge within a round trip however busy their programs are. Turns and repeatable calls are given up then, and the failure domain is avoided for 1.5 s or until something is heard from it. First turns had no sign of a cut before.

--- a/crates/samphiregrade-gateway/src/exchange/attempt.rs
+++ b/crates/samphiregrade-gateway/src/exchange/attempt.rs
@@ -27,6 +27,10 @@
 /// Pause between two looks at whether an upstream is still within reach.
 const REACH_PAUSE: Duration = Duration::from_millis(100);
 
+/// Time after which sent bytes that the upstream's system has not acknowledged show that the way there is cut: systems
+/// acknowledge within a round trip however busy their programs are, and a lost packet is sent again after 200 ms.
+const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(350);
+
 /// An answer whose head has come.
 pub struct LiveAnswer {
     /// Head of the answer.
@@ -84,14 +88,7 @@
         guard,
         reusable: true,
     };
-    let sent = Instant::now();
-    let end = tokio::select! {
-        biased;
-        end = sending.carry(&bytes) => end,
-        () = lost_sight(upstream, sent), if request.may_begin_anew() => {
-            Err("gave no answer: its failure domain is out of reach".to_owned())
-        }
-    };
+    let end = sending.carry(&bytes).await;
     end.unwrap_or_else(|error| AttemptEnd::Broken(format!("{} {error}", upstream.entry.id)))
 }
 
@@ -110,10 +107,12 @@
     /// Sends the bytes and reads heads until one belongs to the request; the error says what went wrong after
     /// something had been sent.
     async fn carry(mut self, bytes: &[u8]) -> Result<AttemptEnd, String> {
+        let sent = Instant::now();
         let writing = self.socket.write_until_answered(bytes).await;
         self.reusable = writing.map_err(|error| format!("not written: {error}"))?;
         loop {
-            let head = read_head(&mut self.socket)
+            let head = self
+                .await_head(sent)
                 .await
                 .map_err(|error| format!("gave no answer: {error}"))?;
             if head.status < 200 {
@@ -136,6 +135,41 @@
         }
     }
 
+    /// Reads the next head; gives up where the way to the upstream is cut and the request may begin anew.
+    async fn await_head(&mut self, sent: Instant) -> Result<ResponseHead, String> {
+        loop {
+            let reading = tokio::time::timeout(REACH_PAUSE, read_head(&mut self.socket));
+            if let Ok(head) = reading.await {
+                return head;
+            }
+            if self.request.may_begin_anew() {
+                self.check_reach(sent)?;
+            }
+        }
+    }
+
+    /// Fails where no answer can be expected any more.
+    fn check_reach(&self, sent: Instant) -> Result<(), String> {
+        let now = Instant::now();
+        if self.upstream.is_out_of_reach(sent, now) {
+            return Err("its failure domain is out of reach".to_owned());
+        }
+        if now.saturating_duration_since(sent) < UNACKNOWLEDGED_LIMIT {
+            return Ok(());
+        }
+        match self.socket.unacknowledged() {
+            Ok(0) => Ok(()),
+            Ok(bytes) => {
+                self.upstream.lose_domain(now);
+                Err(format!("its system has not acknowledged {bytes} bytes"))
+            }
+            Err(error) => {
+                log::debug!("what is not acknowledged is not known: {error}");
+                Ok(())
+            }
+        }
+    }
+
     fn conclude(
         self,
         head: ResponseHead,
@@ -238,13 +272,6 @@
     }
 }
 
-/// Ends when no answer can be expected any more because the way to the upstream is cut.
-async fn lost_sight(upstream: &Upstream, sent: Instant) {
-    while !upstream.is_out_of_reach(sent, Instant::now()) {
-        tokio::time::sleep(REACH_PAUSE).await;
-    }
-}
-
 async fn skip_body(socket: &mut WireSocket, framing: BodyFraming) -> Result<(), String> {
     if framing == BodyFraming::UntilClose {
         return Err("its body ends with the connection".to_owned());
--- a/crates/samphiregrade-gateway/src/link.rs
+++ b/crates/samphiregrade-gateway/src/link.rs
@@ -224,7 +224,11 @@
 
     async fn connect(&self) -> io::Result<TlsStream<TcpStream>> {
         let stream = TcpStream::connect(self.address).await?;
-        apply_limits(&stream, &SocketLimits::for_requests())?;
+        let limits = SocketLimits {
+            reset_on_close: true,
+            ..SocketLimits::default()
+        };
+        apply_limits(&stream, &limits)?;
         let name = ServerName::try_from(SERVER_NAME).map_err(io::Error::other)?;
         self.connector.connect(name, stream).await
     }
--- a/crates/samphiregrade-gateway/src/store/client.rs
+++ b/crates/samphiregrade-gateway/src/store/client.rs
@@ -182,7 +182,10 @@
         let mut socket = if let Some(socket) = quiet {
             socket
         } else {
-            let limits = SocketLimits::for_requests();
+            let limits = SocketLimits {
+                reset_on_close: true,
+                ..SocketLimits::default()
+            };
             let connecting = WireSocket::connect(self.address, CONNECT_TIMEOUT, &limits);
             connecting.await.map_err(text)?
         };
--- a/crates/samphiregrade-gateway/src/upstream/peer.rs
+++ b/crates/samphiregrade-gateway/src/upstream/peer.rs
@@ -188,6 +188,11 @@
         hold(&self.domain_silence).hear(now);
     }
 
+    /// Notes that the way to the upstream's failure domain is cut, as far as can be told from here.
+    pub fn lose_domain(&self, now: Instant) {
+        hold(&self.domain_silence).lose(now);
+    }
+
     /// Returns whether its failure domain has been silent for so long that an answer that has been waited for since
     /// then can't be expected any more.
     #[must_use]
--- a/crates/samphiregrade-gateway/src/upstream/silence.rs
+++ b/crates/samphiregrade-gateway/src/upstream/silence.rs
@@ -21,6 +21,13 @@
 /// outweigh a whole cached prompt (some 300 ms) soon.
 const COST: u32 = 4;
 
+/// Time for which a cut that was found counts, unless something is heard before: cuts last seconds, and finding out
+/// whether one has healed costs a request.
+const LOST_MEMORY: Duration = Duration::from_millis(1500);
+
+/// What a cut costs in the choice of an upstream: more than any queue elsewhere.
+const LOST_PENALTY: Duration = Duration::from_secs(5);
+
 /// Number of a request that waits for its answer's head.
 pub type WaitNumber = u64;
 
@@ -37,6 +44,8 @@
     /// In the order of sending.
     open: Vec<OpenWait>,
     heard: Option<Instant>,
+    /// When the way there was found to be cut.
+    lost: Option<Instant>,
 }
 
 impl SilenceWatch {
@@ -53,6 +62,12 @@
     /// Notes that the upstream has said something.
     pub fn hear(&mut self, now: Instant) {
         self.heard = Some(now);
+        self.lost = None;
+    }
+
+    /// Notes that the way there was found to be cut.
+    pub fn lose(&mut self, now: Instant) {
+        self.lost = Some(now);
     }
 
     /// Notes that a request does not wait any more; returns whether the upstream counts as failing with it.
@@ -84,6 +99,10 @@
     /// Returns the time that the silence adds to a request that would be sent there.
     #[must_use]
     pub fn penalty(&self, now: Instant) -> Duration {
-        self.silence(now).saturating_sub(ALLOWED) * COST
+        let lost = self
+            .lost
+            .is_some_and(|lost| now.saturating_duration_since(lost) < LOST_MEMORY);
+        let known = if lost { LOST_PENALTY } else { Duration::ZERO };
+        known.max(self.silence(now).saturating_sub(ALLOWED) * COST)
     }
 }
--- a/crates/samphiregrade-gateway/tests/suite/silence.rs
+++ b/crates/samphiregrade-gateway/tests/suite/silence.rs
@@ -57,3 +57,15 @@
     domain.hear(start + 6 * STEP);
     assert!(!domain.is_out_of_reach(start, start + 12 * STEP));
 }
+
+#[test]
+fn found_cut_counts_until_something_is_heard_or_it_is_old() {
+    let start = Instant::now();
+    let mut domain = SilenceWatch::default();
+    domain.lose(start);
+    assert!(domain.penalty(start + STEP) > Duration::from_secs(1));
+    assert_eq!(domain.penalty(start + 20 * STEP), Duration::ZERO);
+    domain.lose(start + 20 * STEP);
+    domain.hear(start + 21 * STEP);
+    assert_eq!(domain.penalty(start + 22 * STEP), Duration::ZERO);
+}
--- a/crates/samphiregrade-http/src/wire/mod.rs
+++ b/crates/samphiregrade-http/src/wire/mod.rs
@@ -6,8 +6,9 @@
 
 mod framing;
 mod head;
+mod queue;
 mod socket;
 
 pub use framing::{BodyDecoder, BodyFraming, BodyPiece, FramingError, LAST_CHUNK, append_chunk};
 pub use head::{HeadError, HeaderField, HeaderFields, RequestHead, ResponseHead, decimal};
-pub use socket::{SocketLimits, WireSocket, apply_limits, listen};
+pub use socket::{SilenceLimits, SocketLimits, WireSocket, apply_limits, listen};
--- a/crates/samphiregrade-http/src/wire/socket.rs
+++ b/crates/samphiregrade-http/src/wire/socket.rs
@@ -8,6 +8,8 @@
 use socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type};
 use tokio::net::{TcpListener, TcpStream};
 
+use super::queue::unacknowledged;
+
 /// New connections that may wait to be accepted; a burst of every client of a failure domain fits.
 const ACCEPT_QUEUE: i32 = 1024;
 
@@ -17,9 +19,9 @@
 /// Room made before each read.
 const READ_ROOM: usize = 8 << 10;
 
-/// When a silent peer is given up, and what becomes of bytes that have not left.
+/// When the system gives a silent peer up.
 #[derive(Clone, Copy, Debug)]
-pub struct SocketLimits {
+pub struct SilenceLimits {
     /// Silence after which the system asks whether the peer is there.
     pub probe_after: Duration,
     /// Time between two such questions.
@@ -28,18 +30,39 @@
     pub probe_count: u32,
     /// Longest time that sent bytes may stay unacknowledged.
     pub unacknowledged: Duration,
+}
+
+impl Default for SilenceLimits {
+    fn default() -> Self {
+        Self {
+            probe_after: Duration::from_secs(2),
+            probe_interval: Duration::from_secs(1),
+            probe_count: 2,
+            unacknowledged: Duration::from_secs(4),
+        }
+    }
+}
+
+/// How a connection ends.
+#[derive(Clone, Copy, Debug)]
+pub struct SocketLimits {
+    /// When the system gives a silent peer up; `None` where the caller's own times end all waiting.
+    pub silence: Option<SilenceLimits>,
     /// Whether closing resets the connection. An orderly close leaves queued bytes to the kernel, which goes on
     /// sending them for seconds: a request that was given up while its path was cut would still arrive after it.
     pub reset_on_close: bool,
 }
 
 impl SocketLimits {
-    /// Returns the limits of a connection that carries requests to a peer: nothing arrives after it is closed.
+    /// Returns the limits of a connection that carries requests which must not arrive after they were given up.
+    ///
+    /// The system must not end it before its caller does: what it still holds may arrive then, and can't be taken
+    /// back by a reset any more.
     #[must_use]
     pub fn for_requests() -> Self {
         Self {
+            silence: None,
             reset_on_close: true,
-            ..Self::default()
         }
     }
 }
@@ -47,10 +70,7 @@
 impl Default for SocketLimits {
     fn default() -> Self {
         Self {
-            probe_after: Duration::from_secs(2),
-            probe_interval: Duration::from_secs(1),
-            probe_count: 2,
-            unacknowledged: Duration::from_secs(4),
+            silence: Some(SilenceLimits::default()),
             reset_on_close: false,
         }
     }
@@ -85,12 +105,15 @@
     if limits.reset_on_close {
         options.set_linger(Some(Duration::ZERO))?;
     }
+    let Some(silence) = limits.silence else {
+        return Ok(());
+    };
     let keepalive = TcpKeepalive::new()
-        .with_time(limits.probe_after)
-        .with_interval(limits.probe_interval)
-        .with_retries(limits.probe_count);
+        .with_time(silence.probe_after)
+        .with_interval(silence.probe_interval)
+        .with_retries(silence.probe_count);
     options.set_tcp_keepalive(&keepalive)?;
-    options.set_tcp_user_timeout(Some(limits.unacknowledged))
+    options.set_tcp_user_timeout(Some(silence.unacknowledged))
 }
 
 /// A connected socket with the bytes that were read and not yet used.
@@ -191,6 +214,15 @@
         Ok(true)
     }
 
+    /// Returns the bytes that were written and that the peer's system has not acknowledged.
+    ///
+    /// # Errors
+    ///
+    /// The system's error where it does not tell.
+    pub fn unacknowledged(&self) -> io::Result<usize> {
+        unacknowledged(&self.stream)
+    }
+
     /// Waits until the peer has hung up, reading a little ahead meanwhile. Safe to cancel.
     pub async fn hung_up(&mut self) {
         while self.buffer.len() < READ_AHEAD {
