Tell outcomes at upstreams through the keepers; doubt is a cost of the choice

Cause: an upstream that fails fast looks idle and is sent more than its peers; of 79 entries each meets it once in seconds and learns nothing. Change: entries note how requests end at each start of an upstream (failures, broken answers, silence, refusals with room; not cut paths), tell the keepers with the calls that they make anyway, and take the keepers' account from the answers. The expected loss is a cost beside queue and cache; keepers together give leave for one probe a second of a doubted upstream, taken by first turns and repeatable calls. Ruled out: a verdict with a ceiling (a cost needs none: where all fail alike all cost the same), calls of its own (no new message is sent).

--- a/crates/samphiregrade-gateway/src/exchange/attempt.rs
+++ b/crates/samphiregrade-gateway/src/exchange/attempt.rs
@@ -12,7 +12,7 @@
 use super::outcome::RequestRecord;
 use super::request::RoutedRequest;
 use crate::model::{AnswerMetadata, DispatchOrders};
-use crate::upstream::{InFlightGuard, Upstream};
+use crate::upstream::{InFlightGuard, Outcome, Upstream};
 
 /// Longest wait for a connection to an upstream: dozens of round trips within a region. A packet that is lost
 /// comes again after seconds only, so that another upstream is tried before.
@@ -45,6 +45,16 @@
     pub guard: InFlightGuard,
     /// Whether the connection can be used again after a whole answer.
     pub reusable: bool,
+    /// Whether the request probes an upstream that is doubted.
+    pub probes: bool,
+}
+
+/// An upstream that was chosen for an attempt.
+#[derive(Clone)]
+pub(super) struct ChosenUpstream {
+    pub upstream: Arc<Upstream>,
+    /// Whether the request probes it because it is doubted.
+    pub probes: bool,
 }
 
 /// How an attempt ended.
@@ -55,21 +65,40 @@
     NotSent(String),
     /// The upstream says that it did not run the request.
     NotExecuted(u16, Option<Duration>),
-    /// The request may have run.
+    /// The upstream failed; the request may have run.
     Broken(String),
+    /// The way to the upstream is cut; the request may have run.
+    Unreachable(String),
+}
+
+/// What went wrong after something had been sent.
+enum SendFailure {
+    Upstream(String),
+    Path(String),
+}
+
+impl SendFailure {
+    /// Returns what a failure of the upstream is told as.
+    fn upstream<Source>(what: &'static str) -> impl Fn(Source) -> Self
+    where
+        Source: std::fmt::Display,
+    {
+        move |source| Self::Upstream(format!("{what}: {source}"))
+    }
 }
 
 /// Sends a request to an upstream; resolves to the head of its answer, or to what is known of the request's fate.
 pub(super) async fn attempt(
     context: &EntryContext,
     request: &RoutedRequest,
-    upstream: &Arc<Upstream>,
+    chosen: &ChosenUpstream,
     record: &mut RequestRecord,
 ) -> AttemptEnd {
+    let upstream = &chosen.upstream;
     let guard = upstream.begin();
     let _waiting = request
         .is_served_first()
-        .then(|| upstream.await_head(Instant::now()));
+        .then(|| upstream.await_head(context.outcomes.clone(), Instant::now()));
     let socket = match open(upstream).await {
         Ok(socket) => socket,
         Err(error) => {
@@ -87,9 +116,14 @@
         socket,
         guard,
         reusable: true,
+        probes: chosen.probes,
     };
-    let end = sending.carry(&bytes).await;
-    end.unwrap_or_else(|error| AttemptEnd::Broken(format!("{} {error}", upstream.entry.id)))
+    let id = &upstream.entry.id;
+    match sending.carry(&bytes).await {
+        Ok(end) => end,
+        Err(SendFailure::Upstream(error)) => AttemptEnd::Broken(format!("{id} {error}")),
+        Err(SendFailure::Path(error)) => AttemptEnd::Unreachable(format!("{id} {error}")),
+    }
 }
 
 /// A request on its connection.
@@ -101,27 +135,26 @@
     guard: InFlightGuard,
     /// Whether the connection can be used again after a whole answer.
     reusable: bool,
+    /// Whether the request probes an upstream that is doubted.
+    probes: bool,
 }
 
 impl SentRequest<'_> {
     /// Sends the bytes and reads heads until one belongs to the request; the error says what went wrong after
     /// something had been sent.
-    async fn carry(mut self, bytes: &[u8]) -> Result<AttemptEnd, String> {
+    async fn carry(mut self, bytes: &[u8]) -> Result<AttemptEnd, SendFailure> {
         let sent = Instant::now();
         let writing = self.socket.write_until_answered(bytes).await;
-        self.reusable = writing.map_err(|error| format!("not written: {error}"))?;
+        self.reusable = writing.map_err(SendFailure::upstream("took not all of the request"))?;
         loop {
-            let head = self
-                .await_head(sent)
-                .await
-                .map_err(|error| format!("gave no answer: {error}"))?;
+            let head = self.await_head(sent).await?;
             if head.status < 200 {
                 continue;
             }
             self.upstream.hear(Instant::now());
             let framing = head
                 .framing()
-                .map_err(|error| format!("answered badly: {error}"))?;
+                .map_err(SendFailure::upstream("answered badly"))?;
             let metadata = self.context.dialect.answer_metadata(&head);
             let own = &self.request.id;
             if metadata.request.as_ref().is_none_or(|id| id == own) {
@@ -131,19 +164,20 @@
             self.reusable = false;
             skip_body(&mut self.socket, framing)
                 .await
-                .map_err(|error| format!("sent a foreign answer: {error}"))?;
+                .map_err(SendFailure::upstream("sent a foreign answer"))?;
         }
     }
 
     /// Reads the next head; gives up where the way to the upstream is cut and the request may begin anew.
-    async fn await_head(&mut self, sent: Instant) -> Result<ResponseHead, String> {
+    async fn await_head(&mut self, sent: Instant) -> Result<ResponseHead, SendFailure> {
         loop {
             let reading = tokio::time::timeout(REACH_PAUSE, read_head(&mut self.socket));
             if let Ok(head) = reading.await {
-                return head;
+                return head.map_err(SendFailure::upstream("gave no answer"));
             }
+            let reached = self.check_reach(sent);
             if self.request.may_begin_anew() {
-                self.check_reach(sent)?;
+                reached.map_err(SendFailure::Path)?;
             }
         }
     }
@@ -152,7 +186,7 @@
     fn check_reach(&self, sent: Instant) -> Result<(), String> {
         let now = Instant::now();
         if self.upstream.is_out_of_reach(sent, now) {
-            return Err("its failure domain is out of reach".to_owned());
+            return Err("gave no answer: its failure domain is out of reach".to_owned());
         }
         if now.saturating_duration_since(sent) < UNACKNOWLEDGED_LIMIT {
             return Ok(());
@@ -161,7 +195,9 @@
             Ok(0) => Ok(()),
             Ok(bytes) => {
                 self.upstream.lose_domain(now);
-                Err(format!("its system has not acknowledged {bytes} bytes"))
+                Err(format!(
+                    "gave no answer: its system has not acknowledged {bytes} bytes"
+                ))
             }
             Err(error) => {
                 log::debug!("what is not acknowledged is not known: {error}");
@@ -184,6 +220,13 @@
             if head.status == 421 {
                 note_failure(self.upstream, true, "another upstream has its address");
             }
+            let has_room = metadata
+                .load
+                .is_some_and(|load| load.running + load.waiting < load.slots);
+            if head.status != 421 && has_room {
+                let outcomes = &self.context.outcomes;
+                outcomes.note(self.upstream.start_tag, Outcome::Bad, now);
+            }
             return AttemptEnd::NotExecuted(head.status, metadata.retry_after);
         }
         if self.upstream.succeed() {
@@ -199,6 +242,7 @@
             reusable: self.reusable && head.keeps_connection() && whole,
             head,
             socket: self.socket,
+            probes: self.probes,
             framing,
             guard: self.guard,
         }))
--- a/crates/samphiregrade-gateway/src/exchange/context.rs
+++ b/crates/samphiregrade-gateway/src/exchange/context.rs
@@ -12,7 +12,7 @@
 use crate::model::DomainId;
 use crate::observe::GatewayMetrics;
 use crate::routing::RouteTable;
-use crate::upstream::{FirstParts, UpstreamDirectory};
+use crate::upstream::{FirstParts, OutcomeBoard, UpstreamDirectory};
 
 /// Shared state of an entry instance.
 pub struct EntryContext {
@@ -28,6 +28,8 @@
     pub first_parts: FirstParts,
     /// Chains of turns that ended here.
     pub turns: TurnCache,
+    /// What became of requests at upstreams.
+    pub outcomes: Arc<OutcomeBoard>,
     /// Counters.
     pub metrics: Arc<GatewayMetrics>,
     /// Failure domain of the instance.
@@ -53,6 +55,7 @@
             keepers: ArcSwapOption::empty(),
             first_parts: FirstParts::default(),
             turns,
+            outcomes: Arc::default(),
             metrics,
             domain,
             stopping: AtomicBool::new(false),
--- a/crates/samphiregrade-gateway/src/exchange/dispatch.rs
+++ b/crates/samphiregrade-gateway/src/exchange/dispatch.rs
@@ -3,12 +3,12 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use super::attempt::{AttemptEnd, LiveAnswer, attempt, note_failure};
+use super::attempt::{AttemptEnd, ChosenUpstream, LiveAnswer, attempt, note_failure};
 use super::context::EntryContext;
 use super::outcome::RequestRecord;
 use super::refusal::{Refusal, RefusalReason};
 use super::request::RoutedRequest;
-use crate::upstream::{Candidate, Upstream, WorkEstimate, choose_upstream, homes};
+use crate::upstream::{Candidate, Outcome, Upstream, WorkEstimate, choose_upstream, homes};
 
 /// Connections that may fail before one attempt of a client is refused: each has cost no more than a round trip.
 const CONNECT_TRIES: usize = 3;
@@ -34,12 +34,13 @@
         if request.time_left(now).is_zero() {
             break;
         }
-        let Some(upstream) = select(context, request, &tried, record) else {
+        let Some(chosen) = select(context, request, &tried, record) else {
             break;
         };
+        let upstream = chosen.upstream.clone();
         tried.push(upstream.clone());
         record.upstream = upstream.entry.id.clone();
-        let sending = attempt(context, request, &upstream, record);
+        let sending = attempt(context, request, &chosen, record);
         let Ok(end) = tokio::time::timeout_at(request.due.into(), sending).await else {
             note_failure(&upstream, false, "no answer in time");
             context.metrics.count_send("late");
@@ -63,14 +64,22 @@
                 refused_wait = wait;
             }
             AttemptEnd::Broken(reason) => {
+                let now = Instant::now();
+                context.outcomes.note(upstream.start_tag, Outcome::Bad, now);
                 note_failure(&upstream, false, &reason);
                 context.metrics.count_send("broken");
                 record.add_detail(&reason);
                 may_have_run = true;
-                if !request.route.may_repeat() {
-                    return Err(RefusalReason::Broken.into());
-                }
             }
+            AttemptEnd::Unreachable(reason) => {
+                note_failure(&upstream, false, &reason);
+                context.metrics.count_send("unreachable");
+                record.add_detail(&reason);
+                may_have_run = true;
+            }
+        }
+        if may_have_run && !request.route.may_repeat() {
+            return Err(RefusalReason::Broken.into());
         }
     }
     Err(give_up(request, record, may_have_run, refused_wait))
@@ -104,7 +113,7 @@
     request: &RoutedRequest,
     tried: &[Arc<Upstream>],
     record: &mut RequestRecord,
-) -> Option<Arc<Upstream>> {
+) -> Option<ChosenUpstream> {
     let now = Instant::now();
     let directory = context.directory.load();
     let fit: Vec<&Arc<Upstream>> = directory
@@ -119,6 +128,9 @@
         .filter(|upstream| upstream.is_trusted(now))
         .collect();
     let fit = if trusted.is_empty() { fit } else { trusted };
+    if let Some(probed) = probe(context, request, &fit, now) {
+        return Some(probed);
+    }
     let prompt = &request.metadata.prompt;
     let engines: Vec<u64> = fit.iter().map(|upstream| upstream.tag).collect();
     let homes = match prompt.first() {
@@ -137,6 +149,10 @@
             if let Some(uncached) = request.uncached_at_last_place(&upstream.entry) {
                 candidate.uncached_tokens = candidate.uncached_tokens.min(uncached);
             }
+            let repeatable = request.may_begin_anew();
+            candidate.penalty += context
+                .outcomes
+                .penalty(upstream.start_tag, repeatable, now);
             candidate
         })
         .collect();
@@ -148,5 +164,28 @@
     let index = choose_upstream(&candidates, &work, rand::random())?;
     record.load = candidates[index].load;
     record.uncached = candidates[index].uncached_tokens;
-    Some(fit[index].clone())
+    Some(ChosenUpstream {
+        upstream: fit[index].clone(),
+        probes: false,
+    })
+}
+
+/// Returns a doubted upstream that the request may probe: it is a call that may be repeated, or a program's first
+/// turn, with which least is lost.
+fn probe(
+    context: &EntryContext,
+    request: &RoutedRequest,
+    fit: &[&Arc<Upstream>],
+    now: Instant,
+) -> Option<ChosenUpstream> {
+    if !context.outcomes.has_leave() || !request.may_probe() {
+        return None;
+    }
+    let probed = fit
+        .iter()
+        .find(|upstream| context.outcomes.take_leave(upstream.start_tag, now))?;
+    Some(ChosenUpstream {
+        upstream: (*probed).clone(),
+        probes: true,
+    })
 }
--- a/crates/samphiregrade-gateway/src/exchange/relay.rs
+++ b/crates/samphiregrade-gateway/src/exchange/relay.rs
@@ -14,6 +14,7 @@
 use super::request::RoutedRequest;
 use super::turn::TurnPlan;
 use crate::model::UpstreamEntry;
+use crate::upstream::Outcome;
 
 /// How the client is told where the body ends.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -95,6 +96,10 @@
         begun: false,
     };
     let result = relay.run(&mut answer, keep, retained).await;
+    if let Some(outcome) = outcome_of(&result, &answer) {
+        let upstream = answer.guard.upstream().start_tag;
+        context.outcomes.note(upstream, outcome, Instant::now());
+    }
     let spent = relay.spent();
     match result {
         Ok(()) => {
@@ -255,6 +260,20 @@
     }
 }
 
+/// Returns what the answer says about its upstream; `None` where it ended for another reason.
+fn outcome_of(result: &Result<(), Stop>, answer: &LiveAnswer) -> Option<Outcome> {
+    let failed = answer.head.status >= 500;
+    match result {
+        // The deadline passed while it worked: it may have been busy.
+        Ok(()) if answer.head.status == 504 => None,
+        Ok(()) if failed => Some(Outcome::Bad),
+        Ok(()) if answer.probes => Some(Outcome::Recovered),
+        Ok(()) => Some(Outcome::Good),
+        Err(Stop::Upstream(_)) => Some(Outcome::Bad),
+        Err(Stop::Client | Stop::Due | Stop::NotDurable) => None,
+    }
+}
+
 /// Keeps the upstream's connection where nothing unexpected came on it.
 fn keep_connection(answer: LiveAnswer) {
     if !answer.reusable || !answer.socket.buffer.is_empty() {
--- a/crates/samphiregrade-gateway/src/exchange/request.rs
+++ b/crates/samphiregrade-gateway/src/exchange/request.rs
@@ -72,6 +72,12 @@
         self.route.may_repeat() || is_turn
     }
 
+    /// Returns whether it may be sent to an upstream that is doubted, to see whether that has recovered.
+    #[must_use]
+    pub fn may_probe(&self) -> bool {
+        self.route.may_repeat() || (self.may_begin_anew() && !self.progress().has_begun())
+    }
+
     fn progress(&self) -> ProgramProgress {
         let mut progress = self.standing.progress;
         progress.left = self.metadata.program_deadline;
--- a/crates/samphiregrade-gateway/src/fact/client.rs
+++ b/crates/samphiregrade-gateway/src/fact/client.rs
@@ -18,6 +18,7 @@
 use crate::link::LinkEndpoint;
 use crate::model::{DomainId, ProgramId, TurnId};
 use crate::observe::{GatewayMetrics, Logbook};
+use crate::upstream::OutcomeBoard;
 
 /// Longest wait for one keeper: dozens of round trips and syncs, and short against a client's deadline.
 const ASK_TIMEOUT: Duration = Duration::from_millis(400);
@@ -76,16 +77,18 @@
     metrics: Arc<GatewayMetrics>,
     domain: DomainId,
     health: Arc<KeeperHealth>,
+    outcomes: Arc<OutcomeBoard>,
 }
 
 impl KeeperClient {
-    /// Makes a client that follows a placement.
+    /// Makes a client that follows a placement, and exchanges accounts of upstreams with the keepers beside its calls.
     #[must_use]
     pub fn new(
         links: LinkEndpoint,
         placement: Arc<ArcSwap<KeeperPlacement>>,
         metrics: Arc<GatewayMetrics>,
         domain: DomainId,
+        outcomes: Arc<OutcomeBoard>,
     ) -> Self {
         Self {
             links,
@@ -93,6 +96,7 @@
             metrics,
             domain,
             health: Arc::default(),
+            outcomes,
         }
     }
 
@@ -175,6 +179,7 @@
             let Some(KeeperReply::Reserved {
                 ledger: known,
                 complete: whole,
+                ..
             }) = reply
             else {
                 continue;
@@ -379,6 +384,7 @@
     ) -> Option<KeeperReply> {
         let envelope = KeeperEnvelope {
             generation: placement.generation,
+            outcomes: self.outcomes.untold(&slot.name),
             request,
         };
         match self.links.ask(slot.address, &envelope, timeout).await {
@@ -389,6 +395,11 @@
                 None
             }
             Ok(reply) => {
+                if let KeeperReply::Reserved { suspects, .. }
+                | KeeperReply::Alive { suspects, .. } = &reply
+                {
+                    self.outcomes.learn(suspects, Instant::now());
+                }
                 self.health.note(&slot.name, Instant::now());
                 self.metrics.count_keeper_call("answered");
                 Some(reply)
--- a/crates/samphiregrade-gateway/src/fact/message.rs
+++ b/crates/samphiregrade-gateway/src/fact/message.rs
@@ -7,7 +7,7 @@
 
 use super::placement::{KeeperPlacement, PlacementGeneration};
 use crate::model::{ProgramId, SessionId, TurnId, UpstreamId, UpstreamStart};
-use crate::upstream::ProgramProgress;
+use crate::upstream::{OutcomeDelta, ProgramProgress, UpstreamSuspect};
 
 /// A turn whose answer is whole: never changed once written.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -206,6 +206,8 @@
 pub struct KeeperEnvelope {
     /// Generation of the sender's placement.
     pub generation: PlacementGeneration,
+    /// What has become of requests at upstreams since the sender told the keeper last.
+    pub outcomes: Vec<OutcomeDelta>,
     /// The request.
     pub request: KeeperRequest,
 }
@@ -237,6 +239,8 @@
         ledger: ProgramLedger,
         /// Whether the keeper has everything that it ever stored.
         complete: bool,
+        /// Upstreams that fail, by all entries' account.
+        suspects: Vec<UpstreamSuspect>,
     },
     /// The fact is stored.
     Stored,
@@ -253,6 +257,8 @@
     Alive {
         /// Whether it has everything that it ever stored.
         complete: bool,
+        /// Upstreams that fail, by all entries' account.
+        suspects: Vec<UpstreamSuspect>,
     },
     /// The sender's placement is old; this is the newer one.
     NewerPlacement(KeeperPlacement),
--- a/crates/samphiregrade-gateway/src/fact/rebuild.rs
+++ b/crates/samphiregrade-gateway/src/fact/rebuild.rs
@@ -154,6 +154,7 @@
     request: ExportRequest,
 ) -> Result<ReadPart, String> {
     let envelope = KeeperEnvelope {
+        outcomes: Vec::new(),
         generation: service.placement().generation,
         request: KeeperRequest::Export(request),
     };
--- a/crates/samphiregrade-gateway/src/fact/service.rs
+++ b/crates/samphiregrade-gateway/src/fact/service.rs
@@ -16,6 +16,7 @@
 use super::placement::{KeeperPlacement, PlacementGeneration};
 use crate::model::TurnId;
 use crate::observe::Logbook;
+use crate::upstream::{OutcomeTable, UpstreamSuspect};
 
 /// Bytes that segments may hold beyond twice the live ones before they are compacted.
 const COMPACTION_SLACK: u64 = 24 << 20;
@@ -51,6 +52,8 @@
     written_bytes: u64,
     /// Whether the disk has refused facts that are in memory: all are written again when it takes them.
     unwritten: bool,
+    /// What entries tell of upstreams; memory only, since it is over within seconds.
+    outcomes: OutcomeTable,
 }
 
 #[derive(Serialize)]
@@ -88,6 +91,7 @@
             disk_state,
             written_bytes: recovered.bytes,
             unwritten: false,
+            outcomes: OutcomeTable::default(),
         };
         Self {
             state: Arc::new(Mutex::new(state)),
@@ -102,10 +106,11 @@
 
     /// Answers a request.
     pub async fn answer(&self, envelope: KeeperEnvelope) -> KeeperReply {
+        let now = Instant::now();
+        self.with(|state| state.outcomes.take(&envelope.outcomes, now));
         if let Some(newer) = self.check_generation(envelope.generation) {
             return KeeperReply::NewerPlacement(newer);
         }
-        let now = Instant::now();
         match envelope.request {
             KeeperRequest::Reserve(fact) => {
                 let Some(ledger) = self.store(fact, now).await else {
@@ -114,6 +119,7 @@
                 KeeperReply::Reserved {
                     ledger,
                     complete: self.is_complete(),
+                    suspects: self.suspects(),
                 }
             }
             KeeperRequest::Store(fact) => match self.store(fact, now).await {
@@ -135,10 +141,18 @@
             },
             KeeperRequest::Probe => KeeperReply::Alive {
                 complete: self.is_complete(),
+                suspects: self.suspects(),
             },
         }
     }
 
+    fn suspects(&self) -> Vec<UpstreamSuspect> {
+        self.with(|state| {
+            let keepers = state.disk_state.placement.slots.len();
+            state.outcomes.suspects(keepers, Instant::now())
+        })
+    }
+
     /// Returns the newer placement where the sender's is old; adopts a newer generation.
     ///
     /// Once a keeper has heard of a placement it takes nothing more under an older one: a fact that it
--- a/crates/samphiregrade-gateway/src/model/mod.rs
+++ b/crates/samphiregrade-gateway/src/model/mod.rs
@@ -22,6 +22,9 @@
 /// Id of an upstream; it may keep it when it starts again.
 pub type UpstreamId = SmolStr;
 
+/// Hash of one start of an upstream, the same on every instance.
+pub type UpstreamTag = u64;
+
 /// Id of one attempt of a client.
 pub type RequestId = SmolStr;
 
--- a/crates/samphiregrade-gateway/src/role/beliefs.rs
+++ b/crates/samphiregrade-gateway/src/role/beliefs.rs
@@ -261,6 +261,7 @@
         placement.clone(),
         context.metrics.clone(),
         settings.instance.failure_domain.clone(),
+        context.outcomes.clone(),
     );
     tokio::spawn(keepers.clone().watch_health(ended.clone()));
     context.keepers.store(Some(Arc::new(keepers)));
--- a/crates/samphiregrade-gateway/src/role/entry.rs
+++ b/crates/samphiregrade-gateway/src/role/entry.rs
@@ -1,5 +1,6 @@
 //! An entry instance: carries clients' requests and keeps nothing that must last.
 
+use std::collections::HashSet;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -16,6 +17,7 @@
 use crate::dialect::Dialect;
 use crate::exchange::{EntryContext, TurnCache, serve_clients};
 use crate::fact::KeeperPlacement;
+use crate::model::UpstreamTag;
 use crate::observe::{GatewayMetrics, Logbook};
 use crate::settings::GatewaySettings;
 use crate::store::StoreClient;
@@ -261,5 +263,8 @@
         for upstream in directory.all() {
             upstream.sweep_idle(now);
         }
+        let known: HashSet<UpstreamTag> =
+            directory.all().map(|upstream| upstream.start_tag).collect();
+        context.outcomes.keep_only(|tag| known.contains(&tag));
     }
 }
--- a/crates/samphiregrade-gateway/src/role/member.rs
+++ b/crates/samphiregrade-gateway/src/role/member.rs
@@ -213,6 +213,7 @@
             let links = self.links.clone();
             let answers = answers.clone();
             let envelope = KeeperEnvelope {
+                outcomes: Vec::new(),
                 generation: placement.generation,
                 request: KeeperRequest::Probe,
             };
@@ -348,11 +349,12 @@
     async fn all_complete(&self, placement: &KeeperPlacement) -> bool {
         for slot in &placement.slots {
             let envelope = KeeperEnvelope {
+                outcomes: Vec::new(),
                 generation: placement.generation,
                 request: KeeperRequest::Probe,
             };
             let asking = self.links.ask(slot.address, &envelope, PROBE_TIMEOUT);
-            if !matches!(asking.await, Ok(KeeperReply::Alive { complete: true })) {
+            if !matches!(asking.await, Ok(KeeperReply::Alive { complete: true, .. })) {
                 return false;
             }
         }
--- a/crates/samphiregrade-gateway/src/upstream/peer.rs
+++ b/crates/samphiregrade-gateway/src/upstream/peer.rs
@@ -9,9 +9,11 @@
 use super::balance::Candidate;
 use super::breaker::{BreakerState, UpstreamBreaker};
 use super::cache::PrefixCache;
+use super::outcome_board::OutcomeBoard;
+use super::outcomes::Outcome;
 use super::silence::{SilenceWatch, WaitNumber};
 use crate::hold::hold;
-use crate::model::{DomainId, PromptPart, ReportedLoad, UpstreamEntry};
+use crate::model::{DomainId, PromptPart, ReportedLoad, UpstreamEntry, UpstreamTag};
 
 /// Age at which a reported load counts half: requests last some hundreds of milliseconds.
 const LOAD_HALF_LIFE: Duration = Duration::from_millis(250);
@@ -49,6 +51,8 @@
     pub entry: UpstreamEntry,
     /// Hash of its address, the same on every instance and over restarts.
     pub tag: u64,
+    /// Hash of this start of it.
+    pub start_tag: UpstreamTag,
     draining: AtomicBool,
     departed: AtomicBool,
     in_flight: AtomicU32,
@@ -64,10 +68,9 @@
 /// Silence of all upstreams of a failure domain together: the way there may be cut.
 pub type DomainSilence = Mutex<SilenceWatch>;
 
-fn tag_of(entry: &UpstreamEntry) -> u64 {
+fn tag_of(text: &str) -> u64 {
     let mut tag = [0; 8];
-    let hash = blake3::hash(entry.address.to_string().as_bytes());
-    tag.copy_from_slice(&hash.as_bytes()[..8]);
+    tag.copy_from_slice(&blake3::hash(text.as_bytes()).as_bytes()[..8]);
     u64::from_le_bytes(tag)
 }
 
@@ -77,7 +80,11 @@
     pub fn new(entry: UpstreamEntry, domain_silence: Arc<DomainSilence>, now: Instant) -> Self {
         Self {
             cold_until: now + entry.cold,
-            tag: tag_of(&entry),
+            tag: tag_of(&entry.address.to_string()),
+            start_tag: tag_of(&format!(
+                "{}/{:?}/{}",
+                entry.id, entry.started, entry.address
+            )),
             entry,
             draining: AtomicBool::new(false),
             departed: AtomicBool::new(false),
@@ -169,8 +176,9 @@
 
     /// Notes that a request was sent whose answer should begin at once; the guard ends the wait.
     #[must_use]
-    pub fn await_head(self: &Arc<Self>, now: Instant) -> HeadWait {
+    pub fn await_head(self: &Arc<Self>, outcomes: Arc<OutcomeBoard>, now: Instant) -> HeadWait {
         HeadWait {
+            outcomes,
             number: hold(&self.silence).begin(now),
             domain_number: hold(&self.domain_silence).begin(now),
             upstream: self.clone(),
@@ -193,6 +201,12 @@
         hold(&self.domain_silence).lose(now);
     }
 
+    /// Returns whether the way to its failure domain was found to be cut.
+    #[must_use]
+    pub fn is_domain_lost(&self, now: Instant) -> bool {
+        hold(&self.domain_silence).is_lost(now)
+    }
+
     /// Returns whether its failure domain has been silent for so long that an answer that has been waited for since
     /// then can't be expected any more.
     #[must_use]
@@ -276,6 +290,7 @@
 
 /// A request that waits for its answer's head. Dropped after a long silence, it counts as a failure.
 pub struct HeadWait {
+    outcomes: Arc<OutcomeBoard>,
     upstream: Arc<Upstream>,
     number: WaitNumber,
     domain_number: WaitNumber,
@@ -286,6 +301,10 @@
         let now = Instant::now();
         hold(&self.upstream.domain_silence).end(self.domain_number, now);
         let failing = hold(&self.upstream.silence).end(self.number, now);
+        if failing && !self.upstream.is_domain_lost(now) {
+            let upstream = self.upstream.start_tag;
+            self.outcomes.note(upstream, Outcome::Bad, now);
+        }
         if failing && self.upstream.fail(now, true) {
             log::info!(
                 "upstream {} is left alone for a while: it has said nothing for too long",
--- a/crates/samphiregrade-gateway/src/upstream/silence.rs
+++ b/crates/samphiregrade-gateway/src/upstream/silence.rs
@@ -96,13 +96,21 @@
         waited.min(self.silence(now)) >= OUT_OF_REACH
     }
 
+    /// Returns whether the way there was found to be cut not long ago.
+    #[must_use]
+    pub fn is_lost(&self, now: Instant) -> bool {
+        self.lost
+            .is_some_and(|lost| now.saturating_duration_since(lost) < LOST_MEMORY)
+    }
+
     /// Returns the time that the silence adds to a request that would be sent there.
     #[must_use]
     pub fn penalty(&self, now: Instant) -> Duration {
-        let lost = self
-            .lost
-            .is_some_and(|lost| now.saturating_duration_since(lost) < LOST_MEMORY);
-        let known = if lost { LOST_PENALTY } else { Duration::ZERO };
+        let known = if self.is_lost(now) {
+            LOST_PENALTY
+        } else {
+            Duration::ZERO
+        };
         known.max(self.silence(now).saturating_sub(ALLOWED) * COST)
     }
 }
--- a/crates/samphiregrade-gateway/tests/suite/keepers.rs
+++ b/crates/samphiregrade-gateway/tests/suite/keepers.rs
@@ -63,6 +63,7 @@
             Arc::new(ArcSwap::from_pointee(self.placement.clone())),
             Arc::new(GatewayMetrics::new().expect("metrics")),
             domain.into(),
+            Arc::default(),
         )
     }
 
@@ -72,6 +73,7 @@
             let reply = self.keepers[index]
                 .service
                 .answer(KeeperEnvelope {
+                    outcomes: Vec::new(),
                     generation: self.placement.generation,
                     request: KeeperRequest::Store(fact.clone()),
                 })
@@ -259,6 +261,7 @@
         Arc::new(ArcSwap::from_pointee(KeeperPlacement::first(slots, 1))),
         metrics.clone(),
         "a".into(),
+        Arc::default(),
     );
     let fact = turn("t1", None, b"in", b"out");
     let stored = client.store(&"p".into(), fact).await;
--- a/crates/samphiregrade-gateway/tests/suite/main.rs
+++ b/crates/samphiregrade-gateway/tests/suite/main.rs
@@ -9,6 +9,7 @@
 mod keepers_model;
 mod link;
 mod membership;
+mod outcomes;
 mod rank;
 mod routing;
 mod settings;
--- a/crates/samphiregrade-gateway/tests/suite/upstreams.rs
+++ b/crates/samphiregrade-gateway/tests/suite/upstreams.rs
@@ -126,7 +126,7 @@
         let candidate = upstreams[index].candidate(&[], false, &"a".into(), later);
         candidate.penalty
     };
-    let _waiting = upstreams[1].await_head(now);
+    let _waiting = upstreams[1].await_head(Arc::default(), now);
     assert!(penalty(2) > Duration::from_millis(400));
     assert_eq!(penalty(0), Duration::ZERO);
     upstreams[2].hear_domain(later);
