Learn what requests take; one watch for each entry; give up streams on cut paths

Times of services. Cause: 247 prompt tokens a millisecond, 0.85 ms a token, 220 ms a turn and 18 ms a call stood in code; here prompts are read at 38 tokens a millisecond, a token takes 5.5 ms and more, tools 26 to 104 ms, so cached prompts and queues of the plain service were undervalued.

Cause: three watches an entry cost three calls at the start, after each cut and at each try during an outage. Change: one watch of all keys, its events divided by prefix; changes are gathered for a quarter of the time for draining.

Cause: a stream whose upstream's domain is cut off held its client until the deadline. Change: it is cut after half a second of silence where bytes that are not acknowledged have shown the cut; silence alone is no reason, as before.

--- a/crates/samphiregrade-gateway/src/exchange/attempt.rs
+++ b/crates/samphiregrade-gateway/src/exchange/attempt.rs
@@ -47,6 +47,10 @@
     pub reusable: bool,
     /// Whether the request probes an upstream that is doubted.
     pub probes: bool,
+    /// When the request was sent.
+    pub sent: Instant,
+    /// Time from sending to the head.
+    pub first: Duration,
 }
 
 /// An upstream that was chosen for an attempt.
@@ -158,7 +162,7 @@
             let metadata = self.context.dialect.answer_metadata(&head);
             let own = &self.request.id;
             if metadata.request.as_ref().is_none_or(|id| id == own) {
-                return Ok(self.conclude(head, &metadata, framing));
+                return Ok(self.conclude(head, &metadata, framing, sent));
             }
             // A late second answer to an earlier request stands before the one to this request.
             self.reusable = false;
@@ -211,6 +215,7 @@
         head: ResponseHead,
         metadata: &AnswerMetadata,
         framing: BodyFraming,
+        sent: Instant,
     ) -> AttemptEnd {
         let now = Instant::now();
         if let Some(load) = metadata.load {
@@ -243,6 +248,8 @@
             head,
             socket: self.socket,
             probes: self.probes,
+            sent,
+            first: now.saturating_duration_since(sent),
             framing,
             guard: self.guard,
         }))
--- a/crates/samphiregrade-gateway/src/exchange/connection.rs
+++ b/crates/samphiregrade-gateway/src/exchange/connection.rs
@@ -281,6 +281,7 @@
             metadata,
             body,
             standing: ProgramStanding::default(),
+            times: self.context.times_of(&service),
             urgency: table.urgency(&service.name, route.priority),
             route,
             service,
@@ -339,6 +340,7 @@
             request,
             turn.as_ref(),
             answer,
+            record.uncached,
             keep,
         );
         match end.await {
--- a/crates/samphiregrade-gateway/src/exchange/context.rs
+++ b/crates/samphiregrade-gateway/src/exchange/context.rs
@@ -1,7 +1,8 @@
 //! What all requests of an entry instance share.
 
-use std::sync::Arc;
+use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use arc_swap::{ArcSwap, ArcSwapOption};
@@ -9,10 +10,11 @@
 use super::turn_cache::TurnCache;
 use crate::dialect::Dialect;
 use crate::fact::KeeperClient;
-use crate::model::DomainId;
+use crate::hold::hold;
+use crate::model::{DomainId, ServiceName, ServiceRecord};
 use crate::observe::GatewayMetrics;
 use crate::routing::RouteTable;
-use crate::upstream::{FirstParts, OutcomeBoard, UpstreamDirectory};
+use crate::upstream::{AnsweredRequest, FirstParts, OutcomeBoard, ServiceTimes, UpstreamDirectory};
 
 /// Shared state of an entry instance.
 pub struct EntryContext {
@@ -30,6 +32,8 @@
     pub turns: TurnCache,
     /// What became of requests at upstreams.
     pub outcomes: Arc<OutcomeBoard>,
+    /// What requests of each service take.
+    times: Mutex<HashMap<ServiceName, ServiceTimes>>,
     /// Counters.
     pub metrics: Arc<GatewayMetrics>,
     /// Failure domain of the instance.
@@ -56,6 +60,7 @@
             first_parts: FirstParts::default(),
             turns,
             outcomes: Arc::default(),
+            times: Mutex::default(),
             metrics,
             domain,
             stopping: AtomicBool::new(false),
@@ -63,6 +68,23 @@
         }
     }
 
+    /// Returns what requests of a service take, as far as is known.
+    #[must_use]
+    pub fn times_of(&self, service: &ServiceRecord) -> ServiceTimes {
+        let times = hold(&self.times);
+        let known = times.get(&service.name).copied();
+        known.unwrap_or_else(|| first_times(service))
+    }
+
+    /// Notes how a request of a service went.
+    pub fn note_times(&self, service: &ServiceRecord, answered: &AnsweredRequest) {
+        let mut times = hold(&self.times);
+        times
+            .entry(service.name.clone())
+            .or_insert_with(|| first_times(service))
+            .note(answered);
+    }
+
     /// Returns whether the instance takes new connections.
     ///
     /// One that is cut off from the keepers can't serve turns; clients are better off elsewhere.
@@ -111,6 +133,13 @@
     }
 }
 
+fn first_times(service: &ServiceRecord) -> ServiceTimes {
+    match service.engine {
+        Some(_) => ServiceTimes::of_engine(),
+        None => ServiceTimes::of_plain(),
+    }
+}
+
 /// A client's connection that counts as open.
 pub(crate) struct ConnectionGuard(Arc<EntryContext>);
 
--- a/crates/samphiregrade-gateway/src/exchange/dispatch.rs
+++ b/crates/samphiregrade-gateway/src/exchange/dispatch.rs
@@ -13,12 +13,6 @@
 /// Connections that may fail before one attempt of a client is refused: each has cost no more than a round trip.
 const CONNECT_TRIES: usize = 3;
 
-/// How long a turn holds a slot, in milliseconds: some 256 tokens at 0.8 ms each.
-const TURN_HOLD: f64 = 220.0;
-
-/// How long another request holds a slot, in milliseconds.
-const PLAIN_HOLD: f64 = 18.0;
-
 /// Sends a request; resolves to an answer's head, or to a refusal that says whether it may have run.
 pub async fn dispatch(
     context: &EntryContext,
@@ -158,7 +152,8 @@
         .collect();
     let on_engine = request.service.engine.is_some();
     let work = WorkEstimate {
-        hold_milliseconds: if on_engine { TURN_HOLD } else { PLAIN_HOLD },
+        hold_milliseconds: request.times.hold().as_secs_f64() * 1000.0,
+        reading_rate: request.times.reading_rate(),
         on_engine,
     };
     let index = choose_upstream(&candidates, &work, rand::random())?;
--- a/crates/samphiregrade-gateway/src/exchange/relay.rs
+++ b/crates/samphiregrade-gateway/src/exchange/relay.rs
@@ -1,6 +1,6 @@
 //! Passing an answer on as it comes, and holding its end back until the turn is durable.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::{BufMut, Bytes, BytesMut};
 use samphiregrade_http::wire::{
@@ -14,7 +14,11 @@
 use super::request::RoutedRequest;
 use super::turn::TurnPlan;
 use crate::model::UpstreamEntry;
-use crate::upstream::Outcome;
+use crate::upstream::{AnsweredRequest, Outcome, Upstream};
+
+/// Silence of an answer after which it is given up where the way to its upstream was found to be cut: a lost packet is
+/// sent again within it, and callers wait some two seconds before they leave by themselves.
+const SILENT_ON_LOST_PATH: Duration = Duration::from_millis(500);
 
 /// How the client is told where the body ends.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -55,6 +59,8 @@
 /// Why the relay stopped.
 enum Stop {
     Upstream(String),
+    /// The way to the upstream is cut.
+    Path,
     Client,
     Due,
     NotDurable,
@@ -77,6 +83,7 @@
     request: &RoutedRequest,
     turn: Option<&TurnPlan>,
     mut answer: LiveAnswer,
+    uncached: u32,
     keep: bool,
 ) -> RelayEnd {
     let retained = turn.is_some_and(|plan| plan.retained) && answer.head.status == 200;
@@ -101,6 +108,15 @@
         context.outcomes.note(upstream, outcome, Instant::now());
     }
     let spent = relay.spent();
+    if result.is_ok() && status == 200 {
+        let answered = AnsweredRequest {
+            uncached,
+            made: spent,
+            first: answer.first,
+            total: answer.sent.elapsed(),
+        };
+        context.note_times(&request.service, &answered);
+    }
     match result {
         Ok(()) => {
             keep_connection(answer);
@@ -145,6 +161,7 @@
                 read = answer.socket.fill() => read.map_err(|error| Stop::Upstream(error.to_string()))?,
                 () = self.client.hung_up() => return Err(Stop::Client),
                 () = tokio::time::sleep_until(self.request.due.into()) => return Err(Stop::Due),
+                () = path_lost(answer.guard.upstream()) => return Err(Stop::Path),
             };
             answer.guard.upstream().hear_domain(Instant::now());
             if count == 0 {
@@ -239,6 +256,10 @@
                 let detail = format!("{} broke off: {error}", upstream.entry.id);
                 ("upstream-broke-off", detail, RefusalReason::Broken)
             }
+            Stop::Path => {
+                let detail = format!("the way to {} is cut", upstream.entry.id);
+                ("upstream-unreachable", detail, RefusalReason::Broken)
+            }
             Stop::Client => ("client-gone", String::new(), RefusalReason::Broken),
             Stop::Due => {
                 let detail = format!("{} was not done in time", upstream.entry.id);
@@ -260,6 +281,17 @@
     }
 }
 
+/// Ends when an answer that has been silent for a while can't go on, because the way to its upstream was found to be
+/// cut. Silence alone is no reason: an engine may put a run aside for as long.
+async fn path_lost(upstream: &Upstream) {
+    loop {
+        tokio::time::sleep(SILENT_ON_LOST_PATH).await;
+        if upstream.is_domain_lost(Instant::now()) {
+            return;
+        }
+    }
+}
+
 /// Returns what the answer says about its upstream; `None` where it ended for another reason.
 fn outcome_of(result: &Result<(), Stop>, answer: &LiveAnswer) -> Option<Outcome> {
     let failed = answer.head.status >= 500;
@@ -270,7 +302,7 @@
         Ok(()) if answer.probes => Some(Outcome::Recovered),
         Ok(()) => Some(Outcome::Good),
         Err(Stop::Upstream(_)) => Some(Outcome::Bad),
-        Err(Stop::Client | Stop::Due | Stop::NotDurable) => None,
+        Err(Stop::Path | Stop::Client | Stop::Due | Stop::NotDurable) => None,
     }
 }
 
--- a/crates/samphiregrade-gateway/src/exchange/request.rs
+++ b/crates/samphiregrade-gateway/src/exchange/request.rs
@@ -8,7 +8,7 @@
 use smol_str::SmolStr;
 
 use crate::model::{RequestMetadata, RouteRecord, ServiceRecord, UpstreamEntry};
-use crate::upstream::{ProgramProgress, UrgencyClass, turn_rank};
+use crate::upstream::{ProgramProgress, ServiceTimes, TurnPace, UrgencyClass, turn_rank};
 
 use super::turn::ProgramStanding;
 
@@ -30,6 +30,8 @@
     pub route: Arc<RouteRecord>,
     /// The service.
     pub service: Arc<ServiceRecord>,
+    /// What requests of the service take.
+    pub times: ServiceTimes,
     /// When the head was whole.
     pub started: Instant,
     /// When it has to be answered.
@@ -51,7 +53,7 @@
     /// Returns the rank for the engine.
     #[must_use]
     pub fn rank(&self) -> u8 {
-        turn_rank(self.urgency, &self.progress())
+        turn_rank(self.urgency, &self.progress(), &TurnPace::from(&self.times))
     }
 
     /// Returns whether its answer should begin at once: it is no turn that may have to wait behind others.
@@ -61,7 +63,7 @@
             return true;
         }
         let progress = self.progress();
-        progress.has_begun() && !progress.is_late()
+        progress.has_begun() && !progress.is_late(&TurnPace::from(&self.times))
     }
 
     /// Returns whether its caller may send it again where it is not known whether it ran: it may run more than once,
--- a/crates/samphiregrade-gateway/src/role/beliefs.rs
+++ b/crates/samphiregrade-gateway/src/role/beliefs.rs
@@ -1,7 +1,7 @@
 //! What an entry believes of the deployment, from what it follows in the key-value service.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use anyhow::{Context, Result};
 use arc_swap::ArcSwap;
@@ -18,15 +18,17 @@
 use crate::observe::Logbook;
 use crate::routing::RouteTable;
 use crate::settings::GatewaySettings;
-use crate::store::{FollowEvent, StoreClient, follow_prefix};
+use crate::store::{EventRouter, FollowEvent, StoreClient, follow_prefix};
 use crate::upstream::UpstreamRegistry;
 
-/// Part of the time for draining for which changes of upstreams are gathered: they start and leave in groups, every
-/// entry asks again after each change, and the service's rates grow more slowly than the fleet.
-const UPSTREAM_GATHER_SHARE: f64 = 0.25;
+/// Part of the time for draining for which changes are gathered: upstreams start and leave in groups, every entry asks
+/// again after each change, and the service's rates grow more slowly than the fleet. A configuration is to be in
+/// force within the time for draining as well.
+const GATHER_SHARE: f64 = 0.25;
 
-/// Time for which changes of the configuration are gathered: one is to be in force within two seconds.
-const CONFIG_GATHER: Duration = Duration::from_millis(150);
+/// Prefix of all keys: one watch brings the configuration, the upstreams and what instances share. Three watches cost
+/// three calls at the start, after every cut and at every try during an outage.
+const ALL_KEYS: &str = "";
 
 /// Events of the key-value service that may wait.
 const EVENT_QUEUE: usize = 64;
@@ -53,22 +55,20 @@
     registry: UpstreamRegistry,
     ended: &CancellationToken,
 ) {
-    let follow = |prefix: &'static str, gather: Duration| {
-        let (sender, events) = mpsc::channel(EVENT_QUEUE);
-        tokio::spawn(follow_prefix(
-            store.separate(),
-            prefix,
-            gather,
-            sender,
-            ended.clone(),
-        ));
-        events
-    };
+    let (sender, events) = mpsc::channel(EVENT_QUEUE);
+    tokio::spawn(follow_prefix(
+        store.separate(),
+        ALL_KEYS,
+        settings.times.drain().mul_f64(GATHER_SHARE),
+        sender,
+        ended.clone(),
+    ));
+    let mut router = EventRouter::new(events);
     let dialect = &context.dialect;
-    let configuration = follow(dialect.configuration_key(), CONFIG_GATHER);
-    let upstream_gather = settings.times.drain().mul_f64(UPSTREAM_GATHER_SHARE);
-    let upstreams = follow(dialect.upstream_prefix(), upstream_gather);
-    let shared = follow(SHARED_PREFIX, CONFIG_GATHER);
+    let configuration = router.add(dialect.configuration_key());
+    let upstreams = router.add(dialect.upstream_prefix());
+    let shared = router.add(SHARED_PREFIX);
+    tokio::spawn(router.run());
     tokio::spawn(take_configurations(context.clone(), configuration));
     tokio::spawn(take_upstreams(context.clone(), registry, upstreams));
     tokio::spawn(take_shared(
--- a/crates/samphiregrade-gateway/src/store/mod.rs
+++ b/crates/samphiregrade-gateway/src/store/mod.rs
@@ -2,6 +2,8 @@
 
 mod client;
 mod follow;
+mod router;
 
 pub use client::{StoreClient, StoreFailure};
 pub use follow::{FollowEvent, follow_prefix};
+pub use router::EventRouter;
--- a/crates/samphiregrade-gateway/src/upstream/balance.rs
+++ b/crates/samphiregrade-gateway/src/upstream/balance.rs
@@ -5,10 +5,6 @@
 
 use std::time::Duration;
 
-/// Prompt tokens that an engine reads in a millisecond, as engines of this class do; it only has to weigh a
-/// cached prefix against a queue.
-const PREFILL_TOKENS_PER_MILLISECOND: f64 = 247.0;
-
 /// What a round trip to another failure domain costs, in milliseconds: one way is about 1.4 ms.
 const OTHER_DOMAIN_MILLISECONDS: f64 = 2.8;
 
@@ -19,11 +15,11 @@
 /// processor is shared a little even before the slots are full.
 const PLAIN_SHARING: f64 = 0.35;
 
-/// What one more request in an engine's batch costs, in milliseconds for each request that runs there: a step takes
-/// some 0.004 ms longer for it, and a turn has about 256 steps. Views of loads are old and poor where there are many
-/// entries, so that a dearer batch moves turns away from their cached prompts for nothing (the paired runs stand in
+/// What one more request in an engine's batch costs, as part of a turn's time for each request that runs there: a step
+/// takes some half a hundredth longer for it. Views of loads are old and poor where there are many entries, so that
+/// a dearer batch moves turns away from their cached prompts for nothing (the paired runs stand in
 /// docs/design/urgency.md).
-const BATCH_MILLISECONDS: f64 = 1.0;
+const BATCH_SHARE: f64 = 0.0045;
 
 /// An upstream as a choice.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -45,6 +41,8 @@
 pub struct WorkEstimate {
     /// How long it holds a slot, in milliseconds.
     pub hold_milliseconds: f64,
+    /// Prompt tokens that an engine reads in a millisecond.
+    pub reading_rate: f64,
     /// Whether an engine runs it in a batch with others.
     pub on_engine: bool,
 }
@@ -66,9 +64,9 @@
         } else {
             0.0
         };
-        let read = f64::from(self.uncached_tokens) / PREFILL_TOKENS_PER_MILLISECOND;
+        let read = f64::from(self.uncached_tokens) / work.reading_rate.max(f64::MIN_POSITIVE);
         let shared = if work.on_engine {
-            read * (1.0 + running) + BATCH_MILLISECONDS * running
+            read * (1.0 + running) + BATCH_SHARE * work.hold_milliseconds * running
         } else {
             PLAIN_SHARING * work.hold_milliseconds * running / slots
         };
--- a/crates/samphiregrade-gateway/src/upstream/mod.rs
+++ b/crates/samphiregrade-gateway/src/upstream/mod.rs
@@ -9,6 +9,7 @@
 mod outcomes;
 mod peer;
 mod rank;
+mod service_times;
 mod silence;
 
 pub use balance::{Candidate, WorkEstimate, choose_upstream};
@@ -19,5 +20,6 @@
 pub use outcome_board::OutcomeBoard;
 pub use outcomes::{Outcome, OutcomeCounts, OutcomeDelta, OutcomeTable, UpstreamSuspect};
 pub use peer::{DomainSilence, HeadWait, InFlightGuard, Upstream};
-pub use rank::{ProgramProgress, UrgencyClass, turn_rank};
+pub use rank::{ProgramProgress, TurnPace, UrgencyClass, turn_rank};
+pub use service_times::{AnsweredRequest, RunningMedian, ServiceTimes};
 pub use silence::{SilenceWatch, WaitNumber};
--- a/crates/samphiregrade-gateway/src/upstream/rank.rs
+++ b/crates/samphiregrade-gateway/src/upstream/rank.rs
@@ -15,6 +15,8 @@
 
 use std::time::Duration;
 
+use super::service_times::ServiceTimes;
+
 /// Ranks that an engine knows; 0 is the most urgent.
 const RANKS: u8 = 10;
 
@@ -25,14 +27,8 @@
 /// Parts into which the programs that begin are divided.
 const FIRST_PARTS: u16 = 2;
 
-/// Time that the shortest turn takes with its way: some 256 tokens at 0.8 ms each.
-const SHORT_TURN: Duration = Duration::from_millis(220);
-
-/// Time that a turn takes beside its tokens: its way, its prompt, and the pause with its tools after it.
-const TURN_ASIDE: Duration = Duration::from_millis(200);
-
-/// Time of one token on an engine that is half full.
-const TOKEN_TIME: Duration = Duration::from_micros(850);
+/// Time that a turn takes beside its prompt and its tokens: its way, and the pause with its tools after it.
+const TURN_ASIDE: Duration = Duration::from_millis(160);
 
 /// Part of a program's whole time that may be lost before it can't end in time any more: programs are given 1.4
 /// to 1.9 times what they take on idle engines, so a third to a half of it is to spare.
@@ -53,6 +49,27 @@
     }
 }
 
+/// What turns of a service take.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct TurnPace {
+    /// Time of a whole turn.
+    pub turn: Duration,
+    /// Time until its answer begins.
+    pub first: Duration,
+    /// Time of one token.
+    pub token: Duration,
+}
+
+impl From<&ServiceTimes> for TurnPace {
+    fn from(times: &ServiceTimes) -> Self {
+        Self {
+            turn: times.hold(),
+            first: times.first(),
+            token: times.token(),
+        }
+    }
+}
+
 /// What is known of a program when one of its turns is about to be sent.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct ProgramProgress {
@@ -83,18 +100,19 @@
 
     /// Returns whether the program can't end in time any more.
     #[must_use]
-    pub fn is_late(&self) -> bool {
+    pub fn is_late(&self, pace: &TurnPace) -> bool {
         let Some(left) = self.left else {
             return false;
         };
-        if left < SHORT_TURN {
+        if left < pace.turn {
             return true;
         }
         let Some(first_left) = self.first_left else {
             return false;
         };
         let tokens = u32::try_from(self.made_tokens).unwrap_or(u32::MAX);
-        let worked = TURN_ASIDE * self.ended_turns + TOKEN_TIME.saturating_mul(tokens);
+        let aside = TURN_ASIDE + pace.first;
+        let worked = aside.saturating_mul(self.ended_turns) + pace.token.saturating_mul(tokens);
         let lost = first_left.saturating_sub(left).saturating_sub(worked);
         lost > first_left.mul_f64(SPARE_SHARE)
     }
@@ -102,17 +120,17 @@
 
 /// Returns a turn's rank at an engine, from 0 to 9, 0 being the most urgent.
 #[must_use]
-pub fn turn_rank(class: UrgencyClass, progress: &ProgramProgress) -> u8 {
+pub fn turn_rank(class: UrgencyClass, progress: &ProgramProgress, pace: &TurnPace) -> u8 {
     let count = class.count.max(1);
     let index = class.index.min(count - 1);
     let width = (RANKS / count).clamp(1, CLASS_RANKS);
     let first = (index * width).min(RANKS - width);
-    let late = progress.is_late();
-    let place = match (progress.has_begun(), late) {
+    let late = progress.is_late(pace);
+    let position = match (progress.has_begun(), late) {
         (true, false) => 0,
         (true, true) => 1,
         (false, false) => 2 + progress.part(),
         (false, true) => CLASS_RANKS - 1,
     };
-    first + place.min(width - 1)
+    first + position.min(width - 1)
 }
--- a/crates/samphiregrade-gateway/tests/suite/balance.rs
+++ b/crates/samphiregrade-gateway/tests/suite/balance.rs
@@ -10,11 +10,13 @@
 
 const TURN: WorkEstimate = WorkEstimate {
     hold_milliseconds: 220.0,
+    reading_rate: 247.0,
     on_engine: true,
 };
 
 const PLAIN: WorkEstimate = WorkEstimate {
     hold_milliseconds: 18.0,
+    reading_rate: 247.0,
     on_engine: false,
 };
 
@@ -218,10 +220,6 @@
 
 #[test]
 fn cached_chain_is_worth_more_than_a_few_requests_fewer_in_the_batch() {
-    let work = WorkEstimate {
-        hold_milliseconds: 220.0,
-        on_engine: true,
-    };
     let cached = Candidate {
         load: 4.0,
         slots: 8.0,
@@ -233,11 +231,11 @@
         uncached_tokens: 14_000,
         ..cached
     };
-    assert_eq!(choose_upstream(&[empty, cached], &work, 0.5), Some(1));
+    assert_eq!(choose_upstream(&[empty, cached], &TURN, 0.5), Some(1));
     let two_fewer = Candidate {
         load: 2.0,
         uncached_tokens: 3_000,
         ..cached
     };
-    assert_eq!(choose_upstream(&[two_fewer, cached], &work, 0.5), Some(1));
+    assert_eq!(choose_upstream(&[two_fewer, cached], &TURN, 0.5), Some(1));
 }
--- a/crates/samphiregrade-gateway/tests/suite/main.rs
+++ b/crates/samphiregrade-gateway/tests/suite/main.rs
@@ -12,6 +12,7 @@
 mod outcomes;
 mod rank;
 mod routing;
+mod service_times;
 mod settings;
 mod silence;
 mod upstreams;
--- a/crates/samphiregrade-gateway/tests/suite/outcomes.rs
+++ b/crates/samphiregrade-gateway/tests/suite/outcomes.rs
@@ -147,6 +147,7 @@
     let mut keeper = OutcomeTable::default();
     let work = WorkEstimate {
         hold_milliseconds: 220.0,
+        reading_rate: 247.0,
         on_engine: true,
     };
     let mut failed = 0;
--- a/crates/samphiregrade-gateway/tests/suite/rank.rs
+++ b/crates/samphiregrade-gateway/tests/suite/rank.rs
@@ -3,7 +3,14 @@
 use std::time::Duration;
 
 use quickcheck::quickcheck;
-use samphiregrade_gateway::upstream::{ProgramProgress, UrgencyClass, turn_rank};
+use samphiregrade_gateway::upstream::{ProgramProgress, TurnPace, UrgencyClass, turn_rank};
+
+/// Turns of some 256 tokens at 0.85 ms each.
+const PACE: TurnPace = TurnPace {
+    turn: Duration::from_millis(220),
+    first: Duration::from_millis(40),
+    token: Duration::from_micros(850),
+};
 
 const URGENT: UrgencyClass = UrgencyClass { index: 0, count: 2 };
 const ORDINARY: UrgencyClass = UrgencyClass { index: 1, count: 2 };
@@ -36,16 +43,16 @@
 #[test]
 fn begun_programs_go_before_new_ones_and_urgent_routes_before_both() {
     for tag in [0, 90, 255] {
-        assert!(turn_rank(URGENT, &begun(tag)) < turn_rank(URGENT, &begins(0)));
-        assert!(turn_rank(URGENT, &begins(255)) < turn_rank(ORDINARY, &begun(tag)));
+        assert!(turn_rank(URGENT, &begun(tag), &PACE) < turn_rank(URGENT, &begins(0), &PACE));
+        assert!(turn_rank(URGENT, &begins(255), &PACE) < turn_rank(ORDINARY, &begun(tag), &PACE));
     }
 }
 
 #[test]
 fn late_programs_go_after_those_in_time_and_before_new_ones() {
-    assert!(turn_rank(ORDINARY, &begun(255)) < turn_rank(ORDINARY, &late(0)));
-    assert!(turn_rank(ORDINARY, &late(255)) < turn_rank(ORDINARY, &begins(0)));
-    assert!(turn_rank(URGENT, &late(0)) < turn_rank(ORDINARY, &begun(0)));
+    assert!(turn_rank(ORDINARY, &begun(255), &PACE) < turn_rank(ORDINARY, &late(0), &PACE));
+    assert!(turn_rank(ORDINARY, &late(255), &PACE) < turn_rank(ORDINARY, &begins(0), &PACE));
+    assert!(turn_rank(URGENT, &late(0), &PACE) < turn_rank(ORDINARY, &begun(0), &PACE));
 }
 
 #[test]
@@ -54,8 +61,8 @@
         left: Some(Duration::from_millis(500)),
         ..begins(0)
     };
-    assert!(turn_rank(URGENT, &begins(255)) < turn_rank(URGENT, &waited));
-    assert!(turn_rank(URGENT, &waited) < turn_rank(ORDINARY, &begun(0)));
+    assert!(turn_rank(URGENT, &begins(255), &PACE) < turn_rank(URGENT, &waited, &PACE));
+    assert!(turn_rank(URGENT, &waited, &PACE) < turn_rank(ORDINARY, &begun(0), &PACE));
 }
 
 #[test]
@@ -64,9 +71,9 @@
         left: Some(Duration::from_millis(left)),
         ..begins(0)
     };
-    assert!(!waited(1900).is_late());
-    assert!(!waited(1300).is_late());
-    assert!(waited(1100).is_late());
+    assert!(!waited(1900).is_late(&PACE));
+    assert!(!waited(1300).is_late(&PACE));
+    assert!(waited(1100).is_late(&PACE));
 }
 
 #[test]
@@ -77,26 +84,26 @@
         left: Some(Duration::from_millis(400)),
         ..begins(0)
     };
-    assert!(!far.is_late());
+    assert!(!far.is_late(&PACE));
     let stuck = ProgramProgress {
         ended_turns: 1,
         made_tokens: 256,
         ..far
     };
-    assert!(stuck.is_late());
+    assert!(stuck.is_late(&PACE));
 }
 
 #[test]
 fn without_a_deadline_nothing_is_late() {
-    assert!(!ProgramProgress::default().is_late());
+    assert!(!ProgramProgress::default().is_late(&PACE));
 }
 
 #[test]
 fn new_programs_are_parted_by_their_hash() {
-    assert!(turn_rank(URGENT, &begins(0)) < turn_rank(URGENT, &begins(255)));
+    assert!(turn_rank(URGENT, &begins(0), &PACE) < turn_rank(URGENT, &begins(255), &PACE));
     assert_eq!(
-        turn_rank(URGENT, &begins(0)),
-        turn_rank(URGENT, &begins(100))
+        turn_rank(URGENT, &begins(0), &PACE),
+        turn_rank(URGENT, &begins(100), &PACE)
     );
 }
 
@@ -110,8 +117,8 @@
         let progress = ProgramProgress { tag, ended_turns: turns, ..ProgramProgress::default() };
         let class = UrgencyClass { index, count };
         let less = UrgencyClass { index: index.saturating_add(1), count };
-        let rank = turn_rank(class, &progress);
-        rank < 10 && rank <= turn_rank(less, &progress)
+        let rank = turn_rank(class, &progress, &PACE);
+        rank < 10 && rank <= turn_rank(less, &progress, &PACE)
     }
 }
 
@@ -170,7 +177,7 @@
 fn under_twice_the_load_many_programs_still_end_in_time() {
     let equal = ended_in_time(|_, _| 0);
     let begun_first = ended_in_time(|_, progress| u8::from(!progress.has_begun()));
-    let ranked = ended_in_time(|_, progress| turn_rank(ORDINARY, progress));
+    let ranked = ended_in_time(|_, progress| turn_rank(ORDINARY, progress, &PACE));
     assert!(
         equal < 10,
         "in the order of arrival nearly all are late: {equal}"
--- /dev/null
+++ b/crates/samphiregrade-gateway/tests/suite/service_times.rs
@@ -0,0 +1,150 @@
+//! Times of a service, learned from its answers.
+
+use std::time::Duration;
+
+use quickcheck::quickcheck;
+use samphiregrade_gateway::upstream::{
+    AnsweredRequest, Candidate, RunningMedian, ServiceTimes, WorkEstimate, choose_upstream,
+};
+
+/// An engine as its turns show it.
+struct PlayedEngine {
+    head: f64,
+    reading_rate: f64,
+    token: f64,
+}
+
+const FAST: PlayedEngine = PlayedEngine {
+    head: 10.0,
+    reading_rate: 247.0,
+    token: 0.8,
+};
+
+const SLOW: PlayedEngine = PlayedEngine {
+    head: 20.0,
+    reading_rate: 30.0,
+    token: 6.0,
+};
+
+impl PlayedEngine {
+    /// Answers a turn that finds other turns at the engine and so takes some time more.
+    fn turn(&self, uncached: u32, made: u32, share_more: f64) -> AnsweredRequest {
+        let first = (self.head + f64::from(uncached) / self.reading_rate) * (1.0 + share_more);
+        let total = first + f64::from(made) * self.token * (1.0 + share_more);
+        AnsweredRequest {
+            uncached,
+            made,
+            first: Duration::from_secs_f64(first / 1000.0),
+            total: Duration::from_secs_f64(total / 1000.0),
+        }
+    }
+
+    fn learned(&self, turns: u32) -> ServiceTimes {
+        let mut times = ServiceTimes::of_engine();
+        for number in 0..turns {
+            let uncached = [120, 2_600, 250, 1_400, 600, 3_900][number as usize % 6];
+            let more = [0.0, 0.1, 0.3][number as usize % 3];
+            times.note(&self.turn(uncached, 33, more));
+            // One in twelve meets a fault and takes seconds.
+            if number % 12 == 0 {
+                times.note(&self.turn(uncached, 33, 50.0));
+            }
+        }
+        times
+    }
+}
+
+fn is_near(value: f64, wanted: f64) -> bool {
+    value > wanted * 0.6 && value < wanted * 1.5
+}
+
+#[test]
+fn engines_of_two_speeds_are_learned_within_dozens_of_turns_through_faults() {
+    for engine in [FAST, SLOW] {
+        let times = engine.learned(60);
+        let token = times.token().as_secs_f64() * 1000.0;
+        assert!(is_near(token, engine.token), "{token}");
+        let rate = times.reading_rate();
+        assert!(is_near(rate, engine.reading_rate), "{rate}");
+    }
+}
+
+#[test]
+fn slow_reading_keeps_turns_at_their_cached_prompts() {
+    let cached = Candidate {
+        load: 12.0,
+        slots: 24.0,
+        ..Candidate::default()
+    };
+    let empty = Candidate {
+        load: 0.0,
+        uncached_tokens: 2_500,
+        ..cached
+    };
+    let choose = |engine: &PlayedEngine| {
+        let times = engine.learned(60);
+        let work = WorkEstimate {
+            hold_milliseconds: times.hold().as_secs_f64() * 1000.0,
+            reading_rate: times.reading_rate(),
+            on_engine: true,
+        };
+        choose_upstream(&[cached, empty], &work, 0.0)
+    };
+    assert_eq!(choose(&SLOW), Some(0));
+    // Where prompts are read fast, an idle engine is worth reading one again only in a longer batch.
+    let longer = Candidate {
+        load: 30.0,
+        ..cached
+    };
+    let times = FAST.learned(60);
+    let work = WorkEstimate {
+        hold_milliseconds: times.hold().as_secs_f64() * 1000.0,
+        reading_rate: times.reading_rate(),
+        on_engine: true,
+    };
+    assert_eq!(choose_upstream(&[longer, empty], &work, 0.0), Some(1));
+}
+
+#[test]
+fn median_follows_a_change() {
+    let mut median = RunningMedian::new(100.0, 1.0, 1000.0);
+    for _ in 0..30 {
+        median.add(10.0);
+    }
+    assert!((median.estimate() - 10.0).abs() < 1.0);
+    for _ in 0..120 {
+        median.add(40.0);
+    }
+    assert!((median.estimate() - 40.0).abs() < 4.0);
+}
+
+#[test]
+fn any_samples_leave_a_median_within_its_bounds() {
+    fn bounded(samples: Vec<f64>) -> bool {
+        let mut median = RunningMedian::new(5.0, 1.0, 10.0);
+        for sample in samples {
+            median.add(sample);
+        }
+        (1.0..=10.0).contains(&median.estimate())
+    }
+    quickcheck(bounded as fn(Vec<f64>) -> bool);
+}
+
+#[test]
+fn any_answers_leave_sound_times() {
+    fn sound(answers: Vec<(u32, u32, u32, u32)>) -> bool {
+        let mut times = ServiceTimes::of_plain();
+        for (uncached, made, first, more) in answers {
+            let first = Duration::from_micros(u64::from(first));
+            times.note(&AnsweredRequest {
+                uncached,
+                made,
+                first,
+                total: first + Duration::from_micros(u64::from(more)),
+            });
+        }
+        let rate = times.reading_rate();
+        rate.is_finite() && rate >= 1.0 && times.hold() > Duration::ZERO
+    }
+    quickcheck(sound as fn(Vec<(u32, u32, u32, u32)>) -> bool);
+}
