--- a/crates/samphiregrade-gateway/src/store/follow.rs
+++ b/crates/samphiregrade-gateway/src/store/follow.rs
@@ -17,7 +17,7 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
 
 /// Longest pause between two tries, so that a change is in force well within its bound after an outage.
-const LONGEST_PAUSE: Duration = Duration::from_millis(600);
+const LONGEST_PAUSE: Duration = Duration::from_millis(1200);
 
 /// What a follower learns.
 #[derive(Clone, Debug)]
