--- a/crates/samphiregrade-gateway/src/exchange/attempt.rs
+++ b/crates/samphiregrade-gateway/src/exchange/attempt.rs
@@ -4,9 +4,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::{BufMut, BytesMut};
-use samphiregrade_http::wire::{
-    BodyDecoder, BodyFraming, BodyPiece, ResponseHead, SocketLimits, WireSocket,
-};
+use samphiregrade_http::wire::{BodyDecoder, BodyFraming, BodyPiece, ResponseHead, WireSocket};
 
 use super::context::EntryContext;
 use super::outcome::RequestRecord;
@@ -14,10 +12,6 @@
 use crate::model::{AnswerMetadata, DispatchOrders};
 use crate::upstream::{InFlightGuard, Outcome, Upstream};
 
-/// Longest wait for a connection to an upstream: dozens of round trips within a region. A packet that is lost
-/// comes again after seconds only, so that another upstream is tried before.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
-
 /// Longest head of an answer.
 const HEAD_LIMIT: usize = 32 << 10;
 
@@ -270,13 +264,7 @@
     if let Some(socket) = upstream.take_idle(Instant::now()) {
         return Ok(socket);
     }
-    let limits = SocketLimits::for_requests();
-    let address = upstream.entry.address;
-    let connected = WireSocket::connect(address, CONNECT_TIMEOUT, &limits).await;
-    if connected.is_ok() {
-        upstream.hear_domain(Instant::now());
-    }
-    connected
+    upstream.connect().await
 }
 
 fn encode(
--- a/crates/samphiregrade-gateway/src/fact/client.rs
+++ b/crates/samphiregrade-gateway/src/fact/client.rs
@@ -106,6 +106,13 @@
         self.health.cut_off_for(Instant::now())
     }
 
+    /// Returns the failure domains whose keepers have all been silent for a while.
+    #[must_use]
+    pub fn silent_domains(&self) -> Vec<DomainId> {
+        self.health
+            .silent_domains(&self.placement.load(), Instant::now())
+    }
+
     /// Asks each keeper that has been silent for a while whether it is there, until cancelled.
     pub async fn watch_health(self, cancel: CancellationToken) {
         loop {
--- a/crates/samphiregrade-gateway/src/fact/health.rs
+++ b/crates/samphiregrade-gateway/src/fact/health.rs
@@ -12,6 +12,7 @@
 
 use super::placement::{KeeperPlacement, KeeperSlot, PlacementGeneration};
 use crate::hold::hold;
+use crate::model::DomainId;
 
 /// Silence after which a keeper is asked whether it is there.
 const ASK_AFTER: Duration = Duration::from_millis(150);
@@ -20,6 +21,10 @@
 /// to spare, since keepers answer probes without their disks.
 const OUT_OF_REACH: Duration = Duration::from_millis(450);
 
+/// Silence of all keepers of a failure domain after which the way there is tried: a question that went out after a
+/// pause should have been answered.
+const DOUBTFUL_AFTER: Duration = Duration::from_millis(230);
+
 /// Groups that stand for all programs' groups; their share tells within some hundredths.
 const SAMPLE_GROUPS: u32 = 64;
 
@@ -56,6 +61,22 @@
         silent.cloned().collect()
     }
 
+    /// Returns the failure domains whose keepers have all been silent for so long that the way there may be cut.
+    #[must_use]
+    pub fn silent_domains(&self, placement: &KeeperPlacement, now: Instant) -> Vec<DomainId> {
+        let mut silent: Vec<DomainId> = Vec::new();
+        let mut heard: Vec<&DomainId> = Vec::new();
+        for slot in &placement.slots {
+            if self.silence(&slot.name, now) < DOUBTFUL_AFTER {
+                heard.push(&slot.domain);
+            } else if !silent.contains(&slot.domain) {
+                silent.push(slot.domain.clone());
+            }
+        }
+        silent.retain(|domain| !heard.contains(&domain));
+        silent
+    }
+
     /// Returns how many of the keepers are within reach.
     #[must_use]
     pub fn reachable(&self, slots: &[KeeperSlot], now: Instant) -> usize {
--- a/crates/samphiregrade-gateway/src/role/entry.rs
+++ b/crates/samphiregrade-gateway/src/role/entry.rs
@@ -12,6 +12,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::beliefs::follow_store;
+use super::domain_watch::watch_domains;
 use super::probe_server::{ProbeAnswer, serve_probes};
 use super::signals::follow_signals;
 use crate::dialect::Dialect;
@@ -122,6 +123,7 @@
     let serving = serve_clients(context.clone(), clients, ended.clone(), close_idle.clone());
     tokio::spawn(serving);
     tokio::spawn(sweep_connections(context.clone(), ended.clone()));
+    tokio::spawn(watch_domains(context.clone(), ended.clone()));
     stop.cancelled().await;
     leave(&context, settings.times.grace(), &close_idle).await;
     ended.cancel();
--- a/crates/samphiregrade-gateway/src/upstream/mod.rs
+++ b/crates/samphiregrade-gateway/src/upstream/mod.rs
@@ -19,7 +19,7 @@
 pub use homes::{FirstParts, homes};
 pub use outcome_board::OutcomeBoard;
 pub use outcomes::{Outcome, OutcomeCounts, OutcomeDelta, OutcomeTable, UpstreamSuspect};
-pub use peer::{DomainSilence, HeadWait, InFlightGuard, Upstream};
+pub use peer::{DomainSilence, HeadWait, InFlightGuard, PathProbe, Upstream};
 pub use rank::{ProgramProgress, TurnPace, UrgencyClass, turn_rank};
 pub use service_times::{AnsweredRequest, RunningMedian, ServiceTimes};
 pub use silence::{SilenceWatch, WaitNumber};
--- a/crates/samphiregrade-gateway/src/upstream/peer.rs
+++ b/crates/samphiregrade-gateway/src/upstream/peer.rs
@@ -1,10 +1,11 @@
 //! One upstream: its connections, its load, its breaker and its cache.
 
+use std::io;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use samphiregrade_http::wire::WireSocket;
+use samphiregrade_http::wire::{SocketLimits, WireSocket};
 
 use super::balance::Candidate;
 use super::breaker::{BreakerState, UpstreamBreaker};
@@ -33,6 +34,19 @@
 /// Penalty of an upstream whose entry has just gone: used only where no other is there.
 const DEPARTED_PENALTY: Duration = Duration::from_secs(10);
 
+/// Longest wait for a connection to an upstream: dozens of round trips within a region. A packet that is lost
+/// comes again after seconds only, so that another upstream is tried before.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// What a try says about the way to an upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PathProbe {
+    /// Its system has answered.
+    Answered,
+    /// Nothing came back.
+    Silent,
+}
+
 struct IdleSocket {
     socket: WireSocket,
     expires: Instant,
@@ -201,6 +215,12 @@
         hold(&self.domain_silence).lose(now);
     }
 
+    /// Returns whether anything was heard from its failure domain within a time.
+    #[must_use]
+    pub fn was_domain_heard_within(&self, time: Duration, now: Instant) -> bool {
+        hold(&self.domain_silence).was_heard_within(time, now)
+    }
+
     /// Returns whether the way to its failure domain was found to be cut.
     #[must_use]
     pub fn is_domain_lost(&self, now: Instant) -> bool {
@@ -241,6 +261,35 @@
         opened
     }
 
+    /// Opens a connection, and keeps it for a request where that succeeds; tells what it says about the way there.
+    pub async fn probe_path(&self) -> PathProbe {
+        match self.connect().await {
+            Ok(socket) => {
+                self.keep_idle(socket, None, Instant::now());
+                PathProbe::Answered
+            }
+            Err(error) if error.kind() == io::ErrorKind::TimedOut => PathProbe::Silent,
+            Err(error) => {
+                // Who refuses a connection has been reached.
+                log::debug!("upstream {}: {error}", self.entry.id);
+                self.hear_domain(Instant::now());
+                PathProbe::Answered
+            }
+        }
+    }
+
+    /// Opens a connection.
+    ///
+    /// # Errors
+    ///
+    /// The system's error, or a timeout.
+    pub async fn connect(&self) -> io::Result<WireSocket> {
+        let limits = SocketLimits::for_requests();
+        let socket = WireSocket::connect(self.entry.address, CONNECT_TIMEOUT, &limits).await?;
+        self.hear_domain(Instant::now());
+        Ok(socket)
+    }
+
     /// Takes an idle connection that is fit for a request.
     pub fn take_idle(&self, now: Instant) -> Option<WireSocket> {
         let mut idle = hold(&self.idle);
--- a/crates/samphiregrade-gateway/src/upstream/service_times.rs
+++ b/crates/samphiregrade-gateway/src/upstream/service_times.rs
@@ -95,16 +95,16 @@
 }
 
 impl ServiceTimes {
-    /// Returns what is likely of an engine before it has answered: a fast one, so that no time is thought to be lost
-    /// that wasn't.
+    /// Returns what is likely of an engine before it has answered: between the fastest and the slowest that are known,
+    /// which are six times apart.
     #[must_use]
     pub fn of_engine() -> Self {
         Self {
             hold: RunningMedian::new(220.0, 1.0, 60_000.0),
             head: RunningMedian::new(20.0, 0.5, 10_000.0),
             first: RunningMedian::new(40.0, 0.5, 10_000.0),
-            reading: RunningMedian::new(247.0, 1.0, 10_000.0),
-            token: RunningMedian::new(0.85, 0.01, 1000.0),
+            reading: RunningMedian::new(100.0, 1.0, 10_000.0),
+            token: RunningMedian::new(2.0, 0.01, 1000.0),
         }
     }
 
@@ -112,7 +112,7 @@
     #[must_use]
     pub fn of_plain() -> Self {
         Self {
-            hold: RunningMedian::new(18.0, 0.5, 60_000.0),
+            hold: RunningMedian::new(30.0, 0.5, 60_000.0),
             ..Self::of_engine()
         }
     }
--- a/crates/samphiregrade-gateway/src/upstream/silence.rs
+++ b/crates/samphiregrade-gateway/src/upstream/silence.rs
@@ -65,6 +65,13 @@
         self.lost = None;
     }
 
+    /// Returns whether anything was heard within a time.
+    #[must_use]
+    pub fn was_heard_within(&self, time: Duration, now: Instant) -> bool {
+        self.heard
+            .is_some_and(|heard| now.saturating_duration_since(heard) < time)
+    }
+
     /// Notes that the way there was found to be cut.
     pub fn lose(&mut self, now: Instant) {
         self.lost = Some(now);
--- a/crates/samphiregrade-gateway/tests/suite/health.rs
+++ b/crates/samphiregrade-gateway/tests/suite/health.rs
@@ -69,3 +69,14 @@
     let two = judged(&placement, &["a", "b"], start);
     assert_eq!(two.cut_off_for(start + AFTER), Duration::ZERO);
 }
+
+#[test]
+fn domain_is_doubtful_when_all_of_its_keepers_are_silent() {
+    let start = Instant::now();
+    let placement = placement();
+    let health = judged(&placement, &["b", "c"], start);
+    let spoke = placement.slots[0].name.clone();
+    assert_eq!(health.silent_domains(&placement, start + AFTER), ["a", "d"]);
+    health.note(&spoke, start + AFTER);
+    assert_eq!(health.silent_domains(&placement, start + AFTER), ["d"]);
+}
--- a/crates/samphiregrade-gateway/tests/suite/silence.rs
+++ b/crates/samphiregrade-gateway/tests/suite/silence.rs
@@ -69,3 +69,13 @@
     domain.hear(start + 21 * STEP);
     assert_eq!(domain.penalty(start + 22 * STEP), Duration::ZERO);
 }
+
+#[test]
+fn what_was_heard_lately_is_told() {
+    let start = Instant::now();
+    let mut domain = SilenceWatch::default();
+    assert!(!domain.was_heard_within(STEP, start));
+    domain.hear(start);
+    assert!(domain.was_heard_within(2 * STEP, start + STEP));
+    assert!(!domain.was_heard_within(2 * STEP, start + 3 * STEP));
+}
