Account of lost programs by cause and window from instances' logs

Change: samphiregrade-bench account reads the logs, prints a table by window and cause, and draws it.

--- a/crates/samphiregrade-bench/src/cmd/mod.rs
+++ b/crates/samphiregrade-bench/src/cmd/mod.rs
@@ -1,5 +1,6 @@
 //! The commands, each in a file of its own with the same two functions: `arguments`, `execute`.
 
+mod account;
 mod compare;
 mod measure;
 mod run;
@@ -18,6 +19,7 @@
   run SCENARIO.toml [--policy NAME] [--seed N] [--json FILE] [--progress]
   compare SCENARIO.toml --policy A --policy B ... [--seeds N] [--without MECHANISM ...]
           [--json FILE] [--html FILE]
+  account LOG ... [--window SECONDS] [--plot FILE.svg]   where programs lost time, by cause and moment
   capacity [--peers-only] [--json FILE]    slopes of the cost of control, for docs/CAPACITY.md
   detectors [--json FILE]   failure detectors on the same recorded delays
   overhead [--json FILE]    what an instance adds to a call, and how many it carries
@@ -32,6 +34,7 @@
         return Ok(ExitCode::SUCCESS);
     }
     match arguments.subcommand()?.as_deref() {
+        Some("account") => account::execute(&account::arguments(arguments)?),
         Some("run") => run::execute(&run::arguments(arguments)?),
         Some("compare") => compare::execute(&compare::arguments(arguments)?),
         Some("capacity") => measure::execute_capacity(&measure::arguments(arguments)?),
--- a/crates/samphiregrade-bench/src/lib.rs
+++ b/crates/samphiregrade-bench/src/lib.rs
@@ -3,8 +3,9 @@
 //! A [`Cluster`](cluster::Cluster) is a set of real instance processes with stand-ins around them,
 //! every link through a fault proxy. A [`Scenario`](scenario::Scenario) says what load runs on it and
 //! what fails when; [`run_scenario`](run::run_scenario) runs it and [audits](audit) the stand-ins' own
-//! logs against what the callers were told.
+//! logs against what the callers were told. [`account`] reads where programs lost time from instances' logs.
 
+pub mod account;
 pub mod audit;
 pub mod capacity;
 pub mod cluster;
--- /dev/null
+++ b/crates/samphiregrade-bench/tests/account.rs
@@ -0,0 +1,44 @@
+//! The account of losses from instances' logs.
+
+use samphiregrade_bench::account::LossAccount;
+
+fn line(time: u32, program: &str, outcome: &str, left: u32, more: &str) -> String {
+    format!(
+        "  12.5 entry-a {{\"time_ms\":{time},\"event\":\"request\",\"request\":\"r\",\"program\":\"{program}\",\
+         \"status\":200,\"outcome\":\"{outcome}\",\"program_left_ms\":{left}.0,\"total_ms\":100.0{more}}}"
+    )
+}
+
+#[test]
+fn losses_are_told_by_window_and_cause() {
+    let cut = ",\"detail\":\"i-1 gave no answer: its system has not acknowledged 20 bytes\"";
+    let lines = [
+        line(10_100, "fine", "answered", 900, ""),
+        line(10_200, "cut", "broken", 900, cut),
+        line(10_900, "cut", "answered", 0, ""),
+        line(10_300, "slow", "answered", 0, ""),
+        line(13_500, "refused", "no-keepers", 500, ""),
+        line(13_600, "spent", "over-budget", 500, ""),
+        "{\"event\":\"start\"}".to_owned(),
+        "a line of something else".to_owned(),
+        "{\"event\":\"request\",\"time_ms\":tw".to_owned(),
+    ];
+    let account = LossAccount::read(lines.iter().map(String::as_str), 2.0);
+    assert_eq!(account.unreadable, 1);
+    let first = &account.windows[&0];
+    assert_eq!((first.programs, first.late, first.failed), (3, 2, 0));
+    assert_eq!(first.causes["cut path"], 1);
+    assert_eq!(first.causes["slow"], 1);
+    let second = &account.windows[&1];
+    assert_eq!((second.programs, second.late, second.failed), (2, 0, 1));
+    assert_eq!(account.causes().len(), 3);
+    assert!(account.table().contains("no-keepers 1"));
+    assert!(account.plot().expect("a picture").contains("<svg"));
+}
+
+#[test]
+fn empty_log_gives_an_empty_account() {
+    let account = LossAccount::read(std::iter::empty(), 2.0);
+    assert!(account.windows.is_empty());
+    assert!(account.plot().expect("a picture").contains("<svg"));
+}
