--- a/crates/samphiregrade-gateway/src/role/entry.rs
+++ b/crates/samphiregrade-gateway/src/role/entry.rs
@@ -76,6 +76,8 @@
 #[derive(Serialize)]
 struct UpstreamDump {
     id: String,
+    /// As lines about its doubt name it.
+    upstream_tag: String,
     service: String,
     load: f64,
     takes_requests: bool,
@@ -231,6 +233,7 @@
     let directory = context.directory.load();
     let upstreams = directory.all().map(|upstream| UpstreamDump {
         id: upstream.entry.id.to_string(),
+        upstream_tag: format!("{:016x}", upstream.start_tag),
         service: upstream.entry.service.to_string(),
         load: upstream.load(now),
         takes_requests: upstream.takes_requests(),
