--- a/crates/samphiregrade-gateway/src/exchange/relay.rs
+++ b/crates/samphiregrade-gateway/src/exchange/relay.rs
@@ -14,7 +14,7 @@
 use super::request::RoutedRequest;
 use super::turn::TurnPlan;
 use crate::model::UpstreamEntry;
-use crate::upstream::{AnsweredRequest, Outcome, Upstream};
+use crate::upstream::{AnsweredRequest, Outcome};
 
 /// Silence of an answer after which it is given up where the way to its upstream was found to be cut: a lost packet is
 /// sent again within it, and callers wait some two seconds before they leave by themselves.
@@ -161,7 +161,7 @@
                 read = answer.socket.fill() => read.map_err(|error| Stop::Upstream(error.to_string()))?,
                 () = self.client.hung_up() => return Err(Stop::Client),
                 () = tokio::time::sleep_until(self.request.due.into()) => return Err(Stop::Due),
-                () = path_lost(answer.guard.upstream()) => return Err(Stop::Path),
+                () = answer.guard.upstream().lost_for(SILENT_ON_LOST_PATH) => return Err(Stop::Path),
             };
             answer.guard.upstream().hear_domain(Instant::now());
             if count == 0 {
@@ -281,17 +281,6 @@
     }
 }
 
-/// Ends when an answer that has been silent for a while can't go on, because the way to its upstream was found to be
-/// cut. Silence alone is no reason: an engine may put a run aside for as long.
-async fn path_lost(upstream: &Upstream) {
-    loop {
-        tokio::time::sleep(SILENT_ON_LOST_PATH).await;
-        if upstream.is_domain_lost(Instant::now()) {
-            return;
-        }
-    }
-}
-
 /// Returns what the answer says about its upstream; `None` where it ended for another reason.
 fn outcome_of(result: &Result<(), Stop>, answer: &LiveAnswer) -> Option<Outcome> {
     let failed = answer.head.status >= 500;
--- a/crates/samphiregrade-gateway/src/upstream/peer.rs
+++ b/crates/samphiregrade-gateway/src/upstream/peer.rs
@@ -215,6 +215,17 @@
         hold(&self.domain_silence).lose(now);
     }
 
+    /// Ends when an answer that has been silent for a time can't go on, because the way to its upstream was found to be
+    /// cut. Silence alone is no reason: an engine may put a run aside for as long.
+    pub async fn lost_for(&self, silent: Duration) {
+        loop {
+            tokio::time::sleep(silent).await;
+            if self.is_domain_lost(Instant::now()) {
+                return;
+            }
+        }
+    }
+
     /// Returns whether anything was heard from its failure domain within a time.
     #[must_use]
     pub fn was_domain_heard_within(&self, time: Duration, now: Instant) -> bool {
--- a/crates/samphiregrade-gateway/tests/suite/upstreams.rs
+++ b/crates/samphiregrade-gateway/tests/suite/upstreams.rs
@@ -165,6 +165,27 @@
     assert!(!before.takes_requests(), "who still holds it sends nothing");
 }
 
+/// Returns whether an answer that is silent is given up soon.
+async fn is_given_up(upstream: &Upstream) -> bool {
+    let lost = upstream.lost_for(Duration::from_millis(20));
+    tokio::time::timeout(Duration::from_millis(200), lost)
+        .await
+        .is_ok()
+}
+
+#[tokio::test]
+async fn silent_answer_is_given_up_where_its_path_was_found_to_be_cut() {
+    let now = Instant::now();
+    let mut registry = UpstreamRegistry::new(DepartureRule::for_drain(DRAIN));
+    registry.put(entry("i-1", UpstreamState::Ready), now);
+    let upstream = only(&registry);
+    assert!(!is_given_up(&upstream).await, "silence alone is no reason");
+    upstream.lose_domain(Instant::now());
+    assert!(is_given_up(&upstream).await);
+    upstream.hear_domain(Instant::now());
+    assert!(!is_given_up(&upstream).await, "the way is open again");
+}
+
 #[test]
 fn entry_of_a_start_that_is_over_says_nothing() {
     let now = Instant::now();
