Notice a watch that was sent into an outage and is never answered

Seen since one watch brings everything: the configuration's own watch used to wait from before the outage, but the one of the upstreams hung the same way. Ruled out: the division of events by prefix (no event came at all; no entry logged a lost service). Change: the watch after changes, a read or a failure is held for 1 s only; one that was answered is followed by the long one. It costs one call more for each group of changes.

--- a/crates/samphiregrade-gateway/src/store/follow.rs
+++ b/crates/samphiregrade-gateway/src/store/follow.rs
@@ -13,6 +13,11 @@
 /// How long the service holds a watch without changes: its own longest wait is 30 s.
 const WATCH_WAIT: Duration = Duration::from_secs(25);
 
+/// How long the service holds a watch right after changes. One that was sent into an outage may never be answered,
+/// though its connection stays; it is noticed within this and the client's own limit. Only a watch that was answered
+/// in time is followed by a long one.
+const SHORT_WATCH_WAIT: Duration = Duration::from_secs(1);
+
 /// First pause after a failure: a cut watch is renewed at once, a refusing service isn't pressed.
 const FIRST_PAUSE: Duration = Duration::from_millis(60);
 
@@ -55,6 +60,7 @@
         gather,
         events,
         position: None,
+        wait: SHORT_WATCH_WAIT,
         pause: FIRST_PAUSE,
         lost_since: None,
     };
@@ -71,6 +77,8 @@
     events: mpsc::Sender<FollowEvent>,
     /// Revision after which to go on; `None` where everything has to be read.
     position: Option<u64>,
+    /// How long the next watch is held.
+    wait: Duration,
     pause: Duration,
     lost_since: Option<Instant>,
 }
@@ -85,7 +93,7 @@
                     .await
                     .map(FollowEvent::All),
                 Some(after) => {
-                    let watch = self.client.watch(self.prefix, after, WATCH_WAIT);
+                    let watch = self.client.watch(self.prefix, after, self.wait);
                     watch.await.map(FollowEvent::Changes)
                 }
             };
@@ -117,6 +125,11 @@
             self.log("store-items-nameless", reason, Duration::ZERO);
         }
         let changed = !page.items.is_empty();
+        self.wait = if changed {
+            SHORT_WATCH_WAIT
+        } else {
+            WATCH_WAIT
+        };
         let open = self.events.send(event).await.is_ok();
         if changed {
             tokio::time::sleep(self.gather).await;
@@ -140,6 +153,7 @@
         // A watch that goes on from an old position while the service drops its history may stay silent about
         // what it missed, so a cut one is not resumed: everything is read again.
         self.position = None;
+        self.wait = SHORT_WATCH_WAIT;
         let jitter = rand::random_range(0.75..1.25);
         tokio::time::sleep(self.pause.mul_f64(jitter)).await;
         self.pause = (self.pause * 2).min(LONGEST_PAUSE);
