--- a/crates/samphiregrade-gateway/src/link.rs
+++ b/crates/samphiregrade-gateway/src/link.rs
@@ -224,10 +224,7 @@
 
     async fn connect(&self) -> io::Result<TlsStream<TcpStream>> {
         let stream = TcpStream::connect(self.address).await?;
-        let limits = SocketLimits {
-            reset_on_close: true,
-            ..SocketLimits::default()
-        };
+        let limits = SocketLimits::for_calls();
         apply_limits(&stream, &limits)?;
         let name = ServerName::try_from(SERVER_NAME).map_err(io::Error::other)?;
         self.connector.connect(name, stream).await
--- a/crates/samphiregrade-gateway/src/role/beliefs.rs
+++ b/crates/samphiregrade-gateway/src/role/beliefs.rs
@@ -156,19 +156,14 @@
                 for change in changes(&context, &page) {
                     match change {
                         UpstreamChange::Entry(entry) => entries.push(entry),
-                        UpstreamChange::Gone(id) => registry.remove(&id, now),
-                        UpstreamChange::Bad(id) => registry.reject(&id, now),
+                        other => apply_change(&mut registry, other, now),
                     }
                 }
                 registry.replace(entries, now);
             }
             FollowEvent::Changes(page) => {
                 for change in changes(&context, &page) {
-                    match change {
-                        UpstreamChange::Entry(entry) => registry.put(entry, now),
-                        UpstreamChange::Gone(id) => registry.remove(&id, now),
-                        UpstreamChange::Bad(id) => registry.reject(&id, now),
-                    }
+                    apply_change(&mut registry, change, now);
                 }
             }
         }
@@ -183,6 +178,14 @@
     Bad(UpstreamId),
 }
 
+fn apply_change(registry: &mut UpstreamRegistry, change: UpstreamChange, now: Instant) {
+    match change {
+        UpstreamChange::Entry(entry) => registry.put(entry, now),
+        UpstreamChange::Gone(id) => registry.remove(&id, now),
+        UpstreamChange::Bad(id) => registry.reject(&id, now),
+    }
+}
+
 fn changes(context: &EntryContext, page: &StorePage) -> Vec<UpstreamChange> {
     let items = page.items.iter();
     items.filter_map(|item| decode(context, item)).collect()
--- a/crates/samphiregrade-gateway/src/store/client.rs
+++ b/crates/samphiregrade-gateway/src/store/client.rs
@@ -182,10 +182,7 @@
         let mut socket = if let Some(socket) = quiet {
             socket
         } else {
-            let limits = SocketLimits {
-                reset_on_close: true,
-                ..SocketLimits::default()
-            };
+            let limits = SocketLimits::for_calls();
             let connecting = WireSocket::connect(self.address, CONNECT_TIMEOUT, &limits);
             connecting.await.map_err(text)?
         };
--- a/crates/samphiregrade-gateway/src/store/router.rs
+++ b/crates/samphiregrade-gateway/src/store/router.rs
@@ -38,7 +38,7 @@
         events
     }
 
-    /// Hands events on until their source or all followers have ended.
+    /// Hands events on until their source has ended.
     pub async fn run(mut self) {
         while let Some(event) = self.events.recv().await {
             for follower in &self.followers {
--- a/crates/samphiregrade-http/src/wire/socket.rs
+++ b/crates/samphiregrade-http/src/wire/socket.rs
@@ -54,6 +54,16 @@
 }
 
 impl SocketLimits {
+    /// Returns the limits of a connection for calls that nobody has to take back: reset when it is closed, and given up
+    /// by the system where its peer is silent.
+    #[must_use]
+    pub fn for_calls() -> Self {
+        Self {
+            reset_on_close: true,
+            ..Self::default()
+        }
+    }
+
     /// Returns the limits of a connection that carries requests which must not arrive after they were given up.
     ///
     /// The system must not end it before its caller does: what it still holds may arrive then, and can't be taken
