Reach keepers through other entries; prefer open connections

Cause: an entry that is cut off from the keepers and from nothing else refused every turn. Ruled out: forwarding whole requests (body and stream cross twice). Now it asks keepers through another entry that reaches them; keepers tell entries of each other. Connections: among equal upstreams one with an open connection is 2 ms cheaper, an upstream that was not heard of is thought as loaded as the others, one request in eight explores.

--- a/crates/samphiregrade-gateway/src/exchange/dispatch.rs
+++ b/crates/samphiregrade-gateway/src/exchange/dispatch.rs
@@ -9,11 +9,18 @@
 use super::refusal::{Refusal, RefusalReason};
 use super::request::RoutedRequest;
 use super::survey::PlacementView;
-use crate::upstream::{Candidate, Outcome, Upstream, WorkEstimate, choose_upstream, ranked_homes};
+use crate::upstream::{
+    Candidate, LoadView, Outcome, Upstream, WorkEstimate, believed_loads, choose_upstream,
+    ranked_homes,
+};
 
 /// Connections that may fail before one attempt of a client is refused: each has cost no more than a round trip.
 const CONNECT_TRIES: usize = 3;
 
+/// Share of the requests that are placed as if a connection to every upstream were open: one that has just come, or is
+/// faster than the others, gets a request then.
+const EXPLORING_SHARE: f64 = 0.125;
+
 /// Accounts of upstreams from which on a request is placed by these alone.
 const LEAST_CHOICE: usize = 3;
 
@@ -136,11 +143,16 @@
         Some(_) => ranked_homes(&request.view.first, &engines).marks(),
         None => vec![false; fit.len()],
     };
+    let explores = rand::random_bool(EXPLORING_SHARE);
+    let views: Vec<LoadView> = fit.iter().map(|upstream| upstream.load_view(now)).collect();
     let candidates: Vec<Candidate> = fit
         .iter()
         .zip(homes)
-        .map(|(upstream, home)| {
+        .zip(believed_loads(&views))
+        .map(|((upstream, home), load)| {
             let mut candidate = upstream.candidate(prompt, home, &context.domain, now);
+            candidate.load = load;
+            candidate.connected |= explores;
             if let Some(account) = request.view.account(upstream.start_tag) {
                 candidate.take_account(account, upstream.own_requests(), home);
             }
--- a/crates/samphiregrade-gateway/src/fact/accounts.rs
+++ b/crates/samphiregrade-gateway/src/fact/accounts.rs
@@ -105,7 +105,7 @@
         let mut errands: Vec<AccountErrand> = Vec::new();
         for &upstream in upstreams {
             let slots = self.accountants_within_reach(placement, upstream);
-            let near = slots.iter().find(|slot| slot.domain == self.domain);
+            let near = slots.iter().find(|slot| slot.domain == self.own.domain);
             let asked = slots
                 .iter()
                 .find(|slot| errands.iter().any(|errand| errand.slot.name == slot.name));
--- a/crates/samphiregrade-gateway/src/fact/client.rs
+++ b/crates/samphiregrade-gateway/src/fact/client.rs
@@ -12,6 +12,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::health::KeeperHealth;
+use super::helper::{HelperAddress, HelperBook};
 use super::message::{
     ChainAnswer, FactRecord, KeeperEnvelope, KeeperReply, KeeperRequest, ProgramLedger,
 };
@@ -76,11 +77,14 @@
     pub(super) links: LinkEndpoint,
     pub(super) placement: Arc<ArcSwap<KeeperPlacement>>,
     metrics: Arc<GatewayMetrics>,
-    pub(super) domain: DomainId,
+    /// This instance, as others may use it as a helper.
+    pub(super) own: HelperAddress,
     pub(super) health: Arc<KeeperHealth>,
     outcomes: Arc<OutcomeBoard>,
     /// Number of its own, by which it orders keepers.
     pub(super) seed: u64,
+    /// Entries through which keepers are reached that don't answer straight.
+    pub(super) helpers: Arc<HelperBook>,
     /// Newest revision of the key-value service that a keeper has told.
     pub(super) newest: Arc<AtomicU64>,
 }
@@ -92,18 +96,19 @@
         links: LinkEndpoint,
         placement: Arc<ArcSwap<KeeperPlacement>>,
         metrics: Arc<GatewayMetrics>,
-        domain: DomainId,
+        own: HelperAddress,
         outcomes: Arc<OutcomeBoard>,
     ) -> Self {
         Self {
             links,
             placement,
             metrics,
-            domain,
+            own,
             health: Arc::default(),
             outcomes,
             seed: rand::random(),
             newest: Arc::default(),
+            helpers: Arc::default(),
         }
     }
 
@@ -131,12 +136,13 @@
             if self.health.judge(&placement, Instant::now()) {
                 self.log_reach(&placement);
             }
+            self.seek_helpers(&placement).await;
             for slot in self.health.silent(&placement, Instant::now()) {
                 let client = self.clone();
                 let placement = placement.clone();
                 tokio::spawn(async move {
                     client
-                        .ask(slot, &placement, KeeperRequest::Probe, ASK_TIMEOUT)
+                        .ask_straight(&slot, &placement, KeeperRequest::Probe, ASK_TIMEOUT)
                         .await
                 });
             }
@@ -288,7 +294,7 @@
     ) -> Result<ChainAnswer, FactFailure> {
         let placement = self.placement.load_full();
         let mut group = self.reachable_group(&placement, program)?;
-        group.sort_by_key(|slot| slot.domain != self.domain);
+        group.sort_by_key(|slot| slot.domain != self.own.domain);
         let request = KeeperRequest::Chain(turn.clone());
         let mut partial = None;
         if let Some(nearest) = group.first() {
@@ -403,6 +409,7 @@
         }
     }
 
+    /// Asks a keeper, through a helper where it doesn't answer straight.
     pub(super) async fn ask(
         &self,
         slot: KeeperSlot,
@@ -410,27 +417,30 @@
         request: KeeperRequest,
         timeout: Duration,
     ) -> Option<KeeperReply> {
+        let straight = self.health.is_straight(&slot.name, Instant::now());
+        if straight || self.helpers.used().is_empty() {
+            return self.ask_straight(&slot, placement, request, timeout).await;
+        }
         let envelope = self.envelope(&slot, placement, request);
+        let reply = self.ask_indirectly(&slot, &envelope, timeout).await;
+        let result = if reply.is_some() { "helped" } else { "failed" };
+        self.metrics.count_keeper_call(result);
+        self.learn_from(reply?)
+    }
+
+    async fn ask_straight(
+        &self,
+        slot: &KeeperSlot,
+        placement: &KeeperPlacement,
+        request: KeeperRequest,
+        timeout: Duration,
+    ) -> Option<KeeperReply> {
+        let envelope = self.envelope(slot, placement, request);
         match self.links.ask(slot.address, &envelope, timeout).await {
-            Ok(KeeperReply::NewerPlacement(newer)) => {
-                self.health.note(&slot.name, Instant::now());
-                self.metrics.count_keeper_call("newer-placement");
-                self.adopt(&newer);
-                None
-            }
             Ok(reply) => {
-                if let KeeperReply::Reserved { suspects, .. }
-                | KeeperReply::Alive { suspects, .. }
-                | KeeperReply::Accounts { suspects, .. } = &reply
-                {
-                    self.outcomes.learn(suspects, Instant::now());
-                }
-                if let KeeperReply::Accounts { revision, .. } = &reply {
-                    self.note_revision(*revision);
-                }
                 self.health.note(&slot.name, Instant::now());
                 self.metrics.count_keeper_call("answered");
-                Some(reply)
+                self.learn_from(reply)
             }
             Err(error) => {
                 self.metrics.count_keeper_call("failed");
@@ -439,6 +449,44 @@
             }
         }
     }
+
+    /// Takes what a keeper tells beside its answer; `None` where the answer is only that the placement is old.
+    fn learn_from(&self, reply: KeeperReply) -> Option<KeeperReply> {
+        match &reply {
+            KeeperReply::NewerPlacement(newer) => {
+                self.adopt(newer);
+                return None;
+            }
+            KeeperReply::Reserved { suspects, .. } | KeeperReply::Alive { suspects, .. } => {
+                self.outcomes.learn(suspects, Instant::now());
+            }
+            KeeperReply::Accounts {
+                suspects,
+                revision,
+                helper,
+                ..
+            } => {
+                self.outcomes.learn(suspects, Instant::now());
+                self.note_revision(*revision);
+                if let Some(helper) = helper {
+                    self.note_helper(helper.clone());
+                }
+            }
+            KeeperReply::Stream {
+                helper: Some(helper),
+                ..
+            } => self.note_helper(helper.clone()),
+            _ => {}
+        }
+        Some(reply)
+    }
+
+    /// Notes an entry that may carry questions to keepers which this instance doesn't reach.
+    pub fn note_helper(&self, helper: HelperAddress) {
+        if helper.name != self.own.name {
+            self.helpers.note(helper);
+        }
+    }
 }
 
 fn group_slots(
--- a/crates/samphiregrade-gateway/src/fact/health.rs
+++ b/crates/samphiregrade-gateway/src/fact/health.rs
@@ -32,6 +32,10 @@
 /// for all instances cost all of them the same, so that going elsewhere helps only where most is lost here.
 const LEAST_SHARE: f64 = 0.5;
 
+/// Share of the programs that an instance has to be able to serve without helpers; with less it looks for some. One lost
+/// keeper costs no program, and needs none.
+const HELPED_SHARE: f64 = 0.95;
+
 /// Groups of a placement, drawn as those of programs are.
 #[derive(Debug, Default)]
 struct SampleGroups {
@@ -43,6 +47,8 @@
 #[derive(Debug, Default)]
 pub struct KeeperHealth {
     heard: Mutex<HashMap<SmolStr, Instant>>,
+    /// Keepers that helpers reach.
+    indirect: Mutex<HashMap<SmolStr, Instant>>,
     samples: Mutex<SampleGroups>,
     cut_since: Mutex<Option<Instant>>,
 }
@@ -53,6 +59,26 @@
         hold(&self.heard).insert(name.clone(), now);
     }
 
+    /// Notes when a helper heard a keeper.
+    pub fn note_indirect(&self, name: &SmolStr, heard: Instant) {
+        let mut indirect = hold(&self.indirect);
+        let last = indirect.entry(name.clone()).or_insert(heard);
+        *last = heard.max(*last);
+    }
+
+    /// Returns whether a keeper answers without a helper.
+    #[must_use]
+    pub fn is_straight(&self, name: &SmolStr, now: Instant) -> bool {
+        self.silence(name, now) < OUT_OF_REACH
+    }
+
+    /// Returns whether so many keepers are silent that helpers are worth their messages.
+    #[must_use]
+    pub fn needs_helpers(&self, placement: &KeeperPlacement, now: Instant) -> bool {
+        let straight = |slot: &KeeperSlot| self.is_straight(&slot.name, now);
+        self.served_share(placement, straight) < HELPED_SHARE
+    }
+
     /// Returns the keepers that have been silent for a while.
     #[must_use]
     pub fn silent(&self, placement: &KeeperPlacement, now: Instant) -> Vec<KeeperSlot> {
@@ -77,10 +103,14 @@
         silent
     }
 
-    /// Returns whether a keeper is within reach.
+    /// Returns whether a keeper is within reach, by itself or through a helper.
     #[must_use]
     pub fn is_within_reach(&self, name: &SmolStr, now: Instant) -> bool {
-        self.silence(name, now) < OUT_OF_REACH
+        if self.is_straight(name, now) {
+            return true;
+        }
+        let told = hold(&self.indirect).get(name).copied();
+        told.is_some_and(|told| now.saturating_duration_since(told) < OUT_OF_REACH)
     }
 
     /// Returns how many of the keepers are within reach.
@@ -92,7 +122,8 @@
 
     /// Judges anew whether the instance is cut off; returns whether that has changed.
     pub fn judge(&self, placement: &KeeperPlacement, now: Instant) -> bool {
-        let cut_off = self.served_share(placement, now) < LEAST_SHARE;
+        let reached = |slot: &KeeperSlot| self.is_within_reach(&slot.name, now);
+        let cut_off = self.served_share(placement, reached) < LEAST_SHARE;
         let mut since = hold(&self.cut_since);
         if since.is_some() == cut_off {
             return false;
@@ -108,16 +139,15 @@
         hold(&self.cut_since).map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
     }
 
-    /// Returns the share of programs of which enough keepers are within reach.
-    fn served_share(&self, placement: &KeeperPlacement, now: Instant) -> f64 {
+    /// Returns the share of programs of which enough keepers are reached.
+    fn served_share<Reached>(&self, placement: &KeeperPlacement, reached: Reached) -> f64
+    where
+        Reached: Fn(&KeeperSlot) -> bool,
+    {
         if placement.slots.is_empty() {
             return 1.0;
         }
-        let within_reach: Vec<bool> = placement
-            .slots
-            .iter()
-            .map(|slot| self.is_within_reach(&slot.name, now))
-            .collect();
+        let within_reach: Vec<bool> = placement.slots.iter().map(reached).collect();
         let mut samples = hold(&self.samples);
         samples.follow(placement);
         let mut served = 0_u32;
@@ -129,7 +159,7 @@
     }
 
     /// Returns how long a keeper has been silent; the first look at it starts the clock.
-    fn silence(&self, name: &SmolStr, now: Instant) -> Duration {
+    pub(super) fn silence(&self, name: &SmolStr, now: Instant) -> Duration {
         let mut heard = hold(&self.heard);
         let last = heard.entry(name.clone()).or_insert(now);
         now.saturating_duration_since(*last)
--- a/crates/samphiregrade-gateway/src/fact/message.rs
+++ b/crates/samphiregrade-gateway/src/fact/message.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use super::helper::HelperAddress;
 use super::placement::{KeeperPlacement, PlacementGeneration};
 use crate::dialect::StoreRevision;
 use crate::model::{ProgramId, SessionId, TurnId, UpstreamId, UpstreamStart};
@@ -211,7 +212,12 @@
     /// Asks how upstreams stand for which the keeper accounts.
     Accounts(AccountQuestion),
     /// Asks what is new in the key-value service.
-    Follow(StreamRequest),
+    Follow {
+        /// What it knows.
+        request: StreamRequest,
+        /// The one who asks.
+        follower: HelperAddress,
+    },
 }
 
 /// A request with the placement that its sender knows.
@@ -281,9 +287,16 @@
         suspects: Vec<UpstreamSuspect>,
         /// Revision of the key-value service up to which the keeper knows everything.
         revision: StoreRevision,
+        /// An entry that may carry questions.
+        helper: Option<HelperAddress>,
     },
     /// What is new in the key-value service.
-    Stream(StreamReply),
+    Stream {
+        /// What is new.
+        reply: StreamReply,
+        /// An entry that may carry questions.
+        helper: Option<HelperAddress>,
+    },
     /// What was told is noted.
     Noted,
     /// The sender's placement is old; this is the newer one.
--- a/crates/samphiregrade-gateway/src/fact/mod.rs
+++ b/crates/samphiregrade-gateway/src/fact/mod.rs
@@ -9,6 +9,8 @@
 mod client;
 mod disk;
 mod health;
+mod helper;
+mod indirect;
 mod message;
 mod placement;
 mod reader;
@@ -20,6 +22,10 @@
 pub use client::{ChainLookup, FactFailure, KeeperClient, ReserveOutcome};
 pub use disk::{DiskState, FactDisk, FactDiskError, RecoveredFacts};
 pub use health::KeeperHealth;
+pub use helper::{
+    FollowerTable, HelperAddress, HelperBook, HelperReply, HelperRequest, HelperService,
+    ReachedKeeper,
+};
 pub use message::{
     ChainAnswer, ExportRequest, FactRecord, KeeperEnvelope, KeeperReply, KeeperRequest,
     ProgramLedger, Reservation, TurnFact, TurnPlace,
--- a/crates/samphiregrade-gateway/src/fact/service.rs
+++ b/crates/samphiregrade-gateway/src/fact/service.rs
@@ -9,6 +9,7 @@
 
 use super::book::{FactBook, FactPart, TurnContent};
 use super::disk::{DiskState, FactDisk, RecoveredFacts};
+use super::helper::FollowerTable;
 use super::message::{
     ChainAnswer, ExportRequest, FactRecord, KeeperEnvelope, KeeperReply, KeeperRequest,
     ProgramLedger,
@@ -57,6 +58,8 @@
     outcomes: OutcomeTable,
     /// What runs at the upstreams for which the keeper accounts; memory only too.
     runs: RunTable,
+    /// Entries that follow this keeper.
+    followers: FollowerTable,
 }
 
 #[derive(Serialize)]
@@ -97,6 +100,7 @@
             unwritten: false,
             outcomes: OutcomeTable::default(),
             runs: RunTable::new(Instant::now()),
+            followers: FollowerTable::default(),
         };
         Self {
             state: Arc::new(Mutex::new(state)),
@@ -167,9 +171,18 @@
                 accounts: self.with(|state| state.runs.answer(&question, now)),
                 suspects: self.suspects(),
                 revision: self.mirror.revision(),
+                helper: self.with(|state| state.followers.next(None, now)),
             },
-            KeeperRequest::Follow(request) => {
-                KeeperReply::Stream(self.mirror.answer(request).await)
+            KeeperRequest::Follow { request, follower } => {
+                let helper = self.with(|state| {
+                    let helper = state.followers.next(Some(&follower.name), now);
+                    state.followers.note(follower, now);
+                    helper
+                });
+                KeeperReply::Stream {
+                    reply: self.mirror.answer(request).await,
+                    helper,
+                }
             }
         }
     }
--- a/crates/samphiregrade-gateway/src/fact/stream.rs
+++ b/crates/samphiregrade-gateway/src/fact/stream.rs
@@ -25,7 +25,7 @@
             if !self.health.is_within_reach(&slot.name, now) {
                 continue;
             }
-            let elsewhere = slot.domain != self.domain;
+            let elsewhere = slot.domain != self.own.domain;
             sources.push((elsewhere, mix(self.seed, index as u64), slot));
         }
         sources.sort_by_key(|(elsewhere, order, _)| (*elsewhere, *order));
@@ -39,14 +39,13 @@
     pub async fn follow(&self, slot: &KeeperSlot, request: StreamRequest) -> Option<StreamReply> {
         let placement = self.placement.load_full();
         let timeout = request.hold + FOLLOW_MARGIN;
-        let asking = self.ask(
-            slot.clone(),
-            &placement,
-            KeeperRequest::Follow(request),
-            timeout,
-        );
+        let follow = KeeperRequest::Follow {
+            request,
+            follower: self.own.clone(),
+        };
+        let asking = self.ask(slot.clone(), &placement, follow, timeout);
         match asking.await {
-            Some(KeeperReply::Stream(reply)) => Some(reply),
+            Some(KeeperReply::Stream { reply, .. }) => Some(reply),
             _ => None,
         }
     }
--- a/crates/samphiregrade-gateway/src/role/beliefs.rs
+++ b/crates/samphiregrade-gateway/src/role/beliefs.rs
@@ -1,5 +1,6 @@
 //! What an entry believes of the deployment, from what it follows in the key-value service.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -13,7 +14,7 @@
 use super::stream::follow_keepers;
 use crate::dialect::{StoreItem, StorePage, StoreRevision, StoreValue};
 use crate::exchange::EntryContext;
-use crate::fact::{KeeperClient, KeeperPlacement};
+use crate::fact::{HelperAddress, HelperRequest, HelperService, KeeperClient, KeeperPlacement};
 use crate::link::LinkEndpoint;
 use crate::model::{UpstreamEntry, UpstreamId};
 use crate::observe::Logbook;
@@ -257,13 +258,33 @@
     let identity = authority.identity(&settings.instance.name)?;
     let links = LinkEndpoint::new(&identity)?;
     let keepers = KeeperClient::new(
-        links,
+        links.clone(),
         placement.clone(),
         context.metrics.clone(),
-        settings.instance.failure_domain.clone(),
+        HelperAddress {
+            name: settings.instance.name.clone(),
+            address: settings.listen.advertised_links(),
+            domain: settings.instance.failure_domain.clone(),
+        },
         context.outcomes.clone(),
     );
     tokio::spawn(keepers.clone().watch_health(ended.clone()));
+    tokio::spawn(help_others(
+        links,
+        settings.listen.links(),
+        HelperService::new(keepers.clone()),
+    ));
     context.keepers.store(Some(Arc::new(keepers)));
     Ok(())
 }
+
+/// Carries questions of entries that don't reach the keepers.
+async fn help_others(links: LinkEndpoint, address: SocketAddr, service: HelperService) {
+    let handler = move |request: HelperRequest| {
+        let service = service.clone();
+        async move { service.answer(request).await }
+    };
+    if let Err(error) = links.serve(address, handler).await {
+        log::error!("links can't be accepted on {address}: {error}; free the port");
+    }
+}
--- a/crates/samphiregrade-gateway/src/upstream/balance.rs
+++ b/crates/samphiregrade-gateway/src/upstream/balance.rs
@@ -10,6 +10,9 @@
 /// What a round trip to another failure domain costs, in milliseconds: one way is about 1.4 ms.
 const OTHER_DOMAIN_MILLISECONDS: f64 = 2.8;
 
+/// What a new connection costs, in milliseconds: about a round trip, and what the upstream takes for it.
+const CONNECT_MILLISECONDS: f64 = 2.0;
+
 /// Costs that differ by less are equal: the views of loads are no better than that, in milliseconds.
 const INDIFFERENCE_MILLISECONDS: f64 = 0.3;
 
@@ -17,6 +20,9 @@
 /// processor is shared a little even before the slots are full.
 const PLAIN_SHARING: f64 = 0.35;
 
+/// Freshness of all views together below which they say nothing about the others.
+const LEAST_FRESHNESS: f64 = 0.5;
+
 /// What one more request in an engine's batch costs, as part of a turn's time for each request that runs there: a step
 /// takes some half a hundredth longer for it. Views of loads are old and poor where there are many entries, so that
 /// a dearer batch moves turns away from their cached prompts for nothing (the paired runs stand in
@@ -34,10 +40,39 @@
     pub uncached_tokens: u32,
     /// Whether it stands in another failure domain.
     pub elsewhere: bool,
+    /// Whether a connection to it is open and idle.
+    pub connected: bool,
     /// Time that is added while it warms up or is not trusted.
     pub penalty: Duration,
 }
 
+/// What an instance knows by itself of an upstream's load.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct LoadView {
+    /// Its own requests there.
+    pub own: f64,
+    /// Others' requests, by the last answer.
+    pub others: f64,
+    /// How much that still says, from 0 to 1.
+    pub freshness: f64,
+}
+
+/// Returns the loads that upstreams of one service are thought to have.
+///
+/// What has faded is taken to be as with the others: an upstream that has not been heard of for a while isn't idle, and
+/// one that has just answered isn't left for it.
+#[must_use]
+pub fn believed_loads(views: &[LoadView]) -> Vec<f64> {
+    let known: f64 = views.iter().map(|view| view.freshness).sum();
+    let others: f64 = views.iter().map(|view| view.others * view.freshness).sum();
+    let mean = others / known.max(LEAST_FRESHNESS);
+    let load = |view: &LoadView| {
+        let faded = 1.0 - view.freshness;
+        view.own + view.others * view.freshness + mean * faded
+    };
+    views.iter().map(load).collect()
+}
+
 /// What is known of a request before it runs.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct WorkEstimate {
@@ -100,13 +135,18 @@
         } else {
             0.0
         };
+        let connection = if self.connected {
+            0.0
+        } else {
+            CONNECT_MILLISECONDS
+        };
         let read = f64::from(self.uncached_tokens) / work.reading_rate.max(f64::MIN_POSITIVE);
         let shared = if work.on_engine {
             read * (1.0 + running) + BATCH_SHARE * work.hold_milliseconds * running
         } else {
             PLAIN_SHARING * work.hold_milliseconds * running / slots
         };
-        shared + queue + way + self.penalty.as_secs_f64() * 1000.0
+        shared + queue + way + connection + self.penalty.as_secs_f64() * 1000.0
     }
 }
 
--- a/crates/samphiregrade-gateway/src/upstream/mod.rs
+++ b/crates/samphiregrade-gateway/src/upstream/mod.rs
@@ -13,7 +13,7 @@
 mod service_times;
 mod silence;
 
-pub use balance::{Candidate, WorkEstimate, choose_upstream};
+pub use balance::{Candidate, LoadView, WorkEstimate, believed_loads, choose_upstream};
 pub use breaker::{BreakerState, UpstreamBreaker};
 pub use cache::PrefixCache;
 pub use directory::{DepartureRule, UpstreamDirectory, UpstreamRegistry};
--- a/crates/samphiregrade-gateway/src/upstream/peer.rs
+++ b/crates/samphiregrade-gateway/src/upstream/peer.rs
@@ -7,7 +7,7 @@
 
 use samphiregrade_http::wire::{SocketLimits, WireSocket};
 
-use super::balance::Candidate;
+use super::balance::{Candidate, LoadView};
 use super::breaker::{BreakerState, UpstreamBreaker};
 use super::cache::PrefixCache;
 use super::outcome_board::OutcomeBoard;
@@ -162,6 +162,7 @@
             slots: f64::from(self.entry.slots),
             uncached_tokens,
             elsewhere: self.entry.domain != *domain,
+            connected: self.has_idle(now),
             penalty,
         }
     }
@@ -175,14 +176,27 @@
     /// Returns the requests that are thought to be there: the own ones, and others' by its last answer.
     #[must_use]
     pub fn load(&self, now: Instant) -> f64 {
+        let view = self.load_view(now);
+        view.own + view.others * view.freshness
+    }
+
+    /// Returns what is known of its load: the own requests, and others' by its last answer.
+    #[must_use]
+    pub fn load_view(&self, now: Instant) -> LoadView {
         let own = f64::from(self.own_requests());
         let Some(report) = *hold(&self.report) else {
-            return own;
+            return LoadView {
+                own,
+                ..LoadView::default()
+            };
         };
         let present = f64::from(report.load.running + report.load.waiting);
-        let others = (present - f64::from(report.own)).max(0.0);
         let age = now.saturating_duration_since(report.at).as_secs_f64();
-        own + others * 0.5_f64.powf(age / LOAD_HALF_LIFE.as_secs_f64())
+        LoadView {
+            own,
+            others: (present - f64::from(report.own)).max(0.0),
+            freshness: 0.5_f64.powf(age / LOAD_HALF_LIFE.as_secs_f64()),
+        }
     }
 
     /// Counts a request as being there until the guard is dropped.
@@ -307,6 +321,11 @@
         Ok(socket)
     }
 
+    /// Returns whether a connection is idle that a request may take.
+    fn has_idle(&self, now: Instant) -> bool {
+        hold(&self.idle).iter().any(|kept| now < kept.expires)
+    }
+
     /// Takes an idle connection that is fit for a request.
     pub fn take_idle(&self, now: Instant) -> Option<WireSocket> {
         let mut idle = hold(&self.idle);
--- a/crates/samphiregrade-gateway/tests/suite/balance.rs
+++ b/crates/samphiregrade-gateway/tests/suite/balance.rs
@@ -6,8 +6,8 @@
 use rand::rngs::StdRng;
 use samphiregrade_gateway::model::PromptPart;
 use samphiregrade_gateway::upstream::{
-    BreakerState, Candidate, FirstParts, PrefixCache, SharedPart, UpstreamBreaker, WorkEstimate,
-    choose_upstream, ranked_homes,
+    BreakerState, Candidate, FirstParts, LoadView, PrefixCache, SharedPart, UpstreamBreaker,
+    WorkEstimate, believed_loads, choose_upstream, ranked_homes,
 };
 
 const TURN: WorkEstimate = WorkEstimate {
@@ -95,6 +95,45 @@
     );
 }
 
+#[test]
+fn calls_stay_on_open_connections_until_load_differs() {
+    // Many entries send few calls each: with equal choices, each call opens a connection of its own.
+    let open = Candidate {
+        load: 2.0,
+        slots: 6.0,
+        connected: true,
+        ..Candidate::default()
+    };
+    let new = Candidate {
+        load: 1.5,
+        connected: false,
+        ..open
+    };
+    assert_eq!(choose_upstream(&[new, open], &PLAIN, 0.0), Some(1));
+    let idle = Candidate { load: 0.0, ..new };
+    let busy = Candidate { load: 5.0, ..open };
+    assert_eq!(choose_upstream(&[idle, busy], &PLAIN, 0.0), Some(0));
+}
+
+#[test]
+fn an_upstream_that_was_not_heard_of_is_not_thought_idle() {
+    let fresh = LoadView {
+        own: 1.0,
+        others: 3.0,
+        freshness: 1.0,
+    };
+    let faded = LoadView {
+        others: 9.0,
+        freshness: 0.0,
+        ..LoadView::default()
+    };
+    let unknown = LoadView::default();
+    let loads = believed_loads(&[fresh, faded, unknown]);
+    assert_eq!(loads, [4.0, 3.0, 3.0]);
+    // With nothing known of any, only the own requests count.
+    assert_eq!(believed_loads(&[unknown, faded]), [0.0, 0.0]);
+}
+
 #[test]
 fn departed_upstream_is_the_last_resort() {
     let departed = Candidate {
--- a/crates/samphiregrade-gateway/tests/suite/health.rs
+++ b/crates/samphiregrade-gateway/tests/suite/health.rs
@@ -80,3 +80,33 @@
     health.note(&spoke, start + AFTER);
     assert_eq!(health.silent_domains(&placement, start + AFTER), ["d"]);
 }
+
+#[test]
+fn keepers_that_a_helper_reaches_are_within_reach_as_long_as_the_helper_hears_them() {
+    let start = Instant::now();
+    let placement = placement();
+    let health = judged(&placement, &["a"], start);
+    let now = start + AFTER;
+    assert!(health.needs_helpers(&placement, now));
+    for slot in &placement.slots {
+        health.note_indirect(&slot.name, now);
+    }
+    health.judge(&placement, now);
+    assert_eq!(health.cut_off_for(now), Duration::ZERO);
+    assert!(health.needs_helpers(&placement, now), "none is straight");
+}
+
+#[test]
+fn a_helper_that_has_not_noticed_a_cut_does_not_make_it_look_shorter() {
+    let start = Instant::now();
+    let placement = placement();
+    let health = judged(&placement, &["a"], start);
+    let now = start + AFTER;
+    let heard = now.checked_sub(Duration::from_millis(400)).unwrap_or(now);
+    for slot in &placement.slots {
+        health.note_indirect(&slot.name, heard);
+    }
+    let later = now + Duration::from_millis(100);
+    health.judge(&placement, later);
+    assert!(!health.cut_off_for(later).is_zero());
+}
--- /dev/null
+++ b/crates/samphiregrade-gateway/tests/suite/helpers.rs
@@ -0,0 +1,228 @@
+//! Entries that don't reach the keepers, and those that carry their questions.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use arc_swap::ArcSwap;
+use samphiregrade_gateway::fact::{
+    FactFailure, FollowerTable, HelperAddress, HelperBook, HelperReply, HelperRequest,
+    HelperService, KeeperClient, KeeperPlacement, ReserveOutcome,
+};
+use samphiregrade_gateway::observe::GatewayMetrics;
+use tokio::task::JoinHandle;
+use tokio_util::sync::CancellationToken;
+
+use crate::keepers::{Deployment, PATIENCE, endpoint, free_address, reservation};
+
+fn address(name: &str, address: SocketAddr) -> HelperAddress {
+    HelperAddress {
+        name: name.into(),
+        address,
+        domain: "a".into(),
+    }
+}
+
+/// Makes an entry's client that follows a placement and watches its keepers.
+fn watching_client(
+    deployment: &Deployment,
+    placement: KeeperPlacement,
+    own: HelperAddress,
+) -> KeeperClient {
+    let client = KeeperClient::new(
+        endpoint(&deployment.authority, &own.name),
+        Arc::new(ArcSwap::from_pointee(placement)),
+        Arc::new(GatewayMetrics::new().expect("metrics")),
+        own,
+        Arc::default(),
+    );
+    tokio::spawn(client.clone().watch_health(CancellationToken::new()));
+    client
+}
+
+/// Starts an entry that carries questions; the task ends its links when it is aborted.
+async fn start_helper(
+    deployment: &Deployment,
+    name: &str,
+    placement: KeeperPlacement,
+) -> (HelperAddress, JoinHandle<()>) {
+    let own = address(name, free_address().await);
+    let client = watching_client(deployment, placement, own.clone());
+    let links = endpoint(&deployment.authority, name);
+    let service = HelperService::new(client);
+    let listening = own.address;
+    let task = tokio::spawn(async move {
+        let handler = move |request: HelperRequest| {
+            let service = service.clone();
+            async move { service.answer(request).await }
+        };
+        let served = links.serve(listening, handler).await;
+        served.expect("a served port");
+    });
+    (own, task)
+}
+
+/// Returns the placement as it looks to one who is cut off: nobody listens at any address.
+async fn unreachable(deployment: &Deployment) -> KeeperPlacement {
+    let mut placement = deployment.placement.clone();
+    for slot in &mut placement.slots {
+        slot.address = free_address().await;
+    }
+    placement
+}
+
+async fn reserve(client: &KeeperClient, turn: &str) -> Result<ReserveOutcome, FactFailure> {
+    let fact = reservation(turn, 10);
+    client
+        .reserve(&"p".into(), fact, 100, &turn.into(), 10)
+        .await
+}
+
+/// Tries again and again until a reservation holds.
+async fn expect_reserved(client: &KeeperClient, turn: &str) {
+    let trying = async {
+        while reserve(client, turn).await.is_err() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, trying)
+        .await
+        .expect("a reservation");
+}
+
+/// Waits until the client knows that it is cut off.
+async fn expect_cut_off(client: &KeeperClient) {
+    let waiting = async {
+        while client.cut_off_for().is_zero() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, waiting)
+        .await
+        .expect("a noticed cut");
+}
+
+#[tokio::test]
+async fn an_entry_that_reaches_no_keeper_is_served_through_another_one() {
+    let deployment = Deployment::start().await;
+    let (helper, _task) = start_helper(&deployment, "h1", deployment.placement.clone()).await;
+    let own = address("cut", free_address().await);
+    let client = watching_client(&deployment, unreachable(&deployment).await, own);
+    client.note_helper(helper);
+    expect_reserved(&client, "t1").await;
+    assert!(client.uses_helpers());
+    // What was reserved through the helper is what every other client knows.
+    let other = deployment.client("b");
+    let Ok(ReserveOutcome::Held(ledger)) = reserve(&other, "t2").await else {
+        panic!("the budget holds both turns");
+    };
+    assert_eq!(ledger.reservations.len(), 2);
+}
+
+#[tokio::test]
+async fn a_helper_that_dies_is_replaced() {
+    let deployment = Deployment::start().await;
+    let own = address("cut", free_address().await);
+    let client = watching_client(&deployment, unreachable(&deployment).await, own);
+    let (first, task) = start_helper(&deployment, "h1", deployment.placement.clone()).await;
+    client.note_helper(first);
+    expect_reserved(&client, "t1").await;
+    task.abort();
+    let (second, _task) = start_helper(&deployment, "h2", deployment.placement.clone()).await;
+    client.note_helper(second);
+    expect_reserved(&client, "t2").await;
+}
+
+#[tokio::test]
+async fn a_helper_that_is_cut_off_itself_is_of_no_use_and_the_refusal_comes_at_once() {
+    let deployment = Deployment::start().await;
+    let lost = unreachable(&deployment).await;
+    let (helper, _task) = start_helper(&deployment, "h1", lost.clone()).await;
+    let own = address("cut", free_address().await);
+    let client = watching_client(&deployment, lost, own);
+    client.note_helper(helper);
+    expect_cut_off(&client).await;
+    assert_eq!(reserve(&client, "t1").await, Err(FactFailure::TooFew));
+    assert!(!client.uses_helpers());
+}
+
+#[tokio::test]
+async fn the_straight_path_is_taken_again_as_soon_as_it_is_there() {
+    let deployment = Deployment::start().await;
+    let (helper, _task) = start_helper(&deployment, "h1", deployment.placement.clone()).await;
+    let own = address("cut", free_address().await);
+    let client = watching_client(&deployment, unreachable(&deployment).await, own);
+    client.note_helper(helper);
+    expect_reserved(&client, "t1").await;
+    // The same keepers at their addresses: the cut is over.
+    client.adopt(&KeeperPlacement {
+        generation: deployment.placement.generation + 1,
+        ..deployment.placement.clone()
+    });
+    let waiting = async {
+        while client.uses_helpers() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, waiting)
+        .await
+        .expect("the straight path");
+}
+
+#[tokio::test]
+async fn nothing_is_passed_on_to_a_keeper_that_the_helper_does_not_reach() {
+    let deployment = Deployment::start().await;
+    let own = address("h1", free_address().await);
+    let client = watching_client(&deployment, unreachable(&deployment).await, own);
+    expect_cut_off(&client).await;
+    let service = HelperService::new(client);
+    let HelperReply::Reach(reached) = service.answer(HelperRequest::Reach).await else {
+        panic!("a helper tells whom it reaches");
+    };
+    assert!(reached.is_empty());
+}
+
+#[test]
+fn helpers_are_asked_in_turn_and_few_at_a_time() {
+    let book = HelperBook::default();
+    let helpers: Vec<HelperAddress> = (0..40)
+        .map(|number| address(&format!("h{number}"), ([127, 0, 0, 1], 1).into()))
+        .collect();
+    for helper in &helpers {
+        book.note(helper.clone());
+        book.note(helper.clone());
+    }
+    let mut seen: Vec<HelperAddress> = Vec::new();
+    for _ in 0..30 {
+        let asked = book.next_to_ask();
+        assert_eq!(asked.len(), 2);
+        for helper in asked {
+            if !seen.contains(&helper) {
+                seen.push(helper);
+            }
+        }
+    }
+    assert_eq!(seen.len(), 16, "the newest are remembered");
+    assert!(book.set_used(&helpers[39], true));
+    assert!(!book.set_used(&helpers[39], true), "no news");
+    assert_eq!(book.next_to_ask()[0], helpers[39]);
+    assert!(book.clear_used());
+    assert!(book.used().is_empty());
+}
+
+#[test]
+fn keepers_tell_of_entries_that_still_follow_them_one_after_the_other() {
+    let now = Instant::now();
+    let mut table = FollowerTable::default();
+    for name in ["e1", "e2", "e3"] {
+        table.note(address(name, ([127, 0, 0, 1], 1).into()), now);
+    }
+    let mut told: Vec<String> = (0..4)
+        .filter_map(|_| table.next(Some(&"e1".into()), now))
+        .map(|helper| helper.name.to_string())
+        .collect();
+    told.sort();
+    assert_eq!(told, ["e2", "e2", "e3", "e3"]);
+    let later = now + Duration::from_secs(3);
+    assert_eq!(table.next(None, later), None);
+}
--- a/crates/samphiregrade-gateway/tests/suite/keepers.rs
+++ b/crates/samphiregrade-gateway/tests/suite/keepers.rs
@@ -7,9 +7,9 @@
 use arc_swap::ArcSwap;
 use bytes::Bytes;
 use samphiregrade_gateway::fact::{
-    ChainLookup, FactDisk, FactFailure, FactRecord, KeeperClient, KeeperEnvelope, KeeperPlacement,
-    KeeperReply, KeeperRequest, KeeperService, KeeperSlot, Reservation, ReserveOutcome,
-    rebuild_from_others,
+    ChainLookup, FactDisk, FactFailure, FactRecord, HelperAddress, KeeperClient, KeeperEnvelope,
+    KeeperPlacement, KeeperReply, KeeperRequest, KeeperService, KeeperSlot, Reservation,
+    ReserveOutcome, rebuild_from_others,
 };
 use samphiregrade_gateway::identity::{make_authority, make_identity};
 use samphiregrade_gateway::link::LinkEndpoint;
@@ -21,7 +21,7 @@
 
 use crate::facts::turn;
 
-const PATIENCE: Duration = Duration::from_secs(20);
+pub const PATIENCE: Duration = Duration::from_secs(20);
 
 struct Keeper {
     service: KeeperService,
@@ -29,14 +29,14 @@
     _folder: TempDir,
 }
 
-struct Deployment {
-    authority: (String, String),
+pub struct Deployment {
+    pub authority: (String, String),
     keepers: Vec<Keeper>,
-    placement: KeeperPlacement,
+    pub placement: KeeperPlacement,
 }
 
 impl Deployment {
-    async fn start() -> Self {
+    pub async fn start() -> Self {
         let _ = rustls::crypto::ring::default_provider().install_default();
         let authority = make_authority().expect("an authority");
         let mut keepers = Vec::new();
@@ -59,12 +59,12 @@
         endpoint(&self.authority, "client")
     }
 
-    fn client(&self, domain: &str) -> KeeperClient {
+    pub fn client(&self, domain: &str) -> KeeperClient {
         KeeperClient::new(
             self.links(),
             Arc::new(ArcSwap::from_pointee(self.placement.clone())),
             Arc::new(GatewayMetrics::new().expect("metrics")),
-            domain.into(),
+            own_address(domain),
             Arc::default(),
         )
     }
@@ -85,12 +85,21 @@
     }
 }
 
-fn endpoint(authority: &(String, String), name: &str) -> LinkEndpoint {
+/// Describes a client that helps nobody.
+fn own_address(domain: &str) -> HelperAddress {
+    HelperAddress {
+        name: "client".into(),
+        address: ([127, 0, 0, 1], 1).into(),
+        domain: domain.into(),
+    }
+}
+
+pub fn endpoint(authority: &(String, String), name: &str) -> LinkEndpoint {
     let identity = make_identity(&authority.0, &authority.1, name).expect("an identity");
     LinkEndpoint::new(&identity).expect("an endpoint")
 }
 
-async fn free_address() -> SocketAddr {
+pub async fn free_address() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     listener.local_addr().expect("an address")
 }
@@ -122,7 +131,7 @@
     }
 }
 
-fn reservation(turn: &str, most: u32) -> FactRecord {
+pub fn reservation(turn: &str, most: u32) -> FactRecord {
     FactRecord::Reservation {
         program: "p".into(),
         reservation: Reservation {
@@ -262,7 +271,7 @@
         endpoint(&authority, "client"),
         Arc::new(ArcSwap::from_pointee(KeeperPlacement::first(slots, 1))),
         metrics.clone(),
-        "a".into(),
+        own_address("a"),
         Arc::default(),
     );
     let fact = turn("t1", None, b"in", b"out");
--- a/crates/samphiregrade-gateway/tests/suite/main.rs
+++ b/crates/samphiregrade-gateway/tests/suite/main.rs
@@ -5,6 +5,7 @@
 mod events;
 mod facts;
 mod health;
+mod helpers;
 mod keepers;
 mod keepers_model;
 mod link;
