Mark homes among all engines; the choice of an upstream in named steps

Cause: homes of a first part were ranked again among the few engines that had been asked about, so that most of the drawn homes did not count as such, and leave to probe a doubted engine was looked for only among these. The survey keeps the homes now, and leave is looked for first.

--- a/crates/samphiregrade-gateway/src/exchange/dispatch.rs
+++ b/crates/samphiregrade-gateway/src/exchange/dispatch.rs
@@ -11,7 +11,6 @@
 use super::survey::PlacementView;
 use crate::upstream::{
     Candidate, LoadView, Outcome, Upstream, WorkEstimate, believed_loads, choose_upstream,
-    ranked_homes,
 };
 
 /// Connections that may fail before one attempt of a client is refused: each has cost no more than a round trip.
@@ -121,8 +120,29 @@
 ) -> Option<ChosenUpstream> {
     let now = Instant::now();
     let directory = context.directory.load();
-    let fit: Vec<&Arc<Upstream>> = directory
-        .of(&request.service.name)
+    let upstreams = directory.of(&request.service.name);
+    let fit = fit_upstreams(upstreams, tried, now);
+    if let Some(probed) = probe(context, request, &fit, now) {
+        return Some(probed);
+    }
+    let fit = accounted(fit, &request.view);
+    let candidates = candidates(context, request, &fit, now);
+    let index = choose_upstream(&candidates, &work_estimate(request), rand::random())?;
+    record.load = candidates[index].load;
+    record.uncached = candidates[index].uncached_tokens;
+    Some(ChosenUpstream {
+        upstream: fit[index].clone(),
+        probes: false,
+    })
+}
+
+/// Returns the upstreams that may get the request: those that are trusted, where there are any.
+fn fit_upstreams<'directory>(
+    upstreams: &'directory [Arc<Upstream>],
+    tried: &[Arc<Upstream>],
+    now: Instant,
+) -> Vec<&'directory Arc<Upstream>> {
+    let fit: Vec<&Arc<Upstream>> = upstreams
         .iter()
         .filter(|upstream| upstream.takes_requests())
         .filter(|upstream| !tried.iter().any(|other| Arc::ptr_eq(other, upstream)))
@@ -132,54 +152,60 @@
         .copied()
         .filter(|upstream| upstream.is_trusted(now))
         .collect();
-    let fit = if trusted.is_empty() { fit } else { trusted };
-    let fit = accounted(fit, &request.view);
-    if let Some(probed) = probe(context, request, &fit, now) {
-        return Some(probed);
-    }
-    let prompt = &request.metadata.prompt;
-    let engines: Vec<u64> = fit.iter().map(|upstream| upstream.tag).collect();
-    let homes = match prompt.first() {
-        Some(_) => ranked_homes(&request.view.first, &engines).marks(),
-        None => vec![false; fit.len()],
-    };
+    if trusted.is_empty() { fit } else { trusted }
+}
+
+/// Describes upstreams as choices for the request.
+fn candidates(
+    context: &EntryContext,
+    request: &RoutedRequest,
+    fit: &[&Arc<Upstream>],
+    now: Instant,
+) -> Vec<Candidate> {
     let explores = rand::random_bool(EXPLORING_SHARE);
     let views: Vec<LoadView> = fit.iter().map(|upstream| upstream.load_view(now)).collect();
-    let candidates: Vec<Candidate> = fit
-        .iter()
-        .zip(homes)
-        .zip(believed_loads(&views))
-        .map(|((upstream, home), load)| {
-            let mut candidate = upstream.candidate(prompt, home, &context.domain, now);
-            candidate.load = load;
-            candidate.connected |= explores;
-            if let Some(account) = request.view.account(upstream.start_tag) {
-                candidate.take_account(account, upstream.own_requests(), home);
-            }
-            // Another instance may have sent the turn before; the keepers have told where.
-            if let Some(uncached) = request.uncached_at_last_place(&upstream.entry) {
-                candidate.uncached_tokens = candidate.uncached_tokens.min(uncached);
-            }
-            let repeatable = request.may_begin_anew();
-            candidate.penalty += context
-                .outcomes
-                .penalty(upstream.start_tag, repeatable, now);
-            candidate
-        })
-        .collect();
-    let on_engine = request.service.engine.is_some();
-    let work = WorkEstimate {
+    let mut candidates = Vec::with_capacity(fit.len());
+    for (upstream, load) in fit.iter().zip(believed_loads(&views)) {
+        let mut candidate = candidate(context, request, upstream, load, now);
+        candidate.connected |= explores;
+        candidates.push(candidate);
+    }
+    candidates
+}
+
+/// Describes an upstream as a choice for the request; `load` is what this instance believes of it.
+fn candidate(
+    context: &EntryContext,
+    request: &RoutedRequest,
+    upstream: &Upstream,
+    load: f64,
+    now: Instant,
+) -> Candidate {
+    let prompt = &request.metadata.prompt;
+    let home = request.view.homes.contains(&upstream.start_tag);
+    let mut candidate = upstream.candidate(prompt, home, &context.domain, now);
+    candidate.load = load;
+    if let Some(account) = request.view.account(upstream.start_tag) {
+        candidate.take_account(account, upstream.own_requests(), home);
+    }
+    // Another instance may have sent the turn before; the keepers have told where.
+    if let Some(uncached) = request.uncached_at_last_place(&upstream.entry) {
+        candidate.uncached_tokens = candidate.uncached_tokens.min(uncached);
+    }
+    let repeatable = request.may_begin_anew();
+    let doubt = context
+        .outcomes
+        .penalty(upstream.start_tag, repeatable, now);
+    candidate.penalty += doubt;
+    candidate
+}
+
+fn work_estimate(request: &RoutedRequest) -> WorkEstimate {
+    WorkEstimate {
         hold_milliseconds: request.times.hold().as_secs_f64() * 1000.0,
         reading_rate: request.times.reading_rate(),
-        on_engine,
-    };
-    let index = choose_upstream(&candidates, &work, rand::random())?;
-    record.load = candidates[index].load;
-    record.uncached = candidates[index].uncached_tokens;
-    Some(ChosenUpstream {
-        upstream: fit[index].clone(),
-        probes: false,
-    })
+        on_engine: request.service.engine.is_some(),
+    }
 }
 
 /// Returns the upstreams whose accounts the keepers have told, where these are a choice: what is not known looks idle.
--- a/crates/samphiregrade-gateway/src/exchange/survey.rs
+++ b/crates/samphiregrade-gateway/src/exchange/survey.rs
@@ -26,8 +26,8 @@
 /// What is known of a service's upstreams when a request is about to be placed.
 #[derive(Clone, Debug, Default)]
 pub struct PlacementView {
-    /// The first part of the request's prompt.
-    pub first: SharedPart,
+    /// Homes of the first part of its prompt.
+    pub homes: Vec<UpstreamTag>,
     /// Accounts of the upstreams that matter.
     pub accounts: Vec<UpstreamAccount>,
 }
@@ -54,7 +54,7 @@
         share: context.first_parts.count(part.tag, Instant::now()),
         capacity: engine.cache_tokens,
     };
-    let upstreams = upstreams_that_matter(context, request, &first);
+    let SurveyPlan { homes, upstreams } = plan_survey(context, request, &first);
     let question = AccountQuestion {
         service: request.service.name.clone(),
         upstreams,
@@ -64,14 +64,16 @@
         Some(keepers) => keepers.accounts(&question, SURVEY_WAIT).await,
         None => Vec::new(),
     };
-    PlacementView { first, accounts }
+    PlacementView { homes, accounts }
 }
 
-fn upstreams_that_matter(
-    context: &EntryContext,
-    request: &RoutedRequest,
-    first: &SharedPart,
-) -> Vec<UpstreamTag> {
+/// Which engines are asked about.
+struct SurveyPlan {
+    homes: Vec<UpstreamTag>,
+    upstreams: Vec<UpstreamTag>,
+}
+
+fn plan_survey(context: &EntryContext, request: &RoutedRequest, first: &SharedPart) -> SurveyPlan {
     let directory = context.directory.load();
     let fit: Vec<_> = directory
         .of(&request.service.name)
@@ -79,21 +81,22 @@
         .filter(|upstream| upstream.takes_requests())
         .collect();
     let engines: Vec<u64> = fit.iter().map(|upstream| upstream.tag).collect();
-    let homes = ranked_homes(first, &engines);
-    let asked = homes.sample(HOMES_ASKED, SPARES_ASKED, &mut rand::rng());
-    let mut tags = Vec::with_capacity(asked.len() + 1);
+    let ranking = ranked_homes(first, &engines);
+    let homes = ranking.homes().iter().map(|&index| fit[index].start_tag);
+    let homes = homes.collect();
+    let mut upstreams = Vec::with_capacity(1 + HOMES_ASKED + SPARES_ASKED);
     for upstream in &fit {
         if request.uncached_at_last_place(&upstream.entry).is_some() {
-            tags.push(upstream.start_tag);
+            upstreams.push(upstream.start_tag);
         }
     }
-    for index in asked {
+    for index in ranking.sample(HOMES_ASKED, SPARES_ASKED, &mut rand::rng()) {
         let tag = fit[index].start_tag;
-        if !tags.contains(&tag) {
-            tags.push(tag);
+        if !upstreams.contains(&tag) {
+            upstreams.push(tag);
         }
     }
-    tags
+    SurveyPlan { homes, upstreams }
 }
 
 /// A request that counts as being at an upstream, here and at the keepers that account for the upstream.
--- a/crates/samphiregrade-gateway/src/fact/client.rs
+++ b/crates/samphiregrade-gateway/src/fact/client.rs
@@ -6,20 +6,18 @@
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
-use serde::Serialize;
 use thiserror::Error;
 use tokio::sync::mpsc;
-use tokio_util::sync::CancellationToken;
 
 use super::health::KeeperHealth;
 use super::helper::{HelperAddress, HelperBook};
 use super::message::{
     ChainAnswer, FactRecord, KeeperEnvelope, KeeperReply, KeeperRequest, ProgramLedger,
 };
-use super::placement::{KeeperPlacement, KeeperSlot, PlacementGeneration};
+use super::placement::{KeeperPlacement, KeeperSlot};
 use crate::link::LinkEndpoint;
-use crate::model::{DomainId, ProgramId, TurnId};
-use crate::observe::{GatewayMetrics, Logbook};
+use crate::model::{ProgramId, TurnId};
+use crate::observe::GatewayMetrics;
 use crate::upstream::OutcomeBoard;
 
 /// Longest wait for one keeper: dozens of round trips and syncs, and short against a client's deadline.
@@ -31,9 +29,6 @@
 /// Times that a fact is sent to a keeper that does not confirm it.
 const BACKGROUND_TRIES: usize = 3;
 
-/// Time between two looks at silent keepers.
-const HEALTH_INTERVAL: Duration = Duration::from_millis(100);
-
 /// Why a fact is not known to be durable, or a question has no sure answer.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
 pub enum FactFailure {
@@ -63,14 +58,6 @@
     Absent,
 }
 
-#[derive(Serialize)]
-struct ReachLine {
-    cut_off: bool,
-    generation: PlacementGeneration,
-    within_reach: usize,
-    keepers: usize,
-}
-
 /// The client of all keepers; cloning it is cheap.
 #[derive(Clone)]
 pub struct KeeperClient {
@@ -112,54 +99,6 @@
         }
     }
 
-    /// Returns how long too few keepers have answered for every program to be served; zero while enough do.
-    #[must_use]
-    pub fn cut_off_for(&self) -> Duration {
-        self.health.cut_off_for(Instant::now())
-    }
-
-    /// Returns the failure domains whose keepers have all been silent for a while.
-    #[must_use]
-    pub fn silent_domains(&self) -> Vec<DomainId> {
-        self.health
-            .silent_domains(&self.placement.load(), Instant::now())
-    }
-
-    /// Asks each keeper that has been silent for a while whether it is there, until cancelled.
-    pub async fn watch_health(self, cancel: CancellationToken) {
-        loop {
-            tokio::select! {
-                () = cancel.cancelled() => return,
-                () = tokio::time::sleep(HEALTH_INTERVAL) => {}
-            }
-            let placement = self.placement.load_full();
-            if self.health.judge(&placement, Instant::now()) {
-                self.log_reach(&placement);
-            }
-            self.seek_helpers(&placement).await;
-            for slot in self.health.silent(&placement, Instant::now()) {
-                let client = self.clone();
-                let placement = placement.clone();
-                tokio::spawn(async move {
-                    client
-                        .ask_straight(&slot, &placement, KeeperRequest::Probe, ASK_TIMEOUT)
-                        .await
-                });
-            }
-        }
-    }
-
-    fn log_reach(&self, placement: &KeeperPlacement) {
-        let now = Instant::now();
-        let line = ReachLine {
-            cut_off: !self.health.cut_off_for(now).is_zero(),
-            generation: placement.generation,
-            within_reach: self.health.reachable(&placement.slots, now),
-            keepers: placement.slots.len(),
-        };
-        Logbook::of_process().record("keepers-reach", &line);
-    }
-
     /// Returns the placement that the client follows.
     #[must_use]
     pub fn placement(&self) -> KeeperPlacement {
@@ -428,7 +367,7 @@
         self.learn_from(reply?)
     }
 
-    async fn ask_straight(
+    pub(super) async fn ask_straight(
         &self,
         slot: &KeeperSlot,
         placement: &KeeperPlacement,
--- a/crates/samphiregrade-gateway/src/fact/mod.rs
+++ b/crates/samphiregrade-gateway/src/fact/mod.rs
@@ -13,6 +13,7 @@
 mod indirect;
 mod message;
 mod placement;
+mod reach;
 mod reader;
 mod rebuild;
 mod service;
--- a/crates/samphiregrade-gateway/src/lib.rs
+++ b/crates/samphiregrade-gateway/src/lib.rs
@@ -5,8 +5,9 @@
 //! * [`exchange`] takes a client's request, decides, dispatches it and relays the answer;
 //! * [`routing`] finds its route and service in one snapshot of the configuration;
 //! * [`upstream`] knows who serves what, how loaded, with what cached, and chooses;
-//! * [`fact`] keeps turns and budgets on the instances with disks, by majorities;
-//! * [`store`] follows the platform's key-value service;
+//! * [`fact`] keeps turns and budgets on the instances with disks, by majorities, and reaches these, through other
+//!   entries where need be;
+//! * [`store`] follows the platform's key-value service, and keeps what keepers pass on of it;
 //! * [`dialect`] is what an adapter gives: names and formats, nothing that decides;
 //! * [`role`] puts these together as entry and keeper instances;
 //! * [`link`] and [`identity`] connect instances; [`observe`] tells what they do.
--- a/crates/samphiregrade-gateway/src/upstream/homes.rs
+++ b/crates/samphiregrade-gateway/src/upstream/homes.rs
@@ -88,14 +88,10 @@
 }
 
 impl HomeRanking {
-    /// Returns for each engine whether it is a home.
+    /// Returns the indices of the homes.
     #[must_use]
-    pub fn marks(&self) -> Vec<bool> {
-        let mut marks = vec![false; self.order.len()];
-        for &index in self.order.iter().take(self.count) {
-            marks[index] = true;
-        }
-        marks
+    pub fn homes(&self) -> &[usize] {
+        &self.order[..self.count]
     }
 
     /// Draws some of the homes, and returns them with the engines that come next in the order.
--- a/crates/samphiregrade-gateway/tests/suite/balance.rs
+++ b/crates/samphiregrade-gateway/tests/suite/balance.rs
@@ -182,7 +182,9 @@
         share,
         capacity: 50_000,
     };
-    ranked_homes(&part, engines).marks()
+    let ranking = ranked_homes(&part, engines);
+    let is_home = |index: usize| ranking.homes().contains(&index);
+    (0..engines.len()).map(is_home).collect()
 }
 
 #[test]
@@ -214,7 +216,7 @@
         },
         &engines,
     );
-    let (first, rest) = homes.order.split_at(homes.count);
+    let (first, rest) = (homes.homes(), &homes.order[homes.count..]);
     let mut random = StdRng::seed_from_u64(3);
     for _ in 0..20 {
         let sample = homes.clone().sample(5, 2, &mut random);
--- a/crates/samphiregrade-gateway/tests/suite/run_table.rs
+++ b/crates/samphiregrade-gateway/tests/suite/run_table.rs
@@ -257,7 +257,7 @@
             capacity: CAPACITY,
         };
         let homes = ranked_homes(&part, &self.engines);
-        let marks = homes.marks();
+        let marked = homes.homes().to_vec();
         let mut accounts: Vec<UpstreamAccount> = Vec::new();
         for index in homes.sample(5, 2, &mut self.random) {
             let engine = self.engines[index];
@@ -275,7 +275,7 @@
                     .engines
                     .iter()
                     .position(|&engine| engine == account.upstream);
-                let home = index.is_some_and(|index| marks[index]);
+                let home = index.is_some_and(|index| marked.contains(&index));
                 candidate.take_account(account, 0, home);
                 candidate
             })
