--- a/crates/samphiregrade-gateway/src/role/stream.rs
+++ b/crates/samphiregrade-gateway/src/role/stream.rs
@@ -19,6 +19,7 @@
 use crate::observe::Logbook;
 use crate::store::{
     ALL_KEYS, FollowEvent, StoreClient, StoreFailure, StreamPart, StreamReply, StreamRequest,
+    watch_wait,
 };
 
 /// How long a keeper may hold a question that it has nothing to tell to: links give up after twice that silence.
@@ -52,13 +53,6 @@
 /// Time between two looks at whether a keeper tells again.
 const RETURN_INTERVAL: Duration = Duration::from_millis(500);
 
-/// How long the service holds the first watch, and one after changes: one that was sent into an outage may never be
-/// answered.
-const SHORT_WATCH_WAIT: Duration = Duration::from_secs(1);
-
-/// How long the service holds a watch after one that was answered without changes.
-const LONG_WATCH_WAIT: Duration = Duration::from_secs(25);
-
 /// Time after the service's return within which entries that lapsed meanwhile come back; what a keeper tells in it is
 /// told with the return.
 const RETURN_TIME: Duration = Duration::from_millis(2200);
@@ -268,7 +262,7 @@
         self.keeper = SmolStr::default();
         self.send(FollowEvent::Regained(silent)).await?;
         self.send_page(page, FollowEvent::All).await?;
-        let mut wait = SHORT_WATCH_WAIT;
+        let mut wait = watch_wait(true);
         loop {
             let position = self.position.unwrap_or(0);
             let watched = tokio::select! {
@@ -286,11 +280,7 @@
                 }
             };
             let changed = !page.items.is_empty();
-            wait = if changed {
-                SHORT_WATCH_WAIT
-            } else {
-                LONG_WATCH_WAIT
-            };
+            wait = watch_wait(changed);
             self.send_page(page, FollowEvent::Changes).await?;
             if changed {
                 tokio::time::sleep(self.gather).await;
--- a/crates/samphiregrade-gateway/src/store/follow.rs
+++ b/crates/samphiregrade-gateway/src/store/follow.rs
@@ -24,6 +24,16 @@
 /// Longest pause between two tries, so that a change is in force well within its bound after an outage.
 const LONGEST_PAUSE: Duration = Duration::from_millis(1200);
 
+/// Returns how long the service holds the next watch, after one that brought changes or none.
+#[must_use]
+pub fn watch_wait(changed: bool) -> Duration {
+    if changed {
+        SHORT_WATCH_WAIT
+    } else {
+        WATCH_WAIT
+    }
+}
+
 /// What a follower learns.
 #[derive(Clone, Debug)]
 pub enum FollowEvent {
@@ -125,11 +135,7 @@
             self.log("store-items-nameless", reason, Duration::ZERO);
         }
         let changed = !page.items.is_empty();
-        self.wait = if changed {
-            SHORT_WATCH_WAIT
-        } else {
-            WATCH_WAIT
-        };
+        self.wait = watch_wait(changed);
         let open = self.events.send(event).await.is_ok();
         if changed {
             tokio::time::sleep(self.gather).await;
--- a/crates/samphiregrade-gateway/src/store/mod.rs
+++ b/crates/samphiregrade-gateway/src/store/mod.rs
@@ -6,7 +6,7 @@
 mod router;
 
 pub use client::{StoreClient, StoreFailure};
-pub use follow::{FollowEvent, follow_prefix};
+pub use follow::{FollowEvent, follow_prefix, watch_wait};
 pub use mirror::{StoreMirror, StreamPart, StreamReply, StreamRequest};
 pub use router::EventRouter;
 
--- a/crates/samphiregrade-gateway/tests/suite/helpers.rs
+++ b/crates/samphiregrade-gateway/tests/suite/helpers.rs
@@ -78,28 +78,28 @@
         .await
 }
 
-/// Tries again and again until a reservation holds.
-async fn expect_reserved(client: &KeeperClient, turn: &str) {
-    let trying = async {
-        while reserve(client, turn).await.is_err() {
+/// Looks again and again until something holds.
+async fn eventually<Look>(what: &str, mut look: Look)
+where
+    Look: AsyncFnMut() -> bool,
+{
+    let waiting = async {
+        while !look().await {
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
     };
-    tokio::time::timeout(PATIENCE, trying)
-        .await
-        .expect("a reservation");
+    tokio::time::timeout(PATIENCE, waiting).await.expect(what);
+}
+
+async fn expect_reserved(client: &KeeperClient, turn: &str) {
+    eventually("a reservation", async || {
+        reserve(client, turn).await.is_ok()
+    })
+    .await;
 }
 
-/// Waits until the client knows that it is cut off.
 async fn expect_cut_off(client: &KeeperClient) {
-    let waiting = async {
-        while client.cut_off_for().is_zero() {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
-    };
-    tokio::time::timeout(PATIENCE, waiting)
-        .await
-        .expect("a noticed cut");
+    eventually("a noticed cut", async || !client.cut_off_for().is_zero()).await;
 }
 
 #[tokio::test]
@@ -159,14 +159,7 @@
         generation: deployment.placement.generation + 1,
         ..deployment.placement.clone()
     });
-    let waiting = async {
-        while client.uses_helpers() {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
-    };
-    tokio::time::timeout(PATIENCE, waiting)
-        .await
-        .expect("the straight path");
+    eventually("the straight path", async || !client.uses_helpers()).await;
 }
 
 #[tokio::test]
