One copy of what the last changes wrote twice; a test that asks what its name says

Found on reading the whole change again. Written twice: queueing a message for a peer (ask and tell), the envelope of a keeper's own request, the time for which changes are gathered, the time after the key-value service's return, the length of its queues, the turn of a keeper to be followed, waiting for a line of a log in tests. They stand once now, the hash of two numbers in a module of its own. Work for nothing: an upstream's load was worked out for each candidate and replaced at once; all keepers were sorted to find an engine's two; the question to each keeper was copied with a list that it replaced. No other expectation changed: the tests that describe a candidate pass the upstream's own load. Behaviour stays.

--- a/crates/samphiregrade-gateway/src/exchange/connection.rs
+++ b/crates/samphiregrade-gateway/src/exchange/connection.rs
@@ -13,7 +13,7 @@
 use super::attempt::LiveAnswer;
 use super::context::EntryContext;
 use super::dispatch::dispatch;
-use super::outcome::RequestRecord;
+use super::outcome::{RequestRecord, SurveyRecord};
 use super::refusal::{Refusal, RefusalReason};
 use super::relay::{RelayEnd, relay_answer};
 use super::request::RoutedRequest;
@@ -407,8 +407,10 @@
     if request.service.engine.is_some() {
         let asked = Instant::now();
         request.view = survey(context, request).await;
-        record.accounts = request.view.accounts.len();
-        record.survey = Some(asked.elapsed());
+        record.survey = Some(SurveyRecord {
+            accounts: request.view.accounts.len(),
+            time: asked.elapsed(),
+        });
     }
     dispatch(context, request, record).await
 }
--- a/crates/samphiregrade-gateway/src/exchange/dispatch.rs
+++ b/crates/samphiregrade-gateway/src/exchange/dispatch.rs
@@ -183,8 +183,7 @@
 ) -> Candidate {
     let prompt = &request.metadata.prompt;
     let home = request.view.homes.contains(&upstream.start_tag);
-    let mut candidate = upstream.candidate(prompt, home, &context.domain, now);
-    candidate.load = load;
+    let mut candidate = upstream.candidate(load, prompt, home, &context.domain, now);
     if let Some(account) = request.view.account(upstream.start_tag) {
         candidate.take_account(account, upstream.own_requests(), home);
     }
--- a/crates/samphiregrade-gateway/src/exchange/outcome.rs
+++ b/crates/samphiregrade-gateway/src/exchange/outcome.rs
@@ -9,6 +9,15 @@
 use crate::model::RequestKind;
 use crate::observe::{Logbook, RequestCount};
 
+/// What keepers told of upstreams before a request was placed.
+#[derive(Clone, Copy, Debug)]
+pub struct SurveyRecord {
+    /// Upstreams of which they told.
+    pub accounts: usize,
+    /// Time that asking them took.
+    pub time: Duration,
+}
+
 /// What is told of a request when it has ended.
 #[derive(Clone, Debug)]
 pub struct RequestRecord {
@@ -30,10 +39,8 @@
     pub load: f64,
     /// Prompt tokens that the chosen upstream was thought not to have.
     pub uncached: u32,
-    /// Upstreams of which keepers told how they stand, before it was placed.
-    pub accounts: usize,
-    /// Time that asking them took.
-    pub survey: Option<Duration>,
+    /// What was asked of keepers before it was placed; `None` where nothing was.
+    pub survey: Option<SurveyRecord>,
     /// Rank that it had at an engine; `None` where it was not sent to one.
     pub rank: Option<u8>,
     /// Time that its program had left, where its caller said so.
@@ -98,7 +105,6 @@
             sends: 0,
             load: 0.0,
             uncached: 0,
-            accounts: 0,
             survey: None,
             rank: None,
             program_left: None,
@@ -131,8 +137,8 @@
             sends: self.sends,
             load: (self.load * 10.0).round() / 10.0,
             uncached: self.uncached,
-            accounts: self.survey.map(|_| self.accounts),
-            survey_ms: self.survey.map(milliseconds),
+            accounts: self.survey.map(|survey| survey.accounts),
+            survey_ms: self.survey.map(|survey| milliseconds(survey.time)),
             rank: self.rank,
             program_left_ms: self.program_left.map(milliseconds),
             status: self.status,
--- a/crates/samphiregrade-gateway/src/exchange/survey.rs
+++ b/crates/samphiregrade-gateway/src/exchange/survey.rs
@@ -102,7 +102,7 @@
 /// A request that counts as being at an upstream, here and at the keepers that account for the upstream.
 pub struct RunGuard {
     in_flight: InFlightGuard,
-    told: Option<(Arc<KeeperClient>, RunEnd)>,
+    _told: Option<ToldRun>,
 }
 
 impl RunGuard {
@@ -115,7 +115,7 @@
     ) -> Self {
         Self {
             in_flight: upstream.begin(),
-            told: tell_start(context, request, upstream),
+            _told: ToldRun::begin(context, request, upstream),
         }
     }
 
@@ -126,33 +126,35 @@
     }
 }
 
-impl Drop for RunGuard {
-    fn drop(&mut self) {
-        if let Some((keepers, end)) = &self.told {
-            keepers.tell_end(*end);
-        }
+/// A run of which an engine's keepers were told; dropped, they are told that it is over.
+struct ToldRun {
+    keepers: Arc<KeeperClient>,
+    end: RunEnd,
+}
+
+impl ToldRun {
+    /// Tells the keepers of an engine that a request is about to be sent there; nobody accounts for plain services.
+    fn begin(context: &EntryContext, request: &RoutedRequest, upstream: &Upstream) -> Option<Self> {
+        let engine = request.service.engine.as_ref()?;
+        let keepers = context.keepers.load_full()?;
+        let end = RunEnd {
+            upstream: upstream.start_tag,
+            run: rand::random(),
+        };
+        keepers.tell_start(RunStart {
+            upstream: end.upstream,
+            run: end.run,
+            service: request.service.name.clone(),
+            prompt: request.metadata.prompt.clone(),
+            capacity: engine.cache_tokens,
+            lasts: request.time_left(Instant::now()),
+        });
+        Some(Self { keepers, end })
     }
 }
 
-/// Tells the keepers of an engine that a request is about to be sent there; nobody accounts for plain services.
-fn tell_start(
-    context: &EntryContext,
-    request: &RoutedRequest,
-    upstream: &Upstream,
-) -> Option<(Arc<KeeperClient>, RunEnd)> {
-    let engine = request.service.engine.as_ref()?;
-    let keepers = context.keepers.load_full()?;
-    let end = RunEnd {
-        upstream: upstream.start_tag,
-        run: rand::random(),
-    };
-    keepers.tell_start(&RunStart {
-        upstream: end.upstream,
-        run: end.run,
-        service: request.service.name.clone(),
-        prompt: request.metadata.prompt.clone(),
-        capacity: engine.cache_tokens,
-        lasts: request.time_left(Instant::now()),
-    });
-    Some((keepers, end))
+impl Drop for ToldRun {
+    fn drop(&mut self) {
+        self.keepers.tell_end(self.end);
+    }
 }
--- a/crates/samphiregrade-gateway/src/fact/accounts.rs
+++ b/crates/samphiregrade-gateway/src/fact/accounts.rs
@@ -1,6 +1,5 @@
 //! Asking and telling the keepers that account for upstreams.
 
-use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use tokio::sync::mpsc;
@@ -19,8 +18,8 @@
 
 impl KeeperClient {
     /// Tells an upstream's keepers that a request is about to be sent there.
-    pub fn tell_start(&self, start: &RunStart) {
-        self.tell_accountants(start.upstream, &KeeperRequest::RunBegan(start.clone()));
+    pub fn tell_start(&self, start: RunStart) {
+        self.tell_accountants(start.upstream, &KeeperRequest::RunBegan(start));
     }
 
     /// Tells an upstream's keepers that a request is over there.
@@ -42,8 +41,9 @@
             let placement = placement.clone();
             let sender = sender.clone();
             let request = KeeperRequest::Accounts(AccountQuestion {
+                service: question.service.clone(),
                 upstreams: errand.upstreams,
-                ..question.clone()
+                prompt: question.prompt.clone(),
             });
             tokio::spawn(async move {
                 let reply = client
@@ -99,7 +99,7 @@
     /// that are asked anyway.
     fn account_errands(
         &self,
-        placement: &Arc<KeeperPlacement>,
+        placement: &KeeperPlacement,
         upstreams: &[UpstreamTag],
     ) -> Vec<AccountErrand> {
         let mut errands: Vec<AccountErrand> = Vec::new();
--- a/crates/samphiregrade-gateway/src/fact/message.rs
+++ b/crates/samphiregrade-gateway/src/fact/message.rs
@@ -231,6 +231,18 @@
     pub request: KeeperRequest,
 }
 
+impl KeeperEnvelope {
+    /// Returns the envelope of a keeper's own request, which tells nothing of upstreams.
+    #[must_use]
+    pub fn between_keepers(generation: PlacementGeneration, request: KeeperRequest) -> Self {
+        Self {
+            generation,
+            outcomes: Vec::new(),
+            request,
+        }
+    }
+}
+
 /// What a keeper knows of a chain.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum ChainAnswer {
--- a/crates/samphiregrade-gateway/src/fact/placement.rs
+++ b/crates/samphiregrade-gateway/src/fact/placement.rs
@@ -9,8 +9,8 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 
+use crate::mix::mix;
 use crate::model::{DomainId, UpstreamTag};
-use crate::upstream::mix;
 
 /// Number of a placement; a higher one is newer.
 pub type PlacementGeneration = u64;
@@ -111,15 +111,14 @@
     /// Returns the slots that account for an upstream: two, in two failure domains where there are as many.
     #[must_use]
     pub fn accountants(&self, upstream: UpstreamTag) -> Vec<usize> {
-        let mut ranked: Vec<usize> = (0..self.slots.len()).collect();
-        ranked.sort_by_cached_key(|&index| mix(upstream, index as u64));
-        let Some(&first) = ranked.first() else {
-            return ranked;
+        let rank = |&index: &usize| mix(upstream, index as u64);
+        let Some(first) = (0..self.slots.len()).min_by_key(rank) else {
+            return Vec::new();
         };
+        let others = (0..self.slots.len()).filter(|&index| index != first);
         let elsewhere = |&index: &usize| self.slots[index].domain != self.slots[first].domain;
-        let others = &ranked[1..];
-        let second = others.iter().copied().find(elsewhere);
-        let second = second.or_else(|| others.first().copied());
+        let second = others.clone().filter(elsewhere).min_by_key(rank);
+        let second = second.or_else(|| others.min_by_key(rank));
         std::iter::once(first).chain(second).collect()
     }
 
--- a/crates/samphiregrade-gateway/src/fact/rebuild.rs
+++ b/crates/samphiregrade-gateway/src/fact/rebuild.rs
@@ -153,11 +153,8 @@
     source: &KeeperSlot,
     request: ExportRequest,
 ) -> Result<ReadPart, String> {
-    let envelope = KeeperEnvelope {
-        outcomes: Vec::new(),
-        generation: service.placement().generation,
-        request: KeeperRequest::Export(request),
-    };
+    let generation = service.placement().generation;
+    let envelope = KeeperEnvelope::between_keepers(generation, KeeperRequest::Export(request));
     let reply = links.ask(source.address, &envelope, PART_TIMEOUT).await;
     match reply.map_err(|error| error.to_string())? {
         KeeperReply::Part { facts, complete } => {
--- a/crates/samphiregrade-gateway/src/fact/stream.rs
+++ b/crates/samphiregrade-gateway/src/fact/stream.rs
@@ -7,8 +7,8 @@
 use super::message::{KeeperReply, KeeperRequest};
 use super::placement::KeeperSlot;
 use crate::dialect::StoreRevision;
+use crate::mix::mix;
 use crate::store::{StreamReply, StreamRequest};
-use crate::upstream::mix;
 
 /// Time for the way to a keeper and back, beyond what it may hold a question.
 const FOLLOW_MARGIN: Duration = Duration::from_millis(300);
@@ -20,19 +20,15 @@
     pub fn stream_sources(&self) -> Vec<KeeperSlot> {
         let placement = self.placement.load_full();
         let now = Instant::now();
-        let mut sources: Vec<(bool, u64, &KeeperSlot)> = Vec::new();
-        for (index, slot) in placement.slots.iter().enumerate() {
-            if !self.health.is_within_reach(&slot.name, now) {
-                continue;
-            }
+        let slots = placement.slots.iter().enumerate();
+        let mut sources: Vec<(usize, &KeeperSlot)> = slots
+            .filter(|(_, slot)| self.health.is_within_reach(&slot.name, now))
+            .collect();
+        sources.sort_by_key(|(index, slot)| {
             let elsewhere = slot.domain != self.own.domain;
-            sources.push((elsewhere, mix(self.seed, index as u64), slot));
-        }
-        sources.sort_by_key(|(elsewhere, order, _)| (*elsewhere, *order));
-        sources
-            .into_iter()
-            .map(|(_, _, slot)| slot.clone())
-            .collect()
+            (elsewhere, mix(self.seed, *index as u64))
+        });
+        sources.into_iter().map(|(_, slot)| slot.clone()).collect()
     }
 
     /// Asks a keeper what is new in the key-value service.
--- a/crates/samphiregrade-gateway/src/lib.rs
+++ b/crates/samphiregrade-gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod hold;
 pub mod identity;
 pub mod link;
+mod mix;
 pub mod model;
 pub mod observe;
 pub mod role;
--- a/crates/samphiregrade-gateway/src/link.rs
+++ b/crates/samphiregrade-gateway/src/link.rs
@@ -131,10 +131,7 @@
         Request: Serialize,
         Reply: DeserializeOwned,
     {
-        let message = postcard::to_stdvec(request).map_err(unreadable)?;
-        let (reply, answer) = oneshot::channel();
-        let job = LinkJob { message, reply };
-        self.peer(address).try_send(job).map_err(closed)?;
+        let answer = self.send(address, request)?;
         match tokio::time::timeout(timeout, answer).await {
             Err(_) => Err(LinkFailure::TimedOut),
             Ok(Err(_)) => Err(closed("the connection failed")),
@@ -148,14 +145,26 @@
     ///
     /// [`LinkFailure`] where it can't be sent; nobody knows whether it arrives otherwise.
     pub fn tell<Request>(&self, address: SocketAddr, request: &Request) -> Result<(), LinkFailure>
+    where
+        Request: Serialize,
+    {
+        self.send(address, request).map(drop)
+    }
+
+    /// Hands a request to the task that drives the connection to a peer; returns where its reply comes.
+    fn send<Request>(
+        &self,
+        address: SocketAddr,
+        request: &Request,
+    ) -> Result<oneshot::Receiver<Bytes>, LinkFailure>
     where
         Request: Serialize,
     {
         let message = postcard::to_stdvec(request).map_err(unreadable)?;
-        let (reply, _) = oneshot::channel();
-        self.peer(address)
-            .try_send(LinkJob { message, reply })
-            .map_err(closed)
+        let (reply, answer) = oneshot::channel();
+        let job = LinkJob { message, reply };
+        self.peer(address).try_send(job).map_err(closed)?;
+        Ok(answer)
     }
 
     /// Returns the queue of the task that drives the connection to a peer.
--- a/crates/samphiregrade-gateway/src/role/beliefs.rs
+++ b/crates/samphiregrade-gateway/src/role/beliefs.rs
@@ -20,17 +20,9 @@
 use crate::observe::Logbook;
 use crate::routing::RouteTable;
 use crate::settings::GatewaySettings;
-use crate::store::{EventRouter, FollowEvent, StoreClient};
+use crate::store::{EVENT_QUEUE, EventRouter, FollowEvent, StoreClient};
 use crate::upstream::UpstreamRegistry;
 
-/// Part of the time for draining for which changes are gathered: upstreams start and leave in groups, every entry asks
-/// again after each change, and the service's rates grow more slowly than the fleet. A configuration is to be in
-/// force within the time for draining as well.
-pub(super) const GATHER_SHARE: f64 = 0.25;
-
-/// Events of the key-value service that may wait.
-const EVENT_QUEUE: usize = 64;
-
 #[derive(Serialize)]
 struct ConfigLine {
     version: u64,
@@ -57,7 +49,7 @@
     tokio::spawn(follow_keepers(
         context.clone(),
         store.separate(),
-        settings.times.drain().mul_f64(GATHER_SHARE),
+        settings.times.gather(),
         sender,
         ended.clone(),
     ));
--- a/crates/samphiregrade-gateway/src/role/member.rs
+++ b/crates/samphiregrade-gateway/src/role/member.rs
@@ -10,7 +10,6 @@
 use tokio_util::sync::CancellationToken;
 
 use super::authority::{KEEPER_PREFIX, PLACEMENT_KEY, REGISTRATION_PREFIX};
-use super::beliefs::GATHER_SHARE;
 use super::membership::{MemberView, MembershipStep, next_step};
 use crate::dialect::{Dialect, StoreChange, StoreItem, StoreRevision, StoreValue};
 use crate::fact::{
@@ -20,7 +19,9 @@
 use crate::link::LinkEndpoint;
 use crate::observe::Logbook;
 use crate::settings::GatewaySettings;
-use crate::store::{ALL_KEYS, EventRouter, FollowEvent, StoreClient, StoreMirror, follow_prefix};
+use crate::store::{
+    ALL_KEYS, EVENT_QUEUE, EventRouter, FollowEvent, StoreClient, StoreMirror, follow_prefix,
+};
 
 /// Time between two looks at the membership; probes of other keepers go out as often.
 const TICK: Duration = Duration::from_millis(500);
@@ -31,9 +32,6 @@
 /// Time between two sweeps over facts that are over.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(5);
 
-/// Events of the key-value service that may wait.
-const EVENT_QUEUE: usize = 64;
-
 #[derive(Serialize)]
 struct ProposalLine<'line> {
     generation: u64,
@@ -138,7 +136,7 @@
         tokio::spawn(follow_prefix(
             self.store.separate(),
             ALL_KEYS,
-            self.settings.times.drain().mul_f64(GATHER_SHARE),
+            self.settings.times.gather(),
             sender,
             stop.clone(),
         ));
@@ -211,11 +209,8 @@
         for slot in placement.slots {
             let links = self.links.clone();
             let answers = answers.clone();
-            let envelope = KeeperEnvelope {
-                outcomes: Vec::new(),
-                generation: placement.generation,
-                request: KeeperRequest::Probe,
-            };
+            let envelope =
+                KeeperEnvelope::between_keepers(placement.generation, KeeperRequest::Probe);
             tokio::spawn(async move {
                 let reply = links.ask::<_, KeeperReply>(slot.address, &envelope, PROBE_TIMEOUT);
                 if reply.await.is_ok() {
@@ -347,11 +342,8 @@
 
     async fn all_complete(&self, placement: &KeeperPlacement) -> bool {
         for slot in &placement.slots {
-            let envelope = KeeperEnvelope {
-                outcomes: Vec::new(),
-                generation: placement.generation,
-                request: KeeperRequest::Probe,
-            };
+            let envelope =
+                KeeperEnvelope::between_keepers(placement.generation, KeeperRequest::Probe);
             let asking = self.links.ask(slot.address, &envelope, PROBE_TIMEOUT);
             if !matches!(asking.await, Ok(KeeperReply::Alive { complete: true, .. })) {
                 return false;
--- a/crates/samphiregrade-gateway/src/role/stream.rs
+++ b/crates/samphiregrade-gateway/src/role/stream.rs
@@ -21,6 +21,7 @@
     ALL_KEYS, FollowEvent, StoreClient, StoreFailure, StreamPart, StreamReply, StreamRequest,
     watch_wait,
 };
+use crate::upstream::RETURN_TIME;
 
 /// How long a keeper may hold a question that it has nothing to tell to: links give up after twice that silence.
 const STREAM_HOLD: Duration = Duration::from_millis(400);
@@ -53,10 +54,6 @@
 /// Time between two looks at whether a keeper tells again.
 const RETURN_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Time after the service's return within which entries that lapsed meanwhile come back; what a keeper tells in it is
-/// told with the return.
-const RETURN_TIME: Duration = Duration::from_millis(2200);
-
 #[derive(Serialize)]
 struct SourceLine<'line> {
     /// Keeper that is followed; empty for the service itself.
@@ -99,6 +96,12 @@
 /// Nobody takes the events any more.
 struct Ended;
 
+/// A keeper that may be followed.
+struct StreamSource {
+    keepers: Arc<KeeperClient>,
+    slot: KeeperSlot,
+}
+
 struct StreamFollower {
     context: Arc<EntryContext>,
     store: StoreClient,
@@ -136,7 +139,7 @@
                 Err(failure) => log::info!("keepers are not known yet: {failure}"),
             }
             tokio::time::sleep(TAKE_PAUSE).await;
-            if !self.sources().is_empty() {
+            if self.source(self.turn).is_some() {
                 break;
             }
             let jitter = rand::random_range(0.75..1.25);
@@ -149,17 +152,12 @@
     /// Follows keepers for as long as one tells something.
     async fn follow_streams(&mut self) -> Result<(), Ended> {
         while self.told.elapsed() < self.patience {
-            let sources = self.sources();
-            let Some(source) = sources.get(self.turn % sources.len().max(1)).cloned() else {
+            let Some(source) = self.source(self.turn) else {
                 tokio::time::sleep(NEXT_PAUSE).await;
                 continue;
             };
-            let Some(keepers) = self.context.keepers.load_full() else {
-                continue;
-            };
-            let reply = self.ask(&keepers, &source, STREAM_HOLD).await;
-            let useful = match reply {
-                Some(reply) => self.take(&keepers, &source, reply).await?,
+            let useful = match self.ask(&source, STREAM_HOLD).await {
+                Some(reply) => self.take(&source, reply).await?,
                 None => false,
             };
             if !useful {
@@ -170,46 +168,35 @@
         Ok(())
     }
 
-    /// Returns the keepers within reach in the order of preference: those of the own failure domain first, then as a hash
-    /// of the instance orders them, so that instances spread over the keepers.
-    fn sources(&self) -> Vec<KeeperSlot> {
-        let keepers = self.context.keepers.load();
-        keepers
-            .as_ref()
-            .map_or_else(Vec::new, |keepers| keepers.stream_sources())
+    /// Returns the keeper whose turn it is, of those within reach in the order of preference.
+    fn source(&self, turn: usize) -> Option<StreamSource> {
+        let keepers = self.context.keepers.load_full()?;
+        let slots = keepers.stream_sources();
+        let slot = slots.get(turn % slots.len().max(1))?.clone();
+        Some(StreamSource { keepers, slot })
     }
 
-    async fn ask(
-        &self,
-        keepers: &KeeperClient,
-        source: &KeeperSlot,
-        hold: Duration,
-    ) -> Option<StreamReply> {
+    async fn ask(&self, source: &StreamSource, hold: Duration) -> Option<StreamReply> {
         let request = StreamRequest {
             position: self.position,
             hold,
         };
-        keepers.follow(source, request).await
+        source.keepers.follow(&source.slot, request).await
     }
 
     /// Takes a keeper's answer; returns whether the keeper is worth following.
-    async fn take(
-        &mut self,
-        keepers: &KeeperClient,
-        source: &KeeperSlot,
-        reply: StreamReply,
-    ) -> Result<bool, Ended> {
+    async fn take(&mut self, source: &StreamSource, reply: StreamReply) -> Result<bool, Ended> {
         let lost = reply.lost;
         let revision = reply.revision().unwrap_or(0);
-        if !reply.reaches(self.position) || self.is_left_behind(keepers, revision) {
+        if !reply.reaches(self.position) || self.is_left_behind(&source.keepers, revision) {
             return Ok(false);
         }
         if !lost {
-            self.note_source(&source.name, "a keeper tells");
+            self.note_source(&source.slot.name, "a keeper tells");
             self.told = Instant::now();
             self.patience = LEAST_PATIENCE.mul_f64(rand::random_range(1.0..2.0));
         }
-        self.take_return(source, &reply).await?;
+        self.take_return(&source.slot, &reply).await?;
         match reply.part {
             StreamPart::All(page) => self.send_page(page, FollowEvent::All).await?,
             StreamPart::Changes(page) => self.send_page(page, FollowEvent::Changes).await?,
@@ -300,15 +287,11 @@
         let mut turn = self.turn;
         loop {
             tokio::time::sleep(RETURN_INTERVAL).await;
-            let sources = self.sources();
-            let Some(source) = sources.get(turn % sources.len().max(1)) else {
+            let Some(source) = self.source(turn) else {
                 continue;
             };
             turn += 1;
-            let Some(keepers) = self.context.keepers.load_full() else {
-                continue;
-            };
-            let reply = self.ask(&keepers, source, Duration::ZERO).await;
+            let reply = self.ask(&source, Duration::ZERO).await;
             let Some(reply) = reply.filter(|reply| !reply.lost) else {
                 continue;
             };
--- a/crates/samphiregrade-gateway/src/settings.rs
+++ b/crates/samphiregrade-gateway/src/settings.rs
@@ -11,6 +11,11 @@
 
 use crate::model::DomainId;
 
+/// Part of the time for draining for which changes of the key-value service are gathered: upstreams start and leave in
+/// groups, and each change costs calls of each one who follows. A configuration is to be in force within the time for
+/// draining as well.
+const GATHER_SHARE: f64 = 0.25;
+
 /// Settings that can't be used.
 #[derive(Debug, Error)]
 pub enum GatewaySettingsError {
@@ -174,6 +179,12 @@
     pub fn drain(&self) -> Duration {
         Duration::from_secs_f64(self.drain_milliseconds / 1000.0)
     }
+
+    /// Returns the time for which changes of the key-value service are gathered.
+    #[must_use]
+    pub fn gather(&self) -> Duration {
+        self.drain().mul_f64(GATHER_SHARE)
+    }
 }
 
 impl GatewaySettings {
--- a/crates/samphiregrade-gateway/src/store/mod.rs
+++ b/crates/samphiregrade-gateway/src/store/mod.rs
@@ -8,7 +8,7 @@
 pub use client::{StoreClient, StoreFailure};
 pub use follow::{FollowEvent, follow_prefix, watch_wait};
 pub use mirror::{StoreMirror, StreamPart, StreamReply, StreamRequest};
-pub use router::EventRouter;
+pub use router::{EVENT_QUEUE, EventRouter};
 
 /// Prefix of all keys: one watch brings the configuration, the upstreams and what instances share. Three watches cost
 /// three calls at the start, after every cut and at every try during an outage.
--- a/crates/samphiregrade-gateway/src/store/router.rs
+++ b/crates/samphiregrade-gateway/src/store/router.rs
@@ -5,8 +5,8 @@
 use super::follow::FollowEvent;
 use crate::dialect::StorePage;
 
-/// Events that may wait for one of those who follow.
-const EVENT_QUEUE: usize = 64;
+/// Events of the key-value service that may wait for one who follows.
+pub const EVENT_QUEUE: usize = 64;
 
 /// One who follows the keys under a prefix.
 struct PartFollower {
--- a/crates/samphiregrade-gateway/src/upstream/balance.rs
+++ b/crates/samphiregrade-gateway/src/upstream/balance.rs
@@ -29,6 +29,18 @@
 /// docs/design/urgency.md).
 const BATCH_SHARE: f64 = 0.0045;
 
+/// Time for which a keeper must have been told of what begins before its word on the load is taken alone: the longest
+/// turns last as long.
+const LOAD_INFORMED: Duration = Duration::from_secs(3);
+
+/// Time for which it must have been told before its word on what is cached is taken alone: parts that are used again
+/// at all are used again within it.
+const CACHE_INFORMED: Duration = Duration::from_secs(15);
+
+/// Part of the cost of reading a first part that is charged to the turn for which a home reads it: the turns after it
+/// have it for nothing. Charged in full, the few engines that have the part fill up before another one reads it.
+const HOME_READ_SHARE: f64 = 0.15;
+
 /// An upstream as a choice.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Candidate {
@@ -84,18 +96,6 @@
     pub on_engine: bool,
 }
 
-/// Time for which a keeper must have been told of what begins before its word on the load is taken alone: the longest
-/// turns last as long.
-const LOAD_INFORMED: Duration = Duration::from_secs(3);
-
-/// Time for which it must have been told before its word on what is cached is taken alone: parts that are used again
-/// at all are used again within it.
-const CACHE_INFORMED: Duration = Duration::from_secs(15);
-
-/// Part of the cost of reading a first part that is charged to the turn for which a home reads it: the turns after it
-/// have it for nothing. Charged in full, the few engines that have the part fill up before another one reads it.
-const HOME_READ_SHARE: f64 = 0.15;
-
 impl Candidate {
     /// Takes what a keeper tells of the upstream in place of this instance's own view; `own` is the requests of this
     /// instance, of which the keeper may not have heard yet, and `home` tells whether the upstream is a home of the
--- a/crates/samphiregrade-gateway/src/upstream/directory.rs
+++ b/crates/samphiregrade-gateway/src/upstream/directory.rs
@@ -15,7 +15,7 @@
 
 /// Time after the key-value service's return within which lapsed entries come back: they are back within
 /// about two seconds.
-const RETURN_TIME: Duration = Duration::from_millis(2200);
+pub const RETURN_TIME: Duration = Duration::from_millis(2200);
 
 /// Part of the time for draining for which an upstream without an entry may still be used as a last resort.
 const DEPARTURE_SHARE: f64 = 0.5;
--- a/crates/samphiregrade-gateway/src/upstream/homes.rs
+++ b/crates/samphiregrade-gateway/src/upstream/homes.rs
@@ -13,6 +13,8 @@
 use rand::Rng;
 use rand::seq::SliceRandom;
 
+use crate::mix::mix;
+
 /// Time after which an earlier request counts half: a burst of one kind of prompt is noticed within seconds.
 const COUNT_HALF_LIFE: Duration = Duration::from_secs(8);
 
@@ -153,11 +155,3 @@
         order,
     }
 }
-
-/// Mixes two numbers (the finisher of splitmix64, public domain).
-pub(crate) fn mix(part: u64, engine: u64) -> u64 {
-    let mut value = part ^ engine.rotate_left(32);
-    value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    value ^ (value >> 31)
-}
--- a/crates/samphiregrade-gateway/src/upstream/peer.rs
+++ b/crates/samphiregrade-gateway/src/upstream/peer.rs
@@ -134,10 +134,12 @@
         hold(&self.breaker).state(now) == BreakerState::Closed
     }
 
-    /// Describes it as a choice for a request; `home` where it is a home of the prompt's first part.
+    /// Describes it as a choice for a request; `load` is what it is believed to have, and `home` tells whether it is a
+    /// home of the prompt's first part.
     #[must_use]
     pub fn candidate(
         &self,
+        load: f64,
         prompt: &[PromptPart],
         home: bool,
         domain: &DomainId,
@@ -158,7 +160,7 @@
         let silence = silence.max(hold(&self.domain_silence).penalty(now));
         let penalty = penalty + silence;
         Candidate {
-            load: self.load(now),
+            load,
             slots: f64::from(self.entry.slots),
             uncached_tokens,
             elsewhere: self.entry.domain != *domain,
--- a/crates/samphiregrade-gateway/tests/suite/helpers.rs
+++ b/crates/samphiregrade-gateway/tests/suite/helpers.rs
@@ -7,13 +7,13 @@
 use arc_swap::ArcSwap;
 use samphiregrade_gateway::fact::{
     FactFailure, FollowerTable, HelperAddress, HelperBook, HelperReply, HelperRequest,
-    HelperService, KeeperClient, KeeperPlacement, ReserveOutcome,
+    HelperService, KeeperClient, KeeperEnvelope, KeeperPlacement, KeeperRequest, ReserveOutcome,
 };
 use samphiregrade_gateway::observe::GatewayMetrics;
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
-use crate::keepers::{Deployment, PATIENCE, endpoint, free_address, reservation};
+use crate::keepers::{Deployment, PATIENCE, endpoint, eventually, free_address, reservation};
 
 fn address(name: &str, address: SocketAddr) -> HelperAddress {
     HelperAddress {
@@ -71,6 +71,12 @@
     placement
 }
 
+/// Makes the client of an entry that reaches no keeper.
+async fn cut_client(deployment: &Deployment) -> KeeperClient {
+    let own = address("cut", free_address().await);
+    watching_client(deployment, unreachable(deployment).await, own)
+}
+
 async fn reserve(client: &KeeperClient, turn: &str) -> Result<ReserveOutcome, FactFailure> {
     let fact = reservation(turn, 10);
     client
@@ -78,19 +84,6 @@
         .await
 }
 
-/// Looks again and again until something holds.
-async fn eventually<Look>(what: &str, mut look: Look)
-where
-    Look: AsyncFnMut() -> bool,
-{
-    let waiting = async {
-        while !look().await {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-        }
-    };
-    tokio::time::timeout(PATIENCE, waiting).await.expect(what);
-}
-
 async fn expect_reserved(client: &KeeperClient, turn: &str) {
     eventually("a reservation", async || {
         reserve(client, turn).await.is_ok()
@@ -106,8 +99,7 @@
 async fn an_entry_that_reaches_no_keeper_is_served_through_another_one() {
     let deployment = Deployment::start().await;
     let (helper, _task) = start_helper(&deployment, "h1", deployment.placement.clone()).await;
-    let own = address("cut", free_address().await);
-    let client = watching_client(&deployment, unreachable(&deployment).await, own);
+    let client = cut_client(&deployment).await;
     client.note_helper(helper);
     expect_reserved(&client, "t1").await;
     assert!(client.uses_helpers());
@@ -122,8 +114,7 @@
 #[tokio::test]
 async fn a_helper_that_dies_is_replaced() {
     let deployment = Deployment::start().await;
-    let own = address("cut", free_address().await);
-    let client = watching_client(&deployment, unreachable(&deployment).await, own);
+    let client = cut_client(&deployment).await;
     let (first, task) = start_helper(&deployment, "h1", deployment.placement.clone()).await;
     client.note_helper(first);
     expect_reserved(&client, "t1").await;
@@ -137,9 +128,8 @@
 async fn a_helper_that_is_cut_off_itself_is_of_no_use_and_the_refusal_comes_at_once() {
     let deployment = Deployment::start().await;
     let lost = unreachable(&deployment).await;
-    let (helper, _task) = start_helper(&deployment, "h1", lost.clone()).await;
-    let own = address("cut", free_address().await);
-    let client = watching_client(&deployment, lost, own);
+    let (helper, _task) = start_helper(&deployment, "h1", lost).await;
+    let client = cut_client(&deployment).await;
     client.note_helper(helper);
     expect_cut_off(&client).await;
     assert_eq!(reserve(&client, "t1").await, Err(FactFailure::TooFew));
@@ -150,8 +140,7 @@
 async fn the_straight_path_is_taken_again_as_soon_as_it_is_there() {
     let deployment = Deployment::start().await;
     let (helper, _task) = start_helper(&deployment, "h1", deployment.placement.clone()).await;
-    let own = address("cut", free_address().await);
-    let client = watching_client(&deployment, unreachable(&deployment).await, own);
+    let client = cut_client(&deployment).await;
     client.note_helper(helper);
     expect_reserved(&client, "t1").await;
     // The same keepers at their addresses: the cut is over.
@@ -165,14 +154,24 @@
 #[tokio::test]
 async fn nothing_is_passed_on_to_a_keeper_that_the_helper_does_not_reach() {
     let deployment = Deployment::start().await;
-    let own = address("h1", free_address().await);
-    let client = watching_client(&deployment, unreachable(&deployment).await, own);
+    let client = cut_client(&deployment).await;
     expect_cut_off(&client).await;
     let service = HelperService::new(client);
     let HelperReply::Reach(reached) = service.answer(HelperRequest::Reach).await else {
         panic!("a helper tells whom it reaches");
     };
     assert!(reached.is_empty());
+    let slot = &deployment.placement.slots[0];
+    let question = HelperRequest::Pass {
+        keeper: slot.name.clone(),
+        envelope: Box::new(KeeperEnvelope::between_keepers(
+            deployment.placement.generation,
+            KeeperRequest::Probe,
+        )),
+        wait: PATIENCE,
+    };
+    let answer = service.answer(question).await;
+    assert!(matches!(answer, HelperReply::NotPassed), "{answer:?}");
 }
 
 #[test]
--- a/crates/samphiregrade-gateway/tests/suite/keepers.rs
+++ b/crates/samphiregrade-gateway/tests/suite/keepers.rs
@@ -303,6 +303,19 @@
     }
 }
 
+/// Looks again and again until something holds.
+pub async fn eventually<Look>(what: &str, mut look: Look)
+where
+    Look: AsyncFnMut() -> bool,
+{
+    let waiting = async {
+        while !look().await {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    tokio::time::timeout(PATIENCE, waiting).await.expect(what);
+}
+
 /// Asks until all upstreams have been told of with as many runs each, and fails where that takes too long.
 async fn expect_running(client: &KeeperClient, running: u32) {
     let question = AccountQuestion {
@@ -310,20 +323,13 @@
         upstreams: UPSTREAMS.to_vec(),
         prompt: Vec::new(),
     };
-    let asking = async {
-        loop {
-            let accounts = client.accounts(&question, PATIENCE).await;
-            let told = |tag: u64| accounts.iter().find(|account| account.upstream == tag);
-            let met = |tag: &u64| told(*tag).is_some_and(|account| account.running == running);
-            if UPSTREAMS.iter().all(met) {
-                return;
-            }
-            tokio::time::sleep(Duration::from_millis(5)).await;
-        }
-    };
-    tokio::time::timeout(PATIENCE, asking)
-        .await
-        .expect("accounts of all upstreams");
+    eventually("accounts of all upstreams", async || {
+        let accounts = client.accounts(&question, PATIENCE).await;
+        let told = |tag: u64| accounts.iter().find(|account| account.upstream == tag);
+        let met = |tag: &u64| told(*tag).is_some_and(|account| account.running == running);
+        UPSTREAMS.iter().all(met)
+    })
+    .await;
 }
 
 #[tokio::test]
@@ -331,7 +337,7 @@
     let deployment = Deployment::start().await;
     let (sending, placing) = (deployment.client("a"), deployment.client("b"));
     for upstream in UPSTREAMS {
-        sending.tell_start(&run_start(upstream));
+        sending.tell_start(run_start(upstream));
     }
     expect_running(&placing, 1).await;
     for upstream in UPSTREAMS {
@@ -357,7 +363,7 @@
     let telling = async {
         loop {
             for upstream in UPSTREAMS {
-                sending.tell_start(&run_start(upstream));
+                sending.tell_start(run_start(upstream));
             }
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
--- a/crates/samphiregrade-gateway/tests/suite/upstreams.rs
+++ b/crates/samphiregrade-gateway/tests/suite/upstreams.rs
@@ -123,7 +123,8 @@
     let upstreams = directory.of("engines");
     let later = now + Duration::from_millis(500);
     let penalty = |index: usize| {
-        let candidate = upstreams[index].candidate(&[], false, &"a".into(), later);
+        let load = upstreams[index].load(later);
+        let candidate = upstreams[index].candidate(load, &[], false, &"a".into(), later);
         candidate.penalty
     };
     let _waiting = upstreams[1].await_head(Arc::default(), now);
@@ -158,7 +159,7 @@
     };
     registry.put(again, now);
     let after = only(&registry);
-    let candidate = after.candidate(&prompt, false, &"a".into(), now);
+    let candidate = after.candidate(after.load(now), &prompt, false, &"a".into(), now);
     assert_eq!(candidate.uncached_tokens, 900);
     assert!(candidate.load < 0.01 && after.is_trusted(now));
     assert!((candidate.slots - 4.0).abs() < 0.01);
