Tell in the log of every request that ends with the process

Why: a request whose task ended with the process wrote no line, so the hypotheses on answers broken off by stops could not be told apart.

- A request's line says how old its connection is, how many requests came on it before, and how long ago the signal to stop came.
It is written when the record is dropped, in whichever way that is; outcome "dropped" where nothing else was decided.
- Lines of a stop count the requests under way.

Nothing that is decided changes.

--- a/crates/samphiregrade-gateway/src/exchange/connection.rs
+++ b/crates/samphiregrade-gateway/src/exchange/connection.rs
@@ -7,13 +7,14 @@
 use samphiregrade_http::wire::{
     BodyDecoder, BodyPiece, HeadError, RequestHead, SocketLimits, WireSocket,
 };
+use smol_str::SmolStr;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
 use super::attempt::LiveAnswer;
 use super::context::EntryContext;
 use super::dispatch::dispatch;
-use super::outcome::{RequestRecord, SurveyRecord};
+use super::outcome::{ConnectionAge, OpenRecord, RequestRecord, SurveyRecord};
 use super::refusal::{Refusal, RefusalReason};
 use super::relay::{RelayEnd, relay_answer};
 use super::request::RoutedRequest;
@@ -62,7 +63,14 @@
         }
     };
     let guard = context.open_connection();
-    let mut client = ClientConnection { context, socket };
+    let mut client = ClientConnection {
+        context,
+        socket,
+        age: ConnectionAge {
+            accepted: Instant::now(),
+            earlier_requests: 0,
+        },
+    };
     client.serve(&close_idle).await;
     drop(guard);
 }
@@ -70,6 +78,7 @@
 struct ClientConnection {
     context: Arc<EntryContext>,
     socket: WireSocket,
+    age: ConnectionAge,
 }
 
 enum HeadEnd {
@@ -104,6 +113,7 @@
                     if !self.serve_request(head, &limits).await {
                         return;
                     }
+                    self.age.earlier_requests += 1;
                 }
             }
         }
@@ -156,9 +166,13 @@
 
     /// Answers a head that can't be read as a request.
     async fn refuse_head(&mut self, reason: RefusalReason) {
-        let mut record = RequestRecord::new(smol_str::SmolStr::default(), Instant::now());
+        let mut record = self.open_record(SmolStr::default(), Instant::now());
         self.refuse(&mut record, reason.into(), false).await;
-        record.finish(&self.context);
+    }
+
+    fn open_record(&self, id: SmolStr, started: Instant) -> OpenRecord {
+        let record = RequestRecord::new(id, started, self.age);
+        OpenRecord::begin(self.context.clone(), record)
     }
 
     /// Serves a request; returns whether the connection goes on.
@@ -166,7 +180,7 @@
         let started = Instant::now();
         let metadata = self.context.dialect.request_metadata(&head);
         let id = metadata.request.clone().unwrap_or_default();
-        let mut record = RequestRecord::new(id, started);
+        let mut record = self.open_record(id, started);
         record.program = metadata.program.clone().unwrap_or_default();
         record.program_left = metadata.program_deadline;
         let keep = head.keeps_connection() && head.minor_version > 0;
@@ -174,21 +188,17 @@
             BodyEnd::Whole(body) => body,
             BodyEnd::Refused(reason) => {
                 self.refuse(&mut record, reason.into(), false).await;
-                record.finish(&self.context);
                 return false;
             }
             BodyEnd::Gone => {
                 record.outcome = "client-gone";
-                record.finish(&self.context);
                 return false;
             }
         };
-        let kept = match self.prepare(head, metadata, body, &mut record) {
+        match self.prepare(head, metadata, body, &mut record) {
             Ok(prepared) => self.carry_out(prepared, &mut record, keep).await,
             Err(reason) => self.refuse(&mut record, reason.into(), keep).await,
-        };
-        record.finish(&self.context);
-        kept
+        }
     }
 
     async fn read_body(&mut self, head: &RequestHead, limits: &ClientLimits) -> BodyEnd {
--- a/crates/samphiregrade-gateway/src/exchange/context.rs
+++ b/crates/samphiregrade-gateway/src/exchange/context.rs
@@ -1,9 +1,9 @@
 //! What all requests of an entry instance share.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex, OnceLock};
+use std::time::{Duration, Instant};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 
@@ -38,8 +38,10 @@
     pub metrics: Arc<GatewayMetrics>,
     /// Failure domain of the instance.
     pub domain: DomainId,
-    stopping: AtomicBool,
+    /// When the instance was told to stop.
+    stopping: OnceLock<Instant>,
     connections: AtomicU32,
+    requests: AtomicU32,
 }
 
 impl EntryContext {
@@ -63,8 +65,9 @@
             times: Mutex::default(),
             metrics,
             domain,
-            stopping: AtomicBool::new(false),
+            stopping: OnceLock::new(),
             connections: AtomicU32::new(0),
+            requests: AtomicU32::new(0),
         }
     }
 
@@ -111,13 +114,20 @@
 
     /// Notes that the instance is about to stop.
     pub fn set_stopping(&self) {
-        self.stopping.store(true, Ordering::Relaxed);
+        // Told a second time, it is stopping already.
+        let _ = self.stopping.set(Instant::now());
     }
 
     /// Returns whether the instance is about to stop.
     #[must_use]
     pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::Relaxed)
+        self.stopping.get().is_some()
+    }
+
+    /// Returns how long ago the instance was told to stop; `None` where it wasn't.
+    #[must_use]
+    pub fn stopping_for(&self) -> Option<Duration> {
+        self.stopping.get().map(Instant::elapsed)
     }
 
     /// Returns the open connections of clients.
@@ -126,6 +136,20 @@
         self.connections.load(Ordering::Relaxed)
     }
 
+    /// Returns the requests that have come and have not ended.
+    #[must_use]
+    pub fn open_requests(&self) -> u32 {
+        self.requests.load(Ordering::Relaxed)
+    }
+
+    pub(super) fn begin_request(&self) {
+        self.requests.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(super) fn end_request(&self) {
+        self.requests.fetch_sub(1, Ordering::Relaxed);
+    }
+
     /// Counts a client's connection until the guard is dropped.
     pub(crate) fn open_connection(self: &Arc<Self>) -> ConnectionGuard {
         self.connections.fetch_add(1, Ordering::Relaxed);
--- a/crates/samphiregrade-gateway/src/exchange/outcome.rs
+++ b/crates/samphiregrade-gateway/src/exchange/outcome.rs
@@ -1,5 +1,7 @@
 //! How a request ended, for the log and the counters.
 
+use std::ops::{Deref, DerefMut};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use serde::Serialize;
@@ -18,11 +20,24 @@
     pub time: Duration,
 }
 
+/// The connection on which a request came.
+#[derive(Clone, Copy, Debug)]
+pub struct ConnectionAge {
+    /// When it was accepted.
+    pub accepted: Instant,
+    /// Requests that came on it before this one.
+    pub earlier_requests: u32,
+}
+
 /// What is told of a request when it has ended.
 #[derive(Clone, Debug)]
 pub struct RequestRecord {
     /// Id of the attempt.
     pub request: SmolStr,
+    /// Its connection.
+    pub connection: ConnectionAge,
+    /// Time from the signal to stop until it came; `None` where it came before.
+    pub stopping: Option<Duration>,
     /// Program, where it belongs to one.
     pub program: SmolStr,
     /// Version of the configuration that decided; 0 without one.
@@ -62,6 +77,10 @@
 #[derive(Serialize)]
 struct RequestLine<'line> {
     request: &'line str,
+    connection_ms: f64,
+    earlier_requests: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    stopping_ms: Option<f64>,
     #[serde(skip_serializing_if = "str::is_empty")]
     program: &'line str,
     config: u64,
@@ -87,6 +106,9 @@
     total_ms: f64,
 }
 
+/// Outcome of a request whose task ended before the request did: the process ended, or the task failed.
+const DROPPED: &str = "dropped";
+
 fn milliseconds(time: Duration) -> f64 {
     (time.as_secs_f64() * 10_000.0).round() / 10.0
 }
@@ -94,9 +116,11 @@
 impl RequestRecord {
     /// Starts the record of a request.
     #[must_use]
-    pub fn new(request: SmolStr, started: Instant) -> Self {
+    pub fn new(request: SmolStr, started: Instant, connection: ConnectionAge) -> Self {
         Self {
             request,
+            connection,
+            stopping: None,
             program: SmolStr::default(),
             config: 0,
             route: SmolStr::default(),
@@ -109,7 +133,7 @@
             rank: None,
             program_left: None,
             status: 0,
-            outcome: "unknown",
+            outcome: DROPPED,
             detail: String::new(),
             started,
             before_send: None,
@@ -126,10 +150,14 @@
     }
 
     /// Writes the line and counts the request.
-    pub fn finish(&self, context: &EntryContext) {
+    fn write(&self, context: &EntryContext) {
         let total = self.started.elapsed();
+        let age = self.started.duration_since(self.connection.accepted);
         let line = RequestLine {
             request: &self.request,
+            connection_ms: milliseconds(age),
+            earlier_requests: self.connection.earlier_requests,
+            stopping_ms: self.stopping.map(milliseconds),
             program: &self.program,
             config: self.config,
             route: &self.route,
@@ -162,3 +190,40 @@
         });
     }
 }
+
+/// A request under way: counted as such, and told in the log when it ends, in whichever way that is.
+pub struct OpenRecord {
+    context: Arc<EntryContext>,
+    record: RequestRecord,
+}
+
+impl OpenRecord {
+    /// Begins the record of a request that has come.
+    #[must_use]
+    pub fn begin(context: Arc<EntryContext>, mut record: RequestRecord) -> Self {
+        context.begin_request();
+        record.stopping = context.stopping_for();
+        Self { context, record }
+    }
+}
+
+impl Deref for OpenRecord {
+    type Target = RequestRecord;
+
+    fn deref(&self) -> &Self::Target {
+        &self.record
+    }
+}
+
+impl DerefMut for OpenRecord {
+    fn deref_mut(&mut self) -> &mut Self::Target {
+        &mut self.record
+    }
+}
+
+impl Drop for OpenRecord {
+    fn drop(&mut self) {
+        self.record.write(&self.context);
+        self.context.end_request();
+    }
+}
--- a/crates/samphiregrade-gateway/src/observe/logbook.rs
+++ b/crates/samphiregrade-gateway/src/observe/logbook.rs
@@ -112,10 +112,15 @@
         }
     }
 
-    /// Writes what waits; for the end of a process.
+    /// Writes what waits, after what is being written; for the end of a process.
+    ///
+    /// The output is locked before lines are taken: a thread that holds lines without it would lose them, or break one
+    /// off, when the process ends.
     pub fn flush(&self) {
+        let mut output = io::stdout().lock();
         let waiting = self.take();
-        write_out(&waiting);
+        // Standard output is the only place to tell of a failure, and it has just failed.
+        let _ = output.write_all(&waiting).and_then(|()| output.flush());
     }
 
     fn take(&self) -> Vec<u8> {
@@ -147,7 +152,7 @@
                 }
             }
             thread::sleep(GATHER);
-            write_out(&self.take());
+            self.flush();
         }
     }
 }
@@ -167,12 +172,6 @@
     }
 }
 
-fn write_out(lines: &[u8]) {
-    let mut output = io::stdout().lock();
-    // Standard output is the only place to tell of a failure, and it has just failed.
-    let _ = output.write_all(lines).and_then(|()| output.flush());
-}
-
 fn wall_milliseconds() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     since.map_or(0, |time| {
--- a/crates/samphiregrade-gateway/src/role/entry.rs
+++ b/crates/samphiregrade-gateway/src/role/entry.rs
@@ -51,6 +51,8 @@
 #[derive(Serialize)]
 struct StopLine {
     open_connections: u32,
+    /// Requests that have come and have not ended.
+    open_requests: u32,
     seconds: f64,
 }
 
@@ -149,12 +151,12 @@
         tokio::time::sleep(STOP_PAUSE).await;
     }
     log_stop("stop", context, since);
-    Logbook::of_process().flush();
 }
 
 fn log_stop(event: &'static str, context: &EntryContext, since: Instant) {
     let line = StopLine {
         open_connections: context.open_connections(),
+        open_requests: context.open_requests(),
         seconds: since.elapsed().as_secs_f64(),
     };
     Logbook::of_process().record(event, &line);
--- a/crates/samphiregrade-gateway/src/role/keeper.rs
+++ b/crates/samphiregrade-gateway/src/role/keeper.rs
@@ -91,7 +91,6 @@
         () = stop.cancelled() => {}
     }
     Logbook::of_process().record("stop", &());
-    Logbook::of_process().flush();
     Ok(())
 }
 
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -7,6 +7,7 @@
 use anyhow::Result;
 use pico_args::Arguments;
 use samphiregrade_gateway::dialect::Dialect;
+use samphiregrade_gateway::observe::Logbook;
 use samphiregrade_gateway::settings::GatewaySettings;
 use samphiregrade_http::run_system;
 use samphiregrade_platform::PlatformDialect;
@@ -34,6 +35,9 @@
     super::install_crypto();
     let path = arguments.settings;
     let settings = GatewaySettings::read(&path)?;
-    run_system(role(settings, path, Arc::new(PlatformDialect)))?;
+    let ended = run_system(role(settings, path, Arc::new(PlatformDialect)));
+    // Only now: tasks that end with the system tell of requests that were still under way.
+    Logbook::of_process().flush();
+    ended?;
     Ok(ExitCode::SUCCESS)
 }
