Entries that stop take nothing new after three seconds and answer what is left

Cause: a stopping entry accepted connections and passed requests on until it ended, and it ended when a look happened to find no connection, or 0.7 s before the kill with whatever was under way. While clients kept coming no look found that.

Change: phases that follow from the clock, each a type: in rotation, finishing (listener and idle connections closed, after the system's queue was taken), giving up (a final answer to each), end. After the closing a request is taken only where it surely ends.

What is cut without an answer now is not traced yet.

--- a/crates/samphiregrade-gateway/src/exchange/connection.rs
+++ b/crates/samphiregrade-gateway/src/exchange/connection.rs
@@ -1,7 +1,7 @@
 //! A client's connection: one request after the other, each answered or visibly cut.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use samphiregrade_http::wire::{
@@ -16,45 +16,82 @@
 use super::dispatch::dispatch;
 use super::outcome::{ConnectionAge, OpenRecord, RequestRecord, SurveyRecord};
 use super::refusal::{Refusal, RefusalReason};
-use super::relay::{RelayEnd, relay_answer};
+use super::relay::{RelayClient, RelayEnd, relay_answer};
 use super::request::RoutedRequest;
 use super::survey::{PlacementView, survey};
 use super::turn::{ProgramStanding, TurnPlan};
 use crate::model::{ClientLimits, RequestKind, RequestMetadata};
 use crate::routing::{RouteTable, service_for};
 
-/// Accepts clients' connections until cancelled.
-///
-/// `close_idle` ends connections on which no request has begun.
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// What ends connections while the instance stops; passed down to each of them.
+#[derive(Clone, Debug, Default)]
+pub struct ServingTokens {
+    /// Nothing new is taken: the listener closes and idle connections end. A request that is there already is taken only
+    /// where it ends before what is under way is given up.
+    pub closing: CancellationToken,
+    /// What is under way is given up, each with an answer that says whether it may have run.
+    pub giving_up: CancellationToken,
+}
+
+/// Accepts clients' connections until nothing more is taken.
 pub async fn serve_clients(
     context: Arc<EntryContext>,
     listener: TcpListener,
-    stop_accepting: CancellationToken,
-    close_idle: CancellationToken,
+    tokens: ServingTokens,
 ) {
     loop {
         let accepted = tokio::select! {
-            () = stop_accepting.cancelled() => return,
+            () = tokens.closing.cancelled() => break,
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, _)) => {
-                tokio::spawn(serve_stream(context.clone(), stream, close_idle.clone()));
-            }
+            Ok((stream, _)) => spawn_connection(&context, stream, &tokens),
             Err(error) => {
                 // Out of descriptors, or a connection that is gone again: a pause lets others end.
                 log::warn!("a client's connection was not accepted: {error}");
-                tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+                tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
     }
+    if let Err(error) = take_waiting(&context, listener, &tokens) {
+        log::warn!("connections that waited were not accepted: {error}");
+    }
 }
 
-async fn serve_stream(
-    context: Arc<EntryContext>,
-    stream: TcpStream,
-    close_idle: CancellationToken,
-) {
+/// Takes the connections that the system has accepted already, whose requests get a refusal in place of a reset, and
+/// closes the listener.
+fn take_waiting(
+    context: &Arc<EntryContext>,
+    listener: TcpListener,
+    tokens: &ServingTokens,
+) -> std::io::Result<()> {
+    let listener = listener.into_std()?;
+    loop {
+        match listener.accept() {
+            Ok((stream, _)) => {
+                stream.set_nonblocking(true)?;
+                spawn_connection(context, TcpStream::from_std(stream)?, tokens);
+            }
+            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => return Ok(()),
+            Err(error) => return Err(error),
+        }
+    }
+}
+
+/// Serves a connection, which counts as open from here on: a task that has not begun must not be overlooked.
+fn spawn_connection(context: &Arc<EntryContext>, stream: TcpStream, tokens: &ServingTokens) {
+    let guard = context.open_connection();
+    let serving = serve_stream(context.clone(), stream, tokens.clone());
+    tokio::spawn(async move {
+        serving.await;
+        drop(guard);
+    });
+}
+
+async fn serve_stream(context: Arc<EntryContext>, stream: TcpStream, tokens: ServingTokens) {
     let socket = match WireSocket::new(stream, &SocketLimits::default()) {
         Ok(socket) => socket,
         Err(error) => {
@@ -62,23 +99,24 @@
             return;
         }
     };
-    let guard = context.open_connection();
+    let age = ConnectionAge {
+        accepted: Instant::now(),
+        earlier_requests: 0,
+    };
     let mut client = ClientConnection {
         context,
         socket,
-        age: ConnectionAge {
-            accepted: Instant::now(),
-            earlier_requests: 0,
-        },
+        age,
+        tokens,
     };
-    client.serve(&close_idle).await;
-    drop(guard);
+    client.serve().await;
 }
 
 struct ClientConnection {
     context: Arc<EntryContext>,
     socket: WireSocket,
     age: ConnectionAge,
+    tokens: ServingTokens,
 }
 
 enum HeadEnd {
@@ -93,6 +131,13 @@
     Gone,
 }
 
+/// What became of waiting for more of a request.
+enum MoreRead {
+    Some,
+    Refused(RefusalReason),
+    Gone,
+}
+
 /// What a request needs before it can be sent.
 struct PreparedRequest {
     request: RoutedRequest,
@@ -100,10 +145,10 @@
 }
 
 impl ClientConnection {
-    async fn serve(&mut self, close_idle: &CancellationToken) {
+    async fn serve(&mut self) {
         loop {
             let limits = self.limits();
-            match self.read_head(&limits, close_idle).await {
+            match self.read_head(&limits).await {
                 HeadEnd::Closed => return,
                 HeadEnd::Refused(reason) => {
                     self.refuse_head(reason).await;
@@ -128,16 +173,12 @@
     }
 
     /// Waits for the next request's head.
-    async fn read_head(
-        &mut self,
-        limits: &ClientLimits,
-        close_idle: &CancellationToken,
-    ) -> HeadEnd {
+    async fn read_head(&mut self, limits: &ClientLimits) -> HeadEnd {
         if self.socket.buffer.is_empty() {
             let read = tokio::select! {
                 biased;
                 read = tokio::time::timeout(limits.idle_timeout, self.socket.fill()) => read,
-                () = close_idle.cancelled() => return HeadEnd::Closed,
+                () = self.tokens.closing.cancelled() => return HeadEnd::Closed,
             };
             if !matches!(read, Ok(Ok(count)) if count > 0) {
                 return HeadEnd::Closed;
@@ -156,14 +197,27 @@
                     return HeadEnd::Refused(RefusalReason::Malformed);
                 }
             }
-            match tokio::time::timeout_at(due.into(), self.socket.fill()).await {
-                Err(_) => return HeadEnd::Refused(RefusalReason::TooSlow),
-                Ok(Ok(count)) if count > 0 => {}
-                Ok(_) => return HeadEnd::Closed,
+            match self.read_more(due).await {
+                MoreRead::Some => {}
+                MoreRead::Refused(reason) => return HeadEnd::Refused(reason),
+                MoreRead::Gone => return HeadEnd::Closed,
             }
         }
     }
 
+    /// Reads more of a request that has begun.
+    async fn read_more(&mut self, due: Instant) -> MoreRead {
+        tokio::select! {
+            biased;
+            read = tokio::time::timeout_at(due.into(), self.socket.fill()) => match read {
+                Err(_) => MoreRead::Refused(RefusalReason::TooSlow),
+                Ok(Ok(count)) if count > 0 => MoreRead::Some,
+                Ok(_) => MoreRead::Gone,
+            },
+            () = self.tokens.giving_up.cancelled() => MoreRead::Refused(RefusalReason::Stopping),
+        }
+    }
+
     /// Answers a head that can't be read as a request.
     async fn refuse_head(&mut self, reason: RefusalReason) {
         let mut record = self.open_record(SmolStr::default(), Instant::now());
@@ -196,11 +250,20 @@
             }
         };
         match self.prepare(head, metadata, body, &mut record) {
+            Ok(prepared) if !self.may_take(&prepared.request) => {
+                let refusal = RefusalReason::Stopping.into();
+                self.refuse(&mut record, refusal, false).await
+            }
             Ok(prepared) => self.carry_out(prepared, &mut record, keep).await,
             Err(reason) => self.refuse(&mut record, reason.into(), keep).await,
         }
     }
 
+    /// Returns whether a request may be taken: once nothing new is, only one that had come before and surely ends in time.
+    fn may_take(&self, request: &RoutedRequest) -> bool {
+        !self.tokens.closing.is_cancelled() || self.context.outlasts(request.due)
+    }
+
     async fn read_body(&mut self, head: &RequestHead, limits: &ClientLimits) -> BodyEnd {
         let Ok(framing) = head.framing() else {
             return BodyEnd::Refused(RefusalReason::Malformed);
@@ -238,13 +301,11 @@
                         }
                     }
                 }
-                Ok(BodyPiece::More) => {
-                    match tokio::time::timeout_at(due.into(), self.socket.fill()).await {
-                        Err(_) => return BodyEnd::Refused(RefusalReason::TooSlow),
-                        Ok(Ok(count)) if count > 0 => {}
-                        Ok(_) => return BodyEnd::Gone,
-                    }
-                }
+                Ok(BodyPiece::More) => match self.read_more(due).await {
+                    MoreRead::Some => {}
+                    MoreRead::Refused(reason) => return BodyEnd::Refused(reason),
+                    MoreRead::Gone => return BodyEnd::Gone,
+                },
                 Err(_) => return BodyEnd::Refused(RefusalReason::Malformed),
             }
         }
@@ -317,20 +378,21 @@
         let context = self.context.clone();
         let sent = tokio::select! {
             biased;
-            sent = send_request(&context, &mut request, turn.as_ref(), record) => Some(sent),
-            () = self.socket.hung_up() => None,
+            sent = send_request(&context, &mut request, turn.as_ref(), record) => sent.map_err(Some),
+            () = self.socket.hung_up() => Err(None),
+            () = self.tokens.giving_up.cancelled() => Err(Some(give_up(record))),
         };
         match sent {
-            None => {
+            Err(None) => {
                 record.outcome = "client-gone";
                 release(&context, turn.as_ref(), 0);
                 false
             }
-            Some(Err(refusal)) => {
+            Err(Some(refusal)) => {
                 release(&context, turn.as_ref(), 0);
                 self.refuse(record, refusal, keep).await
             }
-            Some(Ok(answer)) => self.relay(&request, turn, *answer, record, keep).await,
+            Ok(answer) => self.relay(&request, turn, *answer, record, keep).await,
         }
     }
 
@@ -346,14 +408,18 @@
         let context = self.context.clone();
         let keep = keep && !context.sends_away();
         let upstream = answer.guard.upstream().clone();
+        let client = RelayClient {
+            socket: &mut self.socket,
+            keep,
+            giving_up: &self.tokens.giving_up,
+        };
         let end = relay_answer(
             &context,
-            &mut self.socket,
+            client,
             request,
             turn.as_ref(),
             answer,
             record.uncached,
-            keep,
         );
         match end.await {
             RelayEnd::Whole { status, spent } => {
@@ -425,6 +491,15 @@
     dispatch(context, request, record).await
 }
 
+/// Gives up a request without an answer because the instance ends.
+fn give_up(record: &mut RequestRecord) -> Refusal {
+    record.add_detail("the instance stops");
+    if record.sends > 0 {
+        return RefusalReason::Broken.into();
+    }
+    RefusalReason::Stopping.into()
+}
+
 /// Settles a turn that was not answered whole.
 fn release(context: &EntryContext, turn: Option<&TurnPlan>, spent: u32) {
     if let Some(plan) = turn {
--- a/crates/samphiregrade-gateway/src/exchange/context.rs
+++ b/crates/samphiregrade-gateway/src/exchange/context.rs
@@ -16,6 +16,14 @@
 use crate::routing::RouteTable;
 use crate::upstream::{AnsweredRequest, FirstParts, OutcomeBoard, ServiceTimes, UpstreamDirectory};
 
+/// The times of an instance that was told to stop.
+#[derive(Clone, Copy, Debug)]
+struct StopTimes {
+    told: Instant,
+    /// When what is under way is given up.
+    gives_up: Instant,
+}
+
 /// Shared state of an entry instance.
 pub struct EntryContext {
     /// Names and formats of the platform.
@@ -38,8 +46,7 @@
     pub metrics: Arc<GatewayMetrics>,
     /// Failure domain of the instance.
     pub domain: DomainId,
-    /// When the instance was told to stop.
-    stopping: OnceLock<Instant>,
+    stopping: OnceLock<StopTimes>,
     connections: AtomicU32,
     requests: AtomicU32,
 }
@@ -112,10 +119,12 @@
         self.is_stopping() || !self.cut_off_for().is_zero()
     }
 
-    /// Notes that the instance is about to stop.
-    pub fn set_stopping(&self) {
+    /// Notes that the instance was told to stop, and how long after it what is under way is given up.
+    pub fn set_stopping(&self, time_left: Duration) {
+        let told = Instant::now();
+        let gives_up = told + time_left;
         // Told a second time, it is stopping already.
-        let _ = self.stopping.set(Instant::now());
+        let _ = self.stopping.set(StopTimes { told, gives_up });
     }
 
     /// Returns whether the instance is about to stop.
@@ -127,7 +136,15 @@
     /// Returns how long ago the instance was told to stop; `None` where it wasn't.
     #[must_use]
     pub fn stopping_for(&self) -> Option<Duration> {
-        self.stopping.get().map(Instant::elapsed)
+        self.stopping.get().map(|times| times.told.elapsed())
+    }
+
+    /// Returns whether a request that must be answered by a time will have been before the instance ends.
+    #[must_use]
+    pub fn outlasts(&self, due: Instant) -> bool {
+        self.stopping
+            .get()
+            .is_none_or(|times| due <= times.gives_up)
     }
 
     /// Returns the open connections of clients.
--- a/crates/samphiregrade-gateway/src/exchange/mod.rs
+++ b/crates/samphiregrade-gateway/src/exchange/mod.rs
@@ -13,7 +13,7 @@
 mod turn;
 mod turn_cache;
 
-pub use connection::serve_clients;
+pub use connection::{ServingTokens, serve_clients};
 pub use context::EntryContext;
 pub use events::EventTap;
 pub use refusal::{Refusal, RefusalReason};
--- a/crates/samphiregrade-gateway/src/exchange/refusal.rs
+++ b/crates/samphiregrade-gateway/src/exchange/refusal.rs
@@ -41,6 +41,8 @@
     NoSuchTurn,
     /// The program's budget does not hold the turn.
     OverBudget,
+    /// The instance stops and takes no more work; it has not run.
+    Stopping,
     /// Time ran out before anything was sent.
     LateUnsent,
     /// Time ran out; the request may have run.
@@ -65,6 +67,7 @@
             Self::NoKeepers => "no-keepers",
             Self::NoSuchTurn => "no-such-turn",
             Self::OverBudget => "over-budget",
+            Self::Stopping => "stopping",
             Self::LateUnsent => "late-unsent",
             Self::Late => "late",
             Self::Broken => "broken",
@@ -85,6 +88,7 @@
             | Self::NoUpstream
             | Self::NotExecuted
             | Self::NoKeepers
+            | Self::Stopping
             | Self::LateUnsent => 503,
             Self::Late => 504,
             Self::Broken => 502,
@@ -94,7 +98,10 @@
     fn wait(self) -> Option<Duration> {
         match self {
             Self::NoConfiguration | Self::NoKeepers => Some(START_WAIT),
-            Self::NoUpstream | Self::NotExecuted | Self::LateUnsent => Some(SHORT_WAIT),
+            // A stopping instance closes its listener, so that the next connection goes elsewhere.
+            Self::NoUpstream | Self::NotExecuted | Self::Stopping | Self::LateUnsent => {
+                Some(SHORT_WAIT)
+            }
             _ => None,
         }
     }
@@ -102,7 +109,11 @@
     fn closes(self) -> bool {
         matches!(
             self,
-            Self::Malformed | Self::HeadTooLarge | Self::BodyTooLarge | Self::TooSlow
+            Self::Malformed
+                | Self::HeadTooLarge
+                | Self::BodyTooLarge
+                | Self::TooSlow
+                | Self::Stopping
         )
     }
 }
--- a/crates/samphiregrade-gateway/src/exchange/relay.rs
+++ b/crates/samphiregrade-gateway/src/exchange/relay.rs
@@ -7,6 +7,8 @@
     BodyFraming, BodyPiece, LAST_CHUNK, ResponseHead, WireSocket, append_chunk,
 };
 
+use tokio_util::sync::CancellationToken;
+
 use super::attempt::LiveAnswer;
 use super::context::EntryContext;
 use super::events::EventTap;
@@ -64,11 +66,23 @@
     Client,
     Due,
     NotDurable,
+    /// The instance ends.
+    Stopping,
+}
+
+/// The client of a relayed answer.
+pub struct RelayClient<'connection> {
+    /// Its connection.
+    pub socket: &'connection mut WireSocket,
+    /// Whether the connection goes on after the answer.
+    pub keep: bool,
+    /// Ends what is under way.
+    pub giving_up: &'connection CancellationToken,
 }
 
 struct Relay<'exchange> {
     context: &'exchange EntryContext,
-    client: &'exchange mut WireSocket,
+    client: RelayClient<'exchange>,
     request: &'exchange RoutedRequest,
     turn: Option<&'exchange TurnPlan>,
     tap: EventTap,
@@ -79,12 +93,11 @@
 /// Relays an answer to the client.
 pub async fn relay_answer(
     context: &EntryContext,
-    client: &mut WireSocket,
+    client: RelayClient<'_>,
     request: &RoutedRequest,
     turn: Option<&TurnPlan>,
     mut answer: LiveAnswer,
     uncached: u32,
-    keep: bool,
 ) -> RelayEnd {
     let retained = turn.is_some_and(|plan| plan.retained) && answer.head.status == 200;
     let framing = match answer.framing {
@@ -102,7 +115,7 @@
         framing,
         begun: false,
     };
-    let result = relay.run(&mut answer, keep, retained).await;
+    let result = relay.run(&mut answer, retained).await;
     if let Some(outcome) = outcome_of(&result, &answer) {
         let upstream = answer.guard.upstream().start_tag;
         context.outcomes.note(upstream, outcome, Instant::now());
@@ -133,14 +146,9 @@
         self.tap.begun().saturating_mul(per_event)
     }
 
-    async fn run(
-        &mut self,
-        answer: &mut LiveAnswer,
-        keep: bool,
-        retained: bool,
-    ) -> Result<(), Stop> {
+    async fn run(&mut self, answer: &mut LiveAnswer, retained: bool) -> Result<(), Stop> {
         let mut output = BytesMut::with_capacity(1024);
-        self.write_head(&answer.head, keep, &mut output);
+        self.write_head(&answer.head, &mut output);
         loop {
             let ended = self.take_pieces(answer, &mut output)?;
             if ended && retained {
@@ -159,7 +167,8 @@
             let count = tokio::select! {
                 biased;
                 read = answer.socket.fill() => read.map_err(|error| Stop::Upstream(error.to_string()))?,
-                () = self.client.hung_up() => return Err(Stop::Client),
+                () = self.client.socket.hung_up() => return Err(Stop::Client),
+                () = self.client.giving_up.cancelled() => return Err(Stop::Stopping),
                 () = tokio::time::sleep_until(self.request.due.into()) => return Err(Stop::Due),
                 () = answer.guard.upstream().lost_for(SILENT_ON_LOST_PATH) => return Err(Stop::Path),
             };
@@ -207,7 +216,7 @@
         }
         self.begun = true;
         let bytes: Bytes = output.split().freeze();
-        let writing = self.client.write(&bytes);
+        let writing = self.client.socket.write(&bytes);
         match tokio::time::timeout_at(self.request.due.into(), writing).await {
             Ok(Ok(())) => Ok(()),
             Ok(Err(_)) => Err(Stop::Client),
@@ -230,7 +239,7 @@
         Ok(())
     }
 
-    fn write_head(&self, head: &ResponseHead, keep: bool, output: &mut BytesMut) {
+    fn write_head(&self, head: &ResponseHead, output: &mut BytesMut) {
         output.put_slice(format!("HTTP/1.1 {} ", head.status).as_bytes());
         output.put_slice(&head.reason);
         output.put_slice(b"\r\n");
@@ -242,7 +251,7 @@
         if self.framing == ClientFraming::Chunked {
             output.put_slice(b"Transfer-Encoding: chunked\r\n");
         }
-        if !keep {
+        if !self.client.keep {
             output.put_slice(b"Connection: close\r\n");
         }
         output.put_slice(b"\r\n");
@@ -269,6 +278,10 @@
                 let detail = "too few keepers confirmed the turn".to_owned();
                 ("not-durable", detail, RefusalReason::Broken)
             }
+            Stop::Stopping => {
+                let detail = "the instance stops".to_owned();
+                ("stopped", detail, RefusalReason::Broken)
+            }
         };
         if !self.begun && outcome != "client-gone" {
             return RelayEnd::NothingSent { reason, detail };
@@ -291,7 +304,7 @@
         Ok(()) if answer.probes => Some(Outcome::Recovered),
         Ok(()) => Some(Outcome::Good),
         Err(Stop::Upstream(_)) => Some(Outcome::Bad),
-        Err(Stop::Path | Stop::Client | Stop::Due | Stop::NotDurable) => None,
+        Err(Stop::Path | Stop::Client | Stop::Due | Stop::NotDurable | Stop::Stopping) => None,
     }
 }
 
--- /dev/null
+++ b/crates/samphiregrade-gateway/src/role/departure.rs
@@ -0,0 +1,151 @@
+//! How an entry ends: out of rotation, then no more work, then an answer to what is left, then the process.
+//!
+//! Each phase is a type that only the phase before leads to. What is taken after the signal must end before the process
+//! does, so there has to be a moment from which on nothing is taken: an entry that goes on until it happens to be without
+//! connections never is while clients keep coming, and breaks off at the kill what it took last.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use serde::Serialize;
+use tokio::task::JoinHandle;
+
+use crate::exchange::{EntryContext, ServingTokens};
+use crate::observe::Logbook;
+
+/// Time after the signal to stop within which the platform has stopped sending new connections, where others are
+/// ready: it asks once a second and stops after two misses.
+const LEAVE_ROTATION: Duration = Duration::from_secs(3);
+
+/// Time before the kill at which what is left is given up: answers have to leave, and the process has to end by itself.
+const LAST_MOMENT: Duration = Duration::from_millis(700);
+
+/// Time for the answers to what is given up, and for upstreams and keepers to hear of it: some round trips.
+const LAST_ANSWERS: Duration = Duration::from_millis(300);
+
+/// Pause between two looks at the connections that are left.
+const STOP_PAUSE: Duration = Duration::from_millis(50);
+
+#[derive(Serialize)]
+struct StopLine {
+    open_connections: u32,
+    /// Requests that have come and have not ended.
+    open_requests: u32,
+    seconds: f64,
+}
+
+/// New connections still come, and are served as before.
+pub struct InRotation {
+    accepting: JoinHandle<()>,
+}
+
+/// Nothing is taken any more; what was taken goes on.
+pub struct Finishing;
+
+/// What is left is given up.
+pub struct GivingUp;
+
+/// An entry that was told to stop.
+pub struct EntryDeparture<Phase> {
+    context: Arc<EntryContext>,
+    tokens: ServingTokens,
+    since: Instant,
+    grace: Duration,
+    phase: Phase,
+}
+
+impl EntryDeparture<InRotation> {
+    /// Begins the departure; `accepting` is the task that accepts clients' connections.
+    #[must_use]
+    pub fn begin(
+        context: Arc<EntryContext>,
+        tokens: ServingTokens,
+        grace: Duration,
+        accepting: JoinHandle<()>,
+    ) -> Self {
+        context.set_stopping(grace.saturating_sub(LAST_MOMENT));
+        let departure = Self {
+            context,
+            tokens,
+            since: Instant::now(),
+            grace,
+            phase: InRotation { accepting },
+        };
+        departure.log("stopping");
+        departure
+    }
+
+    /// Serves until the platform sends new connections elsewhere, then closes the listener and idle connections.
+    pub async fn leave_rotation(self) -> EntryDeparture<Finishing> {
+        let rotation = LEAVE_ROTATION.min(self.last_moment() / 2);
+        tokio::time::sleep(rotation).await;
+        self.tokens.closing.cancel();
+        let Self {
+            context,
+            tokens,
+            since,
+            grace,
+            phase,
+        } = self;
+        if let Err(error) = phase.accepting.await {
+            log::error!("accepting connections failed: {error}; report it");
+        }
+        let departure = EntryDeparture {
+            context,
+            tokens,
+            since,
+            grace,
+            phase: Finishing,
+        };
+        departure.log("stop-accepting");
+        departure
+    }
+}
+
+impl EntryDeparture<Finishing> {
+    /// Waits until what was taken has ended, at the longest until the last moment.
+    pub async fn finish(self) -> EntryDeparture<GivingUp> {
+        self.wait_until(self.last_moment()).await;
+        EntryDeparture {
+            context: self.context,
+            tokens: self.tokens,
+            since: self.since,
+            grace: self.grace,
+            phase: GivingUp,
+        }
+    }
+}
+
+impl EntryDeparture<GivingUp> {
+    /// Gives up what is left, and waits until its clients have been told.
+    pub async fn end(self) {
+        self.tokens.giving_up.cancel();
+        self.wait_until(self.last_moment() + LAST_ANSWERS).await;
+        // What the last requests told keepers is on its way.
+        tokio::time::sleep(STOP_PAUSE).await;
+        self.log("stop");
+    }
+}
+
+impl<Phase> EntryDeparture<Phase> {
+    /// Returns the time after the signal at which what is left is given up.
+    fn last_moment(&self) -> Duration {
+        self.grace.saturating_sub(LAST_MOMENT)
+    }
+
+    /// Waits until no connection is left, or until a time after the signal.
+    async fn wait_until(&self, end: Duration) {
+        while self.context.open_connections() > 0 && self.since.elapsed() < end {
+            tokio::time::sleep(STOP_PAUSE).await;
+        }
+    }
+
+    fn log(&self, event: &'static str) {
+        let line = StopLine {
+            open_connections: self.context.open_connections(),
+            open_requests: self.context.open_requests(),
+            seconds: self.since.elapsed().as_secs_f64(),
+        };
+        Logbook::of_process().record(event, &line);
+    }
+}
--- a/crates/samphiregrade-gateway/src/role/entry.rs
+++ b/crates/samphiregrade-gateway/src/role/entry.rs
@@ -12,11 +12,12 @@
 use tokio_util::sync::CancellationToken;
 
 use super::beliefs::follow_store;
+use super::departure::EntryDeparture;
 use super::domain_watch::watch_domains;
 use super::probe_server::{ProbeAnswer, serve_probes};
 use super::signals::follow_signals;
 use crate::dialect::Dialect;
-use crate::exchange::{EntryContext, TurnCache, serve_clients};
+use crate::exchange::{EntryContext, ServingTokens, TurnCache, serve_clients};
 use crate::fact::KeeperPlacement;
 use crate::model::UpstreamTag;
 use crate::observe::{GatewayMetrics, Logbook};
@@ -27,16 +28,6 @@
 /// Part of the machine's memory for chains of turns.
 const TURN_CACHE_SHARE: u64 = 10;
 
-/// Time after the signal to stop within which the platform has stopped sending new connections: it asks
-/// once a second and stops after two misses.
-const LEAVE_ROTATION: Duration = Duration::from_secs(3);
-
-/// Time before the kill at which what is left is given up.
-const LAST_MOMENT: Duration = Duration::from_millis(700);
-
-/// Pause between two looks at the connections that are left.
-const STOP_PAUSE: Duration = Duration::from_millis(50);
-
 /// Time between two sweeps over idle connections to upstreams.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -48,14 +39,6 @@
     version: &'static str,
 }
 
-#[derive(Serialize)]
-struct StopLine {
-    open_connections: u32,
-    /// Requests that have come and have not ended.
-    open_requests: u32,
-    seconds: f64,
-}
-
 #[derive(Serialize)]
 struct ReadinessLine {
     ready: bool,
@@ -123,45 +106,17 @@
         version: env!("CARGO_PKG_VERSION"),
     };
     Logbook::of_process().record("start", &line);
-    let close_idle = CancellationToken::new();
-    let serving = serve_clients(context.clone(), clients, ended.clone(), close_idle.clone());
-    tokio::spawn(serving);
+    let tokens = ServingTokens::default();
+    let accepting = tokio::spawn(serve_clients(context.clone(), clients, tokens.clone()));
     tokio::spawn(sweep_connections(context.clone(), ended.clone()));
     tokio::spawn(watch_domains(context.clone(), ended.clone()));
     stop.cancelled().await;
-    leave(&context, settings.times.grace(), &close_idle).await;
+    let departure = EntryDeparture::begin(context, tokens, settings.times.grace(), accepting);
+    departure.leave_rotation().await.finish().await.end().await;
     ended.cancel();
     Ok(())
 }
 
-/// Stops in order: out of rotation, then the connections, then the process.
-async fn leave(context: &EntryContext, grace: Duration, close_idle: &CancellationToken) {
-    let since = Instant::now();
-    context.set_stopping();
-    log_stop("stopping", context, since);
-    let last = grace.saturating_sub(LAST_MOMENT);
-    let rotation = LEAVE_ROTATION.min(last / 2);
-    while since.elapsed() < last {
-        if since.elapsed() >= rotation {
-            close_idle.cancel();
-            if context.open_connections() == 0 {
-                break;
-            }
-        }
-        tokio::time::sleep(STOP_PAUSE).await;
-    }
-    log_stop("stop", context, since);
-}
-
-fn log_stop(event: &'static str, context: &EntryContext, since: Instant) {
-    let line = StopLine {
-        open_connections: context.open_connections(),
-        open_requests: context.open_requests(),
-        seconds: since.elapsed().as_secs_f64(),
-    };
-    Logbook::of_process().record(event, &line);
-}
-
 fn serve_questions(
     settings: &GatewaySettings,
     context: &Arc<EntryContext>,
--- a/crates/samphiregrade-gateway/src/role/mod.rs
+++ b/crates/samphiregrade-gateway/src/role/mod.rs
@@ -2,6 +2,7 @@
 
 mod authority;
 mod beliefs;
+mod departure;
 mod domain_watch;
 mod entry;
 mod keeper;
