Keepers refuse an older placement only once they can tell the newer one

Where a slot changes hands, an entry that had just started read the newer placement from the key-value service 0.4 s before the keepers learnt it; with its first question each keeper took the bare number over and refused everything under the older placement, but could only tell the old one.

Change: a keeper's placement is the one that it holds. A keeper that takes over a slot hands the placement over with its questions, and from then on the asked one refuses the older one and tells the newer. Whether a fact that is stored under the newer one by an early entry can be missed: it is known at each keeper that confirmed it, whichever placement it is asked under, and a keeper in a new slot confirms budgets and absence only once it has read the others.

--- a/crates/samphiregrade-gateway/src/fact/message.rs
+++ b/crates/samphiregrade-gateway/src/fact/message.rs
@@ -182,6 +182,8 @@
 /// What a keeper that rebuilds asks another one for.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ExportRequest {
+    /// The placement under which it asks.
+    pub placement: KeeperPlacement,
     /// The part, from 0.
     pub part: u8,
     /// The slot of the keeper that asks; `None` for all facts of the part.
--- a/crates/samphiregrade-gateway/src/fact/rebuild.rs
+++ b/crates/samphiregrade-gateway/src/fact/rebuild.rs
@@ -138,6 +138,7 @@
     let mut outcomes = Vec::with_capacity(sources.len());
     for source in sources {
         let request = ExportRequest {
+            placement: service.placement(),
             part,
             slot: Some(own),
             known: service.known_turns(part),
@@ -153,7 +154,7 @@
     source: &KeeperSlot,
     request: ExportRequest,
 ) -> Result<ReadPart, String> {
-    let generation = service.placement().generation;
+    let generation = request.placement.generation;
     let envelope = KeeperEnvelope::between_keepers(generation, KeeperRequest::Export(request));
     let reply = links.ask(source.address, &envelope, PART_TIMEOUT).await;
     match reply.map_err(|error| error.to_string())? {
--- a/crates/samphiregrade-gateway/src/fact/service.rs
+++ b/crates/samphiregrade-gateway/src/fact/service.rs
@@ -49,8 +49,6 @@
 struct KeeperState {
     book: FactBook,
     disk_state: DiskState,
-    /// Generation below which requests are refused.
-    generation: PlacementGeneration,
     written_bytes: u64,
     /// Whether the disk has refused facts that are in memory: all are written again when it takes them.
     unwritten: bool,
@@ -94,7 +92,6 @@
         let disk_state = recovered.state.unwrap_or(fresh);
         let state = KeeperState {
             book: recovered.book,
-            generation: disk_state.placement.generation,
             disk_state,
             written_bytes: recovered.bytes,
             unwritten: false,
@@ -124,7 +121,10 @@
     pub async fn answer(&self, envelope: KeeperEnvelope) -> KeeperReply {
         let now = Instant::now();
         self.with(|state| state.outcomes.take(&envelope.outcomes, now));
-        if let Some(newer) = self.check_generation(envelope.generation) {
+        if let KeeperRequest::Export(request) = &envelope.request {
+            self.adopt_placement(request.placement.clone()).await;
+        }
+        if let Some(newer) = self.newer_placement(envelope.generation) {
             return KeeperReply::NewerPlacement(newer);
         }
         match envelope.request {
@@ -194,17 +194,17 @@
         })
     }
 
-    /// Returns the newer placement where the sender's is old; adopts a newer generation.
+    /// Returns the placement that is held where the sender's is older.
     ///
-    /// Once a keeper has heard of a placement it takes nothing more under an older one: a fact that it
-    /// acknowledged before is in what it hands to the instance that takes over a slot.
-    fn check_generation(&self, generation: PlacementGeneration) -> Option<KeeperPlacement> {
+    /// What the instance that takes over a slot reads must be all that was confirmed under the placement before: it hands
+    /// its own over with its first question, and from then on nothing is taken under an older one. No other request
+    /// does that. Where entries that had heard of a newer placement first did, a keeper refused all others for
+    /// 0.3 s, until it could tell the newer one itself, and turns that had run were broken off as not durable. What
+    /// such an entry stores is known wherever it was confirmed, whichever placement is asked under.
+    fn newer_placement(&self, generation: PlacementGeneration) -> Option<KeeperPlacement> {
         self.with(|state| {
-            if generation >= state.generation {
-                state.generation = generation;
-                return None;
-            }
-            Some(state.disk_state.placement.clone())
+            let held = &state.disk_state.placement;
+            (generation < held.generation).then(|| held.clone())
         })
     }
 
@@ -348,7 +348,6 @@
             if placement.generation <= state.disk_state.placement.generation {
                 return false;
             }
-            state.generation = state.generation.max(placement.generation);
             state.disk_state.placement = placement.clone();
             true
         });
--- a/crates/samphiregrade-gateway/tests/suite/facts.rs
+++ b/crates/samphiregrade-gateway/tests/suite/facts.rs
@@ -211,6 +211,7 @@
             part,
             slot: Some(3),
             known: Vec::new(),
+            ..ExportRequest::default()
         };
         let facts = book.export(&request, &placement).facts;
         of_slot += facts.len();
--- a/crates/samphiregrade-gateway/tests/suite/keepers.rs
+++ b/crates/samphiregrade-gateway/tests/suite/keepers.rs
@@ -255,6 +255,56 @@
     assert_eq!(client.store(&"p".into(), fact).await, Ok(()));
 }
 
+/// Turns that had run were broken off as not durable while a slot changed hands: an entry that had just started knew the
+/// newer placement before the keepers did, and they refused everything under the older one without being able to tell
+/// the newer.
+#[tokio::test]
+async fn entry_that_knows_a_newer_placement_first_stops_nobody_else() {
+    let deployment = Deployment::start().await;
+    let early = deployment.client("a");
+    early.adopt(
+        &deployment
+            .placement
+            .with_occupant(0, "a", deployment.keepers[0].slot.address),
+    );
+    let others = deployment.client("b");
+    let early_fact = turn("t1", None, b"in", b"out");
+    assert_eq!(early.store(&"p".into(), early_fact).await, Ok(()));
+    let fact = turn("t2", None, b"in", b"out");
+    assert_eq!(others.store(&"p".into(), fact).await, Ok(()));
+}
+
+/// What the instance that takes over a slot has read must be all that was confirmed under the placement before.
+#[tokio::test]
+async fn keeper_that_was_read_under_a_newer_placement_takes_nothing_under_the_older_one_and_tells_it()
+ {
+    let mut deployment = Deployment::start().await;
+    let successor = start_keeper(&deployment.authority, "d", false).await;
+    let newer = deployment
+        .placement
+        .with_occupant(0, "d", successor.slot.address);
+    successor.service.adopt_placement(newer.clone()).await;
+    let links = deployment.links();
+    let rebuilding = rebuild_from_others(&successor.service, &links, "d");
+    tokio::time::timeout(PATIENCE, rebuilding)
+        .await
+        .expect("a rebuilt keeper");
+    for keeper in &deployment.keepers[1..] {
+        let reply = keeper
+            .service
+            .answer(KeeperEnvelope::between_keepers(
+                deployment.placement.generation,
+                KeeperRequest::Store(turn("t1", None, b"in", b"out")),
+            ))
+            .await;
+        assert!(
+            matches!(&reply, KeeperReply::NewerPlacement(told) if *told == newer),
+            "{reply:?}"
+        );
+    }
+    deployment.keepers.push(successor);
+}
+
 #[tokio::test]
 async fn failed_write_is_told_before_its_further_tries() {
     let authority = make_authority().expect("an authority");
