Keepers that stop answer what has come, and say so on their links

Cause: run_keeper returned at the signal; questions on its links, replies in their queues and notes that were confirmed but not written ended with the process. Entries could not tell which of their questions had arrived.

Ruled out: answering for longer, as entries do. A keeper's clients have two others and want it back soon.

--- a/crates/samphiregrade-gateway/src/fact/service.rs
+++ b/crates/samphiregrade-gateway/src/fact/service.rs
@@ -386,6 +386,13 @@
         self.remember().await
     }
 
+    /// Resolves once everything that was taken up to now stands on disk, as far as the disk takes it: notes are
+    /// confirmed before they are written, and would end with the process.
+    pub async fn settle(&self) -> bool {
+        // The disk writes in order, so that the state comes after all that waits.
+        self.remember().await
+    }
+
     async fn remember(&self) -> bool {
         self.disk.remember(self.disk_state()).await
     }
--- a/crates/samphiregrade-gateway/src/link.rs
+++ b/crates/samphiregrade-gateway/src/link.rs
@@ -5,6 +5,9 @@
 //! one request at a time were left as well: a keeper that was away for half a second came back to a
 //! handshake for each waiting request and never caught up. So each peer has one connection, one task that
 //! drives it, and at most one handshake at a time.
+//!
+//! A peer that is told to stop says so on its connections and answers what has come on them: whoever asks would
+//! lose answers that are on their way otherwise, and could not tell which questions had arrived.
 
 use std::collections::HashMap;
 use std::io;
@@ -23,6 +26,8 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio_rustls::client::TlsStream;
 use tokio_rustls::{TlsAcceptor, TlsConnector};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use crate::identity::{LinkIdentity, SERVER_NAME};
 
@@ -32,6 +37,14 @@
 /// Bytes of a frame before its message: number of the request and length.
 const FRAME_HEAD: usize = 12;
 
+/// Number of the frame that says that its sender is about to stop; requests are numbered from one. It says nothing to a
+/// peer that doesn't know it.
+const LEAVE_NUMBER: u64 = 0;
+
+/// Longest time for which a peer that stops answers what has come: a question may be held for some hundreds of
+/// milliseconds, and a small disk takes as long at worst.
+const LEAVE_LIMIT: Duration = Duration::from_secs(1);
+
 /// Messages that may wait for one peer; more fail at once.
 const QUEUE_LIMIT: usize = 1024;
 
@@ -184,7 +197,7 @@
         sender
     }
 
-    /// Answers other instances on an address.
+    /// Answers other instances on an address, for as long as the process runs.
     ///
     /// # Errors
     ///
@@ -194,6 +207,28 @@
         address: SocketAddr,
         handler: Handler,
     ) -> io::Result<()>
+    where
+        Handler: Fn(Request) -> Answering + Clone + Send + Sync + 'static,
+        Request: DeserializeOwned + Send + 'static,
+        Reply: Serialize + Send + 'static,
+        Answering: Future<Output = Reply> + Send + 'static,
+    {
+        let never = CancellationToken::new();
+        self.serve_until(address, handler, &never).await
+    }
+
+    /// Answers other instances on an address until told to stop: then no connection is taken any more, peers are told,
+    /// and what has come from them is answered, for a limited time.
+    ///
+    /// # Errors
+    ///
+    /// The system's error where the port is taken.
+    pub async fn serve_until<Handler, Request, Reply, Answering>(
+        &self,
+        address: SocketAddr,
+        handler: Handler,
+        stop: &CancellationToken,
+    ) -> io::Result<()>
     where
         Handler: Fn(Request) -> Answering + Clone + Send + Sync + 'static,
         Request: DeserializeOwned + Send + 'static,
@@ -201,18 +236,33 @@
         Answering: Future<Output = Reply> + Send + 'static,
     {
         let listener = listen(address)?;
+        let links = TaskTracker::new();
         loop {
-            let Some(stream) = accept(&listener).await else {
+            let accepted = tokio::select! {
+                () = stop.cancelled() => break,
+                accepted = accept(&listener) => accepted,
+            };
+            let Some(stream) = accepted else {
                 continue;
             };
             let acceptor = self.acceptor.clone();
             let handler = handler.clone();
-            tokio::spawn(async move {
-                if let Err(error) = serve_link(stream, acceptor, handler).await {
+            let stop = stop.clone();
+            links.spawn(async move {
+                if let Err(error) = serve_link(stream, acceptor, handler, stop).await {
                     log::debug!("a link ended: {error}");
                 }
             });
         }
+        drop(listener);
+        links.close();
+        if tokio::time::timeout(LEAVE_LIMIT, links.wait())
+            .await
+            .is_err()
+        {
+            log::info!("{} links are left open when the process ends", links.len());
+        }
+        Ok(())
     }
 }
 
@@ -240,6 +290,9 @@
                     link.add(job);
                     let ended = link.run(&mut self.jobs).await;
                     log::debug!("the link to {} ended: {ended}", self.address);
+                    if link.is_leaving {
+                        tokio::spawn(link.finish());
+                    }
                 }
                 Ok(Err(error)) => self.fail_waiting(&error.to_string()).await,
                 Err(_) => self.fail_waiting("no connection in time").await,
@@ -278,6 +331,8 @@
     output: BytesMut,
     pending: HashMap<u64, oneshot::Sender<Bytes>>,
     next: u64,
+    /// Whether the peer is about to stop: it answers what it has got, and nothing new is sent to it.
+    is_leaving: bool,
     /// When something was heard last, or the first of the unanswered requests was sent.
     heard: Instant,
 }
@@ -289,7 +344,8 @@
             received: BytesMut::new(),
             output: BytesMut::new(),
             pending: HashMap::new(),
-            next: 0,
+            next: LEAVE_NUMBER,
+            is_leaving: false,
             heard: Instant::now(),
         }
     }
@@ -303,13 +359,50 @@
         append_frame(&mut self.output, self.next, &job.message);
     }
 
-    /// Carries requests and replies until the connection fails; returns why.
+    /// Carries requests and replies until the connection fails or the peer stops; returns why.
     async fn run(&mut self, jobs: &mut mpsc::Receiver<LinkJob>) -> io::Error {
-        loop {
+        while !self.is_leaving {
             if let Err(error) = self.step(jobs).await {
                 return error;
             }
         }
+        io::Error::other("the peer is about to stop")
+    }
+
+    /// Takes the replies that a peer still owes which is about to stop.
+    async fn finish(mut self) {
+        while !self.pending.is_empty() {
+            self.received.reserve(READ_ROOM);
+            let reading = self.stream.read_buf(&mut self.received);
+            let read = match tokio::time::timeout(SILENCE_LIMIT, reading).await {
+                Ok(read) => read,
+                Err(_) => Err(io::ErrorKind::TimedOut.into()),
+            };
+            if let Err(error) = read.and_then(|count| self.take_replies(count)) {
+                let owed = self.pending.len();
+                log::debug!("a peer that stops owes {owed} replies: {error}");
+                return;
+            }
+        }
+    }
+
+    /// Hands replies out after some bytes were read.
+    fn take_replies(&mut self, count: usize) -> io::Result<()> {
+        if count == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        self.heard = Instant::now();
+        while let Some((number, message)) = take_frame(&mut self.received)? {
+            if number == LEAVE_NUMBER {
+                self.is_leaving = true;
+                continue;
+            }
+            if let Some(reply) = self.pending.remove(&number) {
+                // The asker may have given up.
+                let _ = reply.send(message);
+            }
+        }
+        Ok(())
     }
 
     async fn step(&mut self, jobs: &mut mpsc::Receiver<LinkJob>) -> io::Result<()> {
@@ -329,16 +422,7 @@
         tokio::select! {
             biased;
             read = self.stream.read_buf(&mut self.received) => {
-                if read? == 0 {
-                    return Err(io::ErrorKind::UnexpectedEof.into());
-                }
-                self.heard = Instant::now();
-                while let Some((number, message)) = take_frame(&mut self.received)? {
-                    if let Some(reply) = self.pending.remove(&number) {
-                        // The asker may have given up.
-                        let _ = reply.send(message);
-                    }
-                }
+                self.take_replies(read?)?;
             }
             job = jobs.recv() => match job {
                 Some(job) => self.add(job),
@@ -393,6 +477,7 @@
     stream: TcpStream,
     acceptor: TlsAcceptor,
     handler: Handler,
+    stop: CancellationToken,
 ) -> io::Result<()>
 where
     Handler: Fn(Request) -> Answering + Clone + Send + 'static,
@@ -404,9 +489,17 @@
     let mut link = tokio::time::timeout(CONNECT_TIMEOUT, acceptor.accept(stream)).await??;
     let (replies, mut answered) = mpsc::channel::<(u64, Vec<u8>)>(QUEUE_LIMIT);
     let mut received = BytesMut::new();
+    let mut is_leaving = false;
     loop {
         received.reserve(READ_ROOM);
         tokio::select! {
+            () = stop.cancelled(), if !is_leaving => {
+                is_leaving = true;
+                let mut output = BytesMut::new();
+                append_frame(&mut output, LEAVE_NUMBER, &[]);
+                link.write_all(&output).await?;
+                link.flush().await?;
+            }
             read = link.read_buf(&mut received) => {
                 if read? == 0 {
                     return Ok(());
--- a/crates/samphiregrade-gateway/src/role/keeper.rs
+++ b/crates/samphiregrade-gateway/src/role/keeper.rs
@@ -1,13 +1,15 @@
 //! A keeper instance: keeps facts on its disk and carries no traffic.
 
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use anyhow::{Context, Result};
 use samphiregrade_http::wire::listen;
 use serde::Serialize;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use super::authority::{AUTHORITY_KEY, LinkAuthority};
 use super::member::KeeperMember;
@@ -23,6 +25,16 @@
 /// Pause before the key-value service is asked again for what a start needs.
 const START_PAUSE: Duration = Duration::from_millis(150);
 
+/// Longest wait for the disk at the end: a hanging one must not keep the process until it is killed.
+const SETTLE_LIMIT: Duration = Duration::from_secs(1);
+
+#[derive(Serialize)]
+struct StopLine {
+    /// Whether everything that was confirmed stands on disk.
+    settled: bool,
+    seconds: f64,
+}
+
 #[derive(Serialize)]
 struct StartLine<'line> {
     role: &'static str,
@@ -66,32 +78,61 @@
     Logbook::of_process().record("start", &line);
     serve_metrics(&settings, &metrics, &stop)?;
     let store = StoreClient::new(settings.store.address, dialect.clone(), metrics);
+    let answering = TaskTracker::new();
     let running = async {
         let authority = find_authority(&store, &service).await?;
         let identity = authority.identity(&settings.instance.name)?;
         let links = LinkEndpoint::new(&identity)?;
-        let answering = service.clone();
-        let serving = links.clone();
-        let address = settings.listen.links();
-        tokio::spawn(async move {
-            let handler = move |envelope: KeeperEnvelope| {
-                let service = answering.clone();
-                async move { service.answer(envelope).await }
-            };
-            if let Err(error) = serving.serve(address, handler).await {
-                log::error!("links can't be accepted on {address}: {error}; free the port");
-            }
-        });
-        let member = KeeperMember::new(settings, store, dialect, service, links);
+        let serving = serve_entries(links.clone(), settings.listen.links(), &service, &stop);
+        answering.spawn(serving);
+        let member = KeeperMember::new(settings, store, dialect, service.clone(), links);
         member.run(&stop).await;
         anyhow::Ok(())
     };
-    tokio::select! {
-        result = running => result?,
-        () = stop.cancelled() => {}
+    let result = tokio::select! {
+        result = running => result,
+        () = stop.cancelled() => Ok(()),
+    };
+    // A keeper that has to end for another reason owes its answers as well.
+    stop.cancel();
+    leave(&service, &answering).await;
+    result
+}
+
+/// Answers entries and other keepers until told to stop.
+fn serve_entries(
+    links: LinkEndpoint,
+    address: SocketAddr,
+    service: &KeeperService,
+    stop: &CancellationToken,
+) -> impl Future<Output = ()> + use<> {
+    let (service, stop) = (service.clone(), stop.clone());
+    let handler = move |envelope: KeeperEnvelope| {
+        let service = service.clone();
+        async move { service.answer(envelope).await }
+    };
+    async move {
+        if let Err(error) = links.serve_until(address, handler, &stop).await {
+            log::error!("links can't be accepted on {address}: {error}; free the port");
+        }
     }
-    Logbook::of_process().record("stop", &());
-    Ok(())
+}
+
+/// Stops in order: the questions that have come are answered, then what was confirmed before it was written is written.
+///
+/// Entries count on a majority. A keeper that ends in the middle of its answers takes some from turns that have run
+/// already, and where another keeper is not quite back these are broken off.
+async fn leave(service: &KeeperService, answering: &TaskTracker) {
+    let since = Instant::now();
+    service.mirror().leave();
+    answering.close();
+    answering.wait().await;
+    let settling = tokio::time::timeout(SETTLE_LIMIT, service.settle());
+    let line = StopLine {
+        settled: settling.await.unwrap_or(false),
+        seconds: since.elapsed().as_secs_f64(),
+    };
+    Logbook::of_process().record("stop", &line);
 }
 
 fn serve_metrics(
--- a/crates/samphiregrade-gateway/src/store/mirror.rs
+++ b/crates/samphiregrade-gateway/src/store/mirror.rs
@@ -10,6 +10,7 @@
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
 
 use super::follow::FollowEvent;
 use crate::dialect::{StoreItem, StorePage, StoreRevision, StoreValue};
@@ -166,6 +167,8 @@
 pub struct StoreMirror {
     state: Mutex<MirrorState>,
     changed: watch::Sender<()>,
+    /// Whether the keeper is about to stop.
+    leaving: CancellationToken,
 }
 
 impl Default for StoreMirror {
@@ -173,6 +176,7 @@
         Self {
             state: Mutex::default(),
             changed: watch::Sender::new(()),
+            leaving: CancellationToken::new(),
         }
     }
 }
@@ -190,6 +194,11 @@
         hold(&self.state).at.unwrap_or(0)
     }
 
+    /// Holds no question back from now on: a keeper that stops is away for a shorter time.
+    pub fn leave(&self) {
+        self.leaving.cancel();
+    }
+
     /// Answers one who follows; waits where there is nothing to tell.
     pub async fn answer(&self, request: StreamRequest) -> StreamReply {
         let mut changed = self.changed.subscribe();
@@ -198,12 +207,13 @@
             let now = Instant::now();
             let reply = hold(&self.state).reply(request.position, now);
             let waits = matches!(reply.part, StreamPart::Nothing(_)) && !reply.lost;
-            if !waits || now >= due {
+            if !waits || now >= due || self.leaving.is_cancelled() {
                 return reply;
             }
             tokio::select! {
                 // The sender lives as long as the mirror.
                 _ = changed.changed() => {}
+                () = self.leaving.cancelled() => {}
                 () = tokio::time::sleep_until(due.into()) => {}
             }
         }
