A turn that has run waits for keepers that are away for a moment

Keepers that were stopped in turn, each while the one before was not quite back on its entries' links, broke answers off; so did a slot that changed hands, since every keeper refuses the old placement.

Now a question whose connection fails is asked again for as long as its asker waits, the tries that a fact makes in the background count for the one who waits, for up to 2.5 s, and a store goes on under the newer placement. Confirmations under two placements are never added up: the instance that gave the first may have lost its slot since.

--- a/crates/samphiregrade-gateway/src/fact/client.rs
+++ b/crates/samphiregrade-gateway/src/fact/client.rs
@@ -14,7 +14,7 @@
 use super::message::{
     ChainAnswer, FactRecord, KeeperEnvelope, KeeperReply, KeeperRequest, ProgramLedger,
 };
-use super::placement::{KeeperPlacement, KeeperSlot};
+use super::placement::{KeeperPlacement, KeeperSlot, PlacementGeneration};
 use crate::link::LinkEndpoint;
 use crate::model::{ProgramId, TurnId};
 use crate::observe::GatewayMetrics;
@@ -29,6 +29,13 @@
 /// Times that a fact is sent to a keeper that does not confirm it.
 const BACKGROUND_TRIES: usize = 3;
 
+/// Pause before a question is sent again whose connection failed: half of what a link waits before it connects again.
+const REPEAT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Longest wait until a fact is durable. The end of an answer that has run waits for it, and is broken off otherwise:
+/// it outlasts the longest orderly stop of a keeper, two seconds, and its start.
+const STORE_PATIENCE: Duration = Duration::from_millis(2500);
+
 /// Why a fact is not known to be durable, or a question has no sure answer.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
 pub enum FactFailure {
@@ -58,6 +65,15 @@
     Absent,
 }
 
+/// What became of a question.
+enum AskedKeeper {
+    Answered(KeeperReply),
+    /// A helper has passed it on.
+    Helped(KeeperReply),
+    /// The connection failed, or no answer came in time.
+    Silent,
+}
+
 /// The client of all keepers; cloning it is cheap.
 #[derive(Clone)]
 pub struct KeeperClient {
@@ -160,23 +176,67 @@
 
     /// Stores a fact on a majority of the program's keepers.
     ///
+    /// Keepers that are away for a moment are waited for, and where the placement changes meanwhile the fact is stored
+    /// under the newer one: what has run must not be broken off since a keeper stops or a slot changes hands. Only
+    /// confirmations under one placement count together.
+    ///
     /// # Errors
     ///
     /// [`FactFailure`] where too few confirm it in time.
     pub async fn store(&self, program: &ProgramId, fact: FactRecord) -> Result<(), FactFailure> {
-        let placement = self.placement.load_full();
-        let group = group_slots(&placement, program)?;
-        let mut replies = self.ask_group(&placement, &group, &KeeperRequest::Store(fact));
+        let due = Instant::now() + STORE_PATIENCE;
+        self.store_until(program, fact, due).await
+    }
+
+    /// Stores a fact as [`Self::store`] does, and waits until a given moment.
+    ///
+    /// # Errors
+    ///
+    /// [`FactFailure`] where too few confirm it by then.
+    pub async fn store_until(
+        &self,
+        program: &ProgramId,
+        fact: FactRecord,
+        due: Instant,
+    ) -> Result<(), FactFailure> {
+        loop {
+            let placement = self.placement.load_full();
+            let storing = self.store_under(&placement, program, &fact);
+            match tokio::time::timeout_at(due.into(), storing).await {
+                Ok(Ok(())) => return Ok(()),
+                Ok(Err(failure)) if !self.is_outdated(&placement) => return Err(failure),
+                Ok(Err(_)) => {}
+                Err(_) => return Err(FactFailure::TooFew),
+            }
+        }
+    }
+
+    /// Stores a fact on a majority of the keepers that a placement names.
+    async fn store_under(
+        &self,
+        placement: &Arc<KeeperPlacement>,
+        program: &ProgramId,
+        fact: &FactRecord,
+    ) -> Result<(), FactFailure> {
+        let group = group_slots(placement, program)?;
+        let mut replies = self.ask_group(placement, &group, &KeeperRequest::Store(fact.clone()));
         let mut stored = 0;
         while let Some(reply) = replies.recv().await {
             stored += usize::from(matches!(reply, Some(KeeperReply::Stored)));
             if stored >= placement.majority() {
                 return Ok(());
             }
+            if self.is_outdated(placement) {
+                break;
+            }
         }
         Err(FactFailure::TooFew)
     }
 
+    fn is_outdated(&self, placement: &KeeperPlacement) -> bool {
+        self.placement.load().generation != placement.generation
+    }
+
     /// Tells the program's keepers a fact that nobody waits for.
     pub fn note(&self, program: &ProgramId, fact: &FactRecord) {
         let placement = self.placement.load_full();
@@ -283,7 +343,8 @@
         Ok(group)
     }
 
-    /// Asks several keepers at once; each reply comes as it arrives, `None` for one that failed.
+    /// Asks several keepers at once; each reply comes as it arrives, `None` for one that failed. A fact's confirmation
+    /// may still come after that.
     fn ask_group(
         &self,
         placement: &Arc<KeeperPlacement>,
@@ -298,40 +359,40 @@
             let sender = sender.clone();
             let slot = slot.clone();
             tokio::spawn(async move {
-                let reply = client
-                    .ask(slot.clone(), &placement, request.clone(), ASK_TIMEOUT)
-                    .await;
+                let asking = client.ask_until(&slot, &placement, &request, ASK_TIMEOUT);
+                let reply = asking.await;
                 let failed = reply.is_none();
                 // The asker may have its majority already.
                 let _ = sender.send(reply).await;
-                // The asker waits for all senders; it must not wait for the further tries.
-                drop(sender);
                 let lasting = matches!(request, KeeperRequest::Store(_));
-                if failed && lasting {
-                    client.insist(slot, request).await;
+                if !failed || !lasting {
+                    return;
+                }
+                let confirmed = client.insist(slot, request).await;
+                if confirmed == Some(placement.generation) {
+                    // The asker may have given up, or have its majority.
+                    let _ = sender.send(Some(KeeperReply::Stored)).await;
                 }
             });
         }
         replies
     }
 
-    /// Sends a fact until the keeper confirms it, a few times.
-    async fn insist(&self, slot: KeeperSlot, request: KeeperRequest) {
+    /// Sends a fact until the keeper confirms it, a few times; returns the placement's number under which it did.
+    async fn insist(
+        &self,
+        slot: KeeperSlot,
+        request: KeeperRequest,
+    ) -> Option<PlacementGeneration> {
         for _ in 0..BACKGROUND_TRIES {
             let placement = self.placement.load_full();
-            let reply = self
-                .ask(
-                    slot.clone(),
-                    &placement,
-                    request.clone(),
-                    BACKGROUND_TIMEOUT,
-                )
-                .await;
-            if matches!(reply, Some(KeeperReply::Stored)) {
-                return;
+            let asking = self.ask_until(&slot, &placement, &request, BACKGROUND_TIMEOUT);
+            if matches!(asking.await, Some(KeeperReply::Stored)) {
+                return Some(placement.generation);
             }
             tokio::time::sleep(ASK_TIMEOUT).await;
         }
+        None
     }
 
     /// Puts a request into the envelope for a keeper, with what the keeper has not been told of upstreams.
@@ -356,13 +417,66 @@
         request: KeeperRequest,
         timeout: Duration,
     ) -> Option<KeeperReply> {
+        let asked = self.ask_once(&slot, placement, request, timeout).await;
+        self.take_asked(asked)
+    }
+
+    /// Asks a keeper, and asks it again where the connection fails while the asker still waits: a process that is
+    /// stopped takes the questions on its links with it, and the next one may be there already. All of these
+    /// questions may come twice: a keeper that knows a fact takes it as it is.
+    async fn ask_until(
+        &self,
+        slot: &KeeperSlot,
+        placement: &KeeperPlacement,
+        request: &KeeperRequest,
+        timeout: Duration,
+    ) -> Option<KeeperReply> {
+        let due = Instant::now() + timeout;
+        loop {
+            let left = due.saturating_duration_since(Instant::now());
+            let asked = self.ask_once(slot, placement, request.clone(), left).await;
+            let over = Instant::now() + REPEAT_PAUSE >= due;
+            if over || !matches!(asked, AskedKeeper::Silent) {
+                return self.take_asked(asked);
+            }
+            tokio::time::sleep(REPEAT_PAUSE).await;
+        }
+    }
+
+    async fn ask_once(
+        &self,
+        slot: &KeeperSlot,
+        placement: &KeeperPlacement,
+        request: KeeperRequest,
+        timeout: Duration,
+    ) -> AskedKeeper {
+        let envelope = self.envelope(slot, placement, request);
         let straight = self.health.is_straight(&slot.name, Instant::now());
         if straight || self.helpers.used().is_empty() {
-            return self.ask_straight(&slot, placement, request, timeout).await;
+            return match self.links.ask(slot.address, &envelope, timeout).await {
+                Ok(reply) => {
+                    self.health.note(&slot.name, Instant::now());
+                    AskedKeeper::Answered(reply)
+                }
+                Err(error) => {
+                    log::debug!("keeper={} {error}", slot.name);
+                    AskedKeeper::Silent
+                }
+            };
+        }
+        match self.ask_indirectly(slot, &envelope, timeout).await {
+            Some(reply) => AskedKeeper::Helped(reply),
+            None => AskedKeeper::Silent,
         }
-        let envelope = self.envelope(&slot, placement, request);
-        let reply = self.ask_indirectly(&slot, &envelope, timeout).await;
-        let result = if reply.is_some() { "helped" } else { "failed" };
+    }
+
+    /// Counts a question and takes what its answer tells.
+    fn take_asked(&self, asked: AskedKeeper) -> Option<KeeperReply> {
+        let (result, reply) = match asked {
+            AskedKeeper::Answered(reply) => ("answered", Some(reply)),
+            AskedKeeper::Helped(reply) => ("helped", Some(reply)),
+            AskedKeeper::Silent => ("failed", None),
+        };
         self.metrics.count_keeper_call(result);
         self.learn_from(reply?)
     }
