Entries that stop offer no help any more, and end carried questions

Cause: an entry that had been told to stop went on telling others which keepers it reaches, and ended in the middle of the questions that it carried. Those who were cut off turned elsewhere only after questions of theirs had failed.

--- a/crates/samphiregrade-gateway/src/fact/helper.rs
+++ b/crates/samphiregrade-gateway/src/fact/helper.rs
@@ -6,6 +6,7 @@
 //! they are: a keeper answers the same whoever carries the question.
 
 use std::collections::HashMap;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -183,6 +184,7 @@
 pub struct HelperService {
     keepers: KeeperClient,
     carried: Arc<Semaphore>,
+    withdrawn: Arc<AtomicBool>,
 }
 
 impl HelperService {
@@ -192,12 +194,22 @@
         Self {
             keepers,
             carried: Arc::new(Semaphore::new(CARRIED_AT_ONCE)),
+            withdrawn: Arc::default(),
         }
     }
 
+    /// Offers no help from now on, since the instance is about to stop. Questions that still come are carried: those
+    /// who are cut off learn within a look or two that they have to turn to another helper.
+    pub fn withdraw(&self) {
+        self.withdrawn.store(true, Ordering::Relaxed);
+    }
+
     /// Answers a request.
     pub async fn answer(&self, request: HelperRequest) -> HelperReply {
         match request {
+            HelperRequest::Reach if self.withdrawn.load(Ordering::Relaxed) => {
+                HelperReply::Reach(Vec::new())
+            }
             HelperRequest::Reach => HelperReply::Reach(self.keepers.reached_straight()),
             HelperRequest::Pass {
                 keeper,
--- a/crates/samphiregrade-gateway/src/role/beliefs.rs
+++ b/crates/samphiregrade-gateway/src/role/beliefs.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 use tokio::sync::mpsc;
 use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
 
 use super::authority::{AUTHORITY_KEY, LinkAuthority, PLACEMENT_KEY, SHARED_PREFIX};
 use super::stream::follow_keepers;
@@ -38,13 +39,19 @@
 }
 
 /// Follows the configuration, the upstreams and the keepers until ended.
+///
+/// Returns what is still at work then: the questions of other entries that are being carried. It resolves within a
+/// second; an instance that has waited for its own clients has hardly any left.
 pub(super) fn follow_store(
     settings: &GatewaySettings,
     context: &Arc<EntryContext>,
     store: &StoreClient,
     registry: UpstreamRegistry,
     ended: &CancellationToken,
-) {
+) -> TaskTracker {
+    let helping = TaskTracker::new();
+    // It may be waited for at any time; tasks are added all the same.
+    helping.close();
     let (sender, events) = mpsc::channel(EVENT_QUEUE);
     tokio::spawn(follow_keepers(
         context.clone(),
@@ -66,7 +73,9 @@
         settings.clone(),
         shared,
         ended.clone(),
+        helping.clone(),
     ));
+    helping
 }
 
 async fn take_configurations(context: Arc<EntryContext>, mut events: mpsc::Receiver<FollowEvent>) {
@@ -205,6 +214,7 @@
     settings: GatewaySettings,
     mut events: mpsc::Receiver<FollowEvent>,
     ended: CancellationToken,
+    helping: TaskTracker,
 ) {
     let placement = Arc::new(ArcSwap::from_pointee(KeeperPlacement::default()));
     while let Some(event) = events.recv().await {
@@ -217,7 +227,9 @@
             };
             match item.key.as_str() {
                 AUTHORITY_KEY if context.keepers.load().is_none() => {
-                    if let Err(error) = open_links(&context, &settings, &placement, value, &ended) {
+                    let opening =
+                        open_links(&context, &settings, &placement, value, &ended, &helping);
+                    if let Err(error) = opening {
                         log::error!("links to keepers can't be opened: {error:#}");
                     }
                 }
@@ -239,11 +251,12 @@
 }
 
 fn open_links(
-    context: &EntryContext,
+    context: &Arc<EntryContext>,
     settings: &GatewaySettings,
     placement: &Arc<ArcSwap<KeeperPlacement>>,
     value: &[u8],
     ended: &CancellationToken,
+    helping: &TaskTracker,
 ) -> Result<()> {
     let authority: LinkAuthority =
         serde_json::from_slice(value).context("reading the authority")?;
@@ -261,22 +274,33 @@
         context.outcomes.clone(),
     );
     tokio::spawn(keepers.clone().watch_health(ended.clone()));
-    tokio::spawn(help_others(
+    helping.spawn(help_others(
+        context.clone(),
         links,
         settings.listen.links(),
         HelperService::new(keepers.clone()),
+        ended.clone(),
     ));
     context.keepers.store(Some(Arc::new(keepers)));
     Ok(())
 }
 
-/// Carries questions of entries that don't reach the keepers.
-async fn help_others(links: LinkEndpoint, address: SocketAddr, service: HelperService) {
+/// Carries questions of entries that don't reach the keepers; offers it until the instance is told to stop.
+async fn help_others(
+    context: Arc<EntryContext>,
+    links: LinkEndpoint,
+    address: SocketAddr,
+    service: HelperService,
+    ended: CancellationToken,
+) {
     let handler = move |request: HelperRequest| {
         let service = service.clone();
+        if context.is_stopping() {
+            service.withdraw();
+        }
         async move { service.answer(request).await }
     };
-    if let Err(error) = links.serve(address, handler).await {
+    if let Err(error) = links.serve_until(address, handler, &ended).await {
         log::error!("links can't be accepted on {address}: {error}; free the port");
     }
 }
--- a/crates/samphiregrade-gateway/tests/suite/helpers.rs
+++ b/crates/samphiregrade-gateway/tests/suite/helpers.rs
@@ -48,18 +48,25 @@
 ) -> (HelperAddress, JoinHandle<()>) {
     let own = address(name, free_address().await);
     let client = watching_client(deployment, placement, own.clone());
-    let links = endpoint(&deployment.authority, name);
-    let service = HelperService::new(client);
+    let task = serve_helper(deployment, &own, HelperService::new(client));
+    (own, task)
+}
+
+fn serve_helper(
+    deployment: &Deployment,
+    own: &HelperAddress,
+    service: HelperService,
+) -> JoinHandle<()> {
+    let links = endpoint(&deployment.authority, &own.name);
     let listening = own.address;
-    let task = tokio::spawn(async move {
+    tokio::spawn(async move {
         let handler = move |request: HelperRequest| {
             let service = service.clone();
             async move { service.answer(request).await }
         };
         let served = links.serve(listening, handler).await;
         served.expect("a served port");
-    });
-    (own, task)
+    })
 }
 
 /// Returns the placement as it looks to one who is cut off: nobody listens at any address.
@@ -124,6 +131,34 @@
     expect_reserved(&client, "t2").await;
 }
 
+#[tokio::test]
+async fn a_helper_that_is_about_to_stop_is_left_before_it_ends() {
+    let deployment = Deployment::start().await;
+    let client = cut_client(&deployment).await;
+    let own = address("h1", free_address().await);
+    let helping = watching_client(&deployment, deployment.placement.clone(), own.clone());
+    let service = HelperService::new(helping);
+    let _task = serve_helper(&deployment, &own, service.clone());
+    client.note_helper(own);
+    expect_reserved(&client, "t1").await;
+    service.withdraw();
+    // It carries on what comes until it is left.
+    let question = HelperRequest::Pass {
+        keeper: deployment.placement.slots[0].name.clone(),
+        envelope: Box::new(KeeperEnvelope::between_keepers(
+            deployment.placement.generation,
+            KeeperRequest::Probe,
+        )),
+        wait: PATIENCE,
+    };
+    let answer = service.answer(question).await;
+    assert!(matches!(answer, HelperReply::Passed(_)), "{answer:?}");
+    eventually("the helper is left", async || !client.uses_helpers()).await;
+    let (other, _other_task) = start_helper(&deployment, "h2", deployment.placement.clone()).await;
+    client.note_helper(other);
+    expect_reserved(&client, "t2").await;
+}
+
 #[tokio::test]
 async fn a_helper_that_is_cut_off_itself_is_of_no_use_and_the_refusal_comes_at_once() {
     let deployment = Deployment::start().await;
