Questions to keepers go on under a newer placement; a stopping entry ends the questions that it carries

Change: reservations, chains and stored turns share one loop that asks again under the newest placement. A store waits 1.8 s at most in place of 2.5 s, within the two seconds that callers wait at least for the next part of an answer. An entry that has ended its own requests waits 150 ms for the answers to questions that it carries for others.

--- a/crates/samphiregrade-gateway/src/fact/client.rs
+++ b/crates/samphiregrade-gateway/src/fact/client.rs
@@ -32,9 +32,10 @@
 /// Pause before a question is sent again whose connection failed: half of what a link waits before it connects again.
 const REPEAT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Longest wait until a fact is durable. The end of an answer that has run waits for it, and is broken off otherwise:
-/// it outlasts the longest orderly stop of a keeper, two seconds, and its start.
-const STORE_PATIENCE: Duration = Duration::from_millis(2500);
+/// Longest wait until a fact is durable. The end of an answer that has run waits for it, and is broken off otherwise.
+/// It outlasts a stop of a keeper and its start, which take some 0.6 s together, and stays within the two seconds that
+/// callers wait at least for the next part of an answer.
+const STORE_PATIENCE: Duration = Duration::from_millis(1800);
 
 /// Why a fact is not known to be durable, or a question has no sure answer.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
@@ -145,33 +146,18 @@
         turn: &TurnId,
         most: u32,
     ) -> Result<ReserveOutcome, FactFailure> {
-        let placement = self.placement.load_full();
-        let group = self.reachable_group(&placement, program)?;
-        let mut replies = self.ask_group(&placement, &group, &KeeperRequest::Reserve(fact));
-        let mut ledger = ProgramLedger::default();
-        let (mut stored, mut complete) = (0, 0);
-        while let Some(reply) = replies.recv().await {
-            let Some(KeeperReply::Reserved {
-                ledger: known,
-                complete: whole,
-                ..
-            }) = reply
-            else {
-                continue;
-            };
-            ledger.merge(known);
-            stored += 1;
-            complete += usize::from(whole);
-            if stored >= placement.majority() && complete >= placement.meets_majorities() {
-                let held = ledger.holds(budget, turn, most);
-                return Ok(if held {
-                    ReserveOutcome::Held(ledger)
-                } else {
-                    ReserveOutcome::OverBudget(ledger)
-                });
-            }
-        }
-        Err(FactFailure::TooFew)
+        let request = &KeeperRequest::Reserve(fact);
+        let ledger = self.under_newest(move |placement| async move {
+            let group = self.reachable_group(&placement, program)?;
+            let replies = self.ask_group(&placement, &group, request);
+            gather_ledger(&placement, replies).await
+        });
+        let ledger = ledger.await?;
+        Ok(if ledger.holds(budget, turn, most) {
+            ReserveOutcome::Held(ledger)
+        } else {
+            ReserveOutcome::OverBudget(ledger)
+        })
     }
 
     /// Stores a fact on a majority of the program's keepers.
@@ -199,14 +185,30 @@
         fact: FactRecord,
         due: Instant,
     ) -> Result<(), FactFailure> {
+        let fact = &fact;
+        let storing = self.under_newest(move |placement| async move {
+            self.store_under(&placement, program, fact).await
+        });
+        tokio::time::timeout_at(due.into(), storing)
+            .await
+            .unwrap_or(Err(FactFailure::TooFew))
+    }
+
+    /// Asks under the newest known placement, and again where a newer one is learnt meanwhile: keepers refuse what comes
+    /// under an older one, and say which is newer.
+    async fn under_newest<Asking, Asked, Output>(
+        &self,
+        asking: Asking,
+    ) -> Result<Output, FactFailure>
+    where
+        Asked: Future<Output = Result<Output, FactFailure>>,
+        Asking: Fn(Arc<KeeperPlacement>) -> Asked,
+    {
         loop {
             let placement = self.placement.load_full();
-            let storing = self.store_under(&placement, program, &fact);
-            match tokio::time::timeout_at(due.into(), storing).await {
-                Ok(Ok(())) => return Ok(()),
-                Ok(Err(failure)) if !self.is_outdated(&placement) => return Err(failure),
-                Ok(Err(_)) => {}
-                Err(_) => return Err(FactFailure::TooFew),
+            let asked = asking(placement.clone()).await;
+            if asked.is_ok() || !self.is_outdated(&placement) {
+                return asked;
             }
         }
     }
@@ -263,7 +265,11 @@
         let mut wanted = turn.clone();
         let mut newer: Vec<Bytes> = Vec::new();
         loop {
-            match self.chain_end(program, &wanted).await? {
+            let wanted_turn = &wanted;
+            let ended = self.under_newest(move |placement| async move {
+                self.chain_end(&placement, program, wanted_turn).await
+            });
+            match ended.await? {
                 ChainAnswer::Found(oldest) if newer.is_empty() => {
                     return Ok(ChainLookup::Found(oldest));
                 }
@@ -288,16 +294,16 @@
     /// Asks for a turn with as much of its chain as one keeper has; `Absent` only where that is certain.
     async fn chain_end(
         &self,
+        placement: &Arc<KeeperPlacement>,
         program: &ProgramId,
         turn: &TurnId,
     ) -> Result<ChainAnswer, FactFailure> {
-        let placement = self.placement.load_full();
-        let mut group = self.reachable_group(&placement, program)?;
+        let mut group = self.reachable_group(placement, program)?;
         group.sort_by_key(|slot| slot.domain != self.own.domain);
         let request = KeeperRequest::Chain(turn.clone());
         let mut partial = None;
         if let Some(nearest) = group.first() {
-            let asking = self.ask(nearest.clone(), &placement, request.clone(), ASK_TIMEOUT);
+            let asking = self.ask(nearest.clone(), placement, request.clone(), ASK_TIMEOUT);
             match asking.await {
                 Some(KeeperReply::Chain(found @ ChainAnswer::Found(_))) => return Ok(found),
                 Some(KeeperReply::Chain(part @ ChainAnswer::Partial { .. })) => {
@@ -306,7 +312,7 @@
                 _ => {}
             }
         }
-        let mut replies = self.ask_group(&placement, &placement.slots, &request);
+        let mut replies = self.ask_group(placement, &placement.slots, &request);
         let mut absent = 0;
         while let Some(reply) = replies.recv().await {
             match reply {
@@ -542,6 +548,32 @@
     }
 }
 
+/// Adds up what keepers know of a program until any majority of them is met.
+async fn gather_ledger(
+    placement: &KeeperPlacement,
+    mut replies: mpsc::Receiver<Option<KeeperReply>>,
+) -> Result<ProgramLedger, FactFailure> {
+    let mut ledger = ProgramLedger::default();
+    let (mut stored, mut complete) = (0, 0);
+    while let Some(reply) = replies.recv().await {
+        let Some(KeeperReply::Reserved {
+            ledger: known,
+            complete: whole,
+            ..
+        }) = reply
+        else {
+            continue;
+        };
+        ledger.merge(known);
+        stored += 1;
+        complete += usize::from(whole);
+        if stored >= placement.majority() && complete >= placement.meets_majorities() {
+            return Ok(ledger);
+        }
+    }
+    Err(FactFailure::TooFew)
+}
+
 fn group_slots(
     placement: &KeeperPlacement,
     program: &ProgramId,
--- a/crates/samphiregrade-gateway/src/role/entry.rs
+++ b/crates/samphiregrade-gateway/src/role/entry.rs
@@ -28,6 +28,10 @@
 /// Part of the machine's memory for chains of turns.
 const TURN_CACHE_SHARE: u64 = 10;
 
+/// Time for the answers to other entries' questions at the end: a keeper answers within some milliseconds, and the
+/// process has to end before it is killed.
+const LAST_HELP: Duration = Duration::from_millis(150);
+
 /// Time between two sweeps over idle connections to upstreams.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(2);
 
@@ -98,7 +102,7 @@
     let clients = listen(clients).context("listening for clients")?;
     serve_questions(&settings, &context, &dialect, &ended)?;
     let store = StoreClient::new(settings.store.address, dialect.clone(), metrics);
-    follow_store(&settings, &context, &store, registry, &ended);
+    let helping = follow_store(&settings, &context, &store, registry, &ended);
     let line = StartLine {
         role: "entry",
         instance: &settings.instance.name,
@@ -114,6 +118,12 @@
     let departure = EntryDeparture::begin(context, tokens, settings.times.grace(), accepting);
     departure.leave_rotation().await.finish().await.end().await;
     ended.cancel();
+    if tokio::time::timeout(LAST_HELP, helping.wait())
+        .await
+        .is_err()
+    {
+        log::info!("questions of other entries are left unanswered; they ask elsewhere");
+    }
     Ok(())
 }
 
--- a/crates/samphiregrade-gateway/tests/suite/keepers.rs
+++ b/crates/samphiregrade-gateway/tests/suite/keepers.rs
@@ -265,6 +265,30 @@
     assert_eq!(client.placement().generation, newer.generation);
 }
 
+#[tokio::test]
+async fn turn_that_comes_with_an_old_placement_goes_on_under_the_newer_one() {
+    let deployment = Deployment::start().await;
+    let first = turn("t1", None, b"in1 ", b"out1\n");
+    deployment.store_on(&[0, 1, 2], &first).await;
+    let newer = deployment
+        .placement
+        .with_occupant(0, "a", deployment.keepers[0].slot.address);
+    for keeper in &deployment.keepers {
+        keeper.service.adopt_placement(newer.clone()).await;
+    }
+    let reserving = deployment.client("a");
+    let held = reserving
+        .reserve(&"p".into(), reservation("t2", 10), 100, &"t2".into(), 10)
+        .await;
+    assert!(matches!(held, Ok(ReserveOutcome::Held(_))));
+    let asking = deployment.client("a");
+    let found = asking.chain(&"p".into(), &"t1".into()).await;
+    assert_eq!(
+        found,
+        Ok(ChainLookup::Found(Bytes::from_static(b"in1 out1\n")))
+    );
+}
+
 /// A relay that closes the first connections and passes the others on: a process that has ended and is there again.
 async fn restarting_relay(target: SocketAddr, closed: usize) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
