Connections that end after a last answer are read over before they close

Cause: an entry that refused a request before it had come whole (body or head too large, too slow, malformed, stopping), or said `Connection: close`, closed at once. With bytes of the client unread the system resets the connection: the client's own writing fails, and what had not been delivered of the answer is thrown away.

Change: the sending side is shut down, what comes is read and thrown away for at most 2 s and 4 MiB, then the connection closes. A connection whose answer was cut is still reset at once: an end in order would make a cut answer without length look whole.

Ruled out: lingering by the socket's option, which doesn't read and resets too.

--- a/crates/samphiregrade-gateway/src/exchange/connection.rs
+++ b/crates/samphiregrade-gateway/src/exchange/connection.rs
@@ -103,7 +103,7 @@
         accepted: Instant::now(),
         earlier_requests: 0,
     };
-    let mut client = ClientConnection {
+    let client = ClientConnection {
         context,
         socket,
         age,
@@ -145,23 +145,25 @@
 }
 
 impl ClientConnection {
-    async fn serve(&mut self) {
+    async fn serve(mut self) {
         loop {
             let limits = self.limits();
             match self.read_head(&limits).await {
                 HeadEnd::Closed => return,
                 HeadEnd::Refused(reason) => {
                     self.refuse_head(reason).await;
-                    return;
+                    break;
                 }
                 HeadEnd::Head(head) => {
                     if !self.serve_request(head, &limits).await {
-                        return;
+                        break;
                     }
                     self.age.earlier_requests += 1;
                 }
             }
         }
+        // The rest of a refused body, or a further request, may be on its way: it must not cost the last answer.
+        self.socket.end_in_order().await;
     }
 
     fn limits(&self) -> ClientLimits {
--- a/crates/samphiregrade-http/src/wire/socket.rs
+++ b/crates/samphiregrade-http/src/wire/socket.rs
@@ -1,7 +1,7 @@
 //! A TCP socket that can be read and written at the same time by one task.
 
 use std::io;
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::time::Duration;
 
 use bytes::BytesMut;
@@ -16,6 +16,14 @@
 /// Bytes read ahead of a request that is being served; a further request of the same client fits.
 const READ_AHEAD: usize = 64 << 10;
 
+/// Longest time that an end in order waits for the peer to end its side: it has read the last answer within some round
+/// trips, also where a packet was lost.
+const LAST_READ_TIME: Duration = Duration::from_secs(2);
+
+/// Bytes that an end in order reads over: what was on its way when the last answer was written. Who sends more goes on
+/// regardless.
+const LAST_READ_BYTES: usize = 4 << 20;
+
 /// Room made before each read.
 const READ_ROOM: usize = 8 << 10;
 
@@ -132,6 +140,8 @@
     stream: TcpStream,
     /// Bytes that were read and not yet used.
     pub buffer: BytesMut,
+    /// Whether closing resets the connection.
+    resets: bool,
 }
 
 impl WireSocket {
@@ -145,6 +155,7 @@
         Ok(Self {
             stream,
             buffer: BytesMut::new(),
+            resets: limits.reset_on_close,
         })
     }
 
@@ -200,7 +211,7 @@
     ///
     /// The connection's error.
     pub async fn write_until_answered(&mut self, bytes: &[u8]) -> io::Result<bool> {
-        let Self { stream, buffer } = self;
+        let Self { stream, buffer, .. } = self;
         let mut sent = 0;
         while sent < bytes.len() {
             match stream.try_write(&bytes[sent..]) {
@@ -254,13 +265,42 @@
         matches!(self.stream.try_read(&mut probe), Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Ends the sending side and throws away what still comes, so that what was written last arrives: the system resets
+    /// a connection that is closed with bytes unread, and with it goes what the peer has not taken yet.
+    ///
+    /// A connection that is to be reset ends at once.
+    pub async fn end_in_order(mut self) {
+        if self.resets {
+            return;
+        }
+        if let Err(error) = SockRef::from(&self.stream).shutdown(Shutdown::Write) {
+            log::debug!("a connection has ended by itself: {error}");
+            return;
+        }
+        // A peer that does not end its side in this time is not waited for.
+        let _ = tokio::time::timeout(LAST_READ_TIME, read_over(&mut self)).await;
+    }
+
     /// Makes closing the connection reset it, so that the peer can't take its end for a whole answer.
-    pub fn reset_on_close(&self) {
+    pub fn reset_on_close(&mut self) {
+        self.resets = true;
         // Without the option the close is an orderly one; chunked and counted bodies still show the cut.
         let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
     }
 }
 
+async fn read_over(socket: &mut WireSocket) {
+    let mut left = LAST_READ_BYTES;
+    while left > 0 {
+        socket.buffer.clear();
+        match socket.fill().await {
+            // An error ends the connection too.
+            Ok(0) | Err(_) => return,
+            Ok(count) => left = left.saturating_sub(count),
+        }
+    }
+}
+
 async fn read_some(stream: &TcpStream, buffer: &mut BytesMut) -> io::Result<usize> {
     loop {
         stream.readable().await?;
