--- a/crates/samphiregrade-gateway/src/exchange/relay.rs
+++ b/crates/samphiregrade-gateway/src/exchange/relay.rs
@@ -233,8 +233,13 @@
         let mut chain = BytesMut::with_capacity(self.request.body.len() + output.len());
         chain.put_slice(&self.request.body);
         chain.put_slice(&output);
-        let committed = plan.commit(self.context, output, spent, upstream).await;
-        committed.map_err(|_| Stop::NotDurable)?;
+        tokio::select! {
+            biased;
+            committed = plan.commit(self.context, output, spent, upstream) => {
+                committed.map_err(|_| Stop::NotDurable)?;
+            }
+            () = tokio::time::sleep_until(self.request.due.into()) => return Err(Stop::Due),
+        }
         self.context.turns.keep(&plan.turn, chain.freeze());
         Ok(())
     }
