Answers that end with their connection are reset where they are not whole, also at the end of the process

Cause: an answer to a client of HTTP/1.0 has nothing but the connection's end to tell that it is whole. A relay that waited in a write (the client doesn't read) or for keepers didn't see that what is left is given up; the end of the process then closed the connection in order, and the cut answer looked whole. A failed task would have done the same.

Change: such a connection resets whenever it closes, until the answer is whole. A write ends when what is left is given up, a commit 0.15 s later, so that the log says `stopped` and the budget is settled.

--- a/crates/samphiregrade-gateway/src/exchange/relay.rs
+++ b/crates/samphiregrade-gateway/src/exchange/relay.rs
@@ -22,6 +22,10 @@
 /// sent again within it, and callers wait some two seconds before they leave by themselves.
 const SILENT_ON_LOST_PATH: Duration = Duration::from_millis(500);
 
+/// Time that commits under way get when what is left is given up: only the answers' ends are missing, and a commit takes
+/// some milliseconds. Short against the time that the last answers get.
+const LAST_COMMITS: Duration = Duration::from_millis(150);
+
 /// How the client is told where the body ends.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum ClientFraming {
@@ -106,6 +110,11 @@
         _ => ClientFraming::Chunked,
     };
     let status = answer.head.status;
+    if framing == ClientFraming::Close {
+        // Nothing but the connection's end tells that the answer is whole: until it is, every other end is a reset,
+        // also that of a process or of a task that fails.
+        client.socket.reset_on_close();
+    }
     let mut relay = Relay {
         context,
         client,
@@ -130,13 +139,17 @@
         };
         context.note_times(&request.service, &answered);
     }
-    match result {
+    let end = match result {
         Ok(()) => {
             keep_connection(answer);
             RelayEnd::Whole { status, spent }
         }
         Err(stop) => relay.explain(stop, &answer, spent),
+    };
+    if framing == ClientFraming::Close && !matches!(end, RelayEnd::Cut { .. }) {
+        relay.client.socket.close_in_order();
     }
+    end
 }
 
 impl Relay<'_> {
@@ -217,10 +230,11 @@
         self.begun = true;
         let bytes: Bytes = output.split().freeze();
         let writing = self.client.socket.write(&bytes);
-        match tokio::time::timeout_at(self.request.due.into(), writing).await {
-            Ok(Ok(())) => Ok(()),
-            Ok(Err(_)) => Err(Stop::Client),
-            Err(_) => Err(Stop::Due),
+        tokio::select! {
+            biased;
+            written = writing => written.map_err(|_| Stop::Client),
+            () = self.client.giving_up.cancelled() => Err(Stop::Stopping),
+            () = tokio::time::sleep_until(self.request.due.into()) => Err(Stop::Due),
         }
     }
 
@@ -238,6 +252,7 @@
             committed = plan.commit(self.context, output, spent, upstream) => {
                 committed.map_err(|_| Stop::NotDurable)?;
             }
+            () = last_commits(self.client.giving_up) => return Err(Stop::Stopping),
             () = tokio::time::sleep_until(self.request.due.into()) => return Err(Stop::Due),
         }
         self.context.turns.keep(&plan.turn, chain.freeze());
@@ -299,6 +314,12 @@
     }
 }
 
+/// Ends when a commit can't be waited for any longer because the instance ends.
+async fn last_commits(giving_up: &CancellationToken) {
+    giving_up.cancelled().await;
+    tokio::time::sleep(LAST_COMMITS).await;
+}
+
 /// Returns what the answer says about its upstream; `None` where it ended for another reason.
 fn outcome_of(result: &Result<(), Stop>, answer: &LiveAnswer) -> Option<Outcome> {
     let failed = answer.head.status >= 500;
--- a/crates/samphiregrade-http/src/wire/socket.rs
+++ b/crates/samphiregrade-http/src/wire/socket.rs
@@ -283,9 +283,18 @@
 
     /// Makes closing the connection reset it, so that the peer can't take its end for a whole answer.
     pub fn reset_on_close(&mut self) {
-        self.resets = true;
+        self.set_reset(true);
+    }
+
+    /// Makes closing the connection an orderly end again: what was written is whole.
+    pub fn close_in_order(&mut self) {
+        self.set_reset(false);
+    }
+
+    fn set_reset(&mut self, resets: bool) {
+        self.resets = resets;
         // Without the option the close is an orderly one; chunked and counted bodies still show the cut.
-        let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+        let _ = SockRef::from(&self.stream).set_linger(resets.then_some(Duration::ZERO));
     }
 }
 
