Panics are told in the log

Cause: a task that panics ended with text on standard error only, which is not the log; its request was told as `dropped`, without why. Tasks that follow the configuration or upstreams end without any line.

Change: a line `panic` with thread, place and message, written out at once, since the process may end with it. Lines are encoded before the logbook's lock is taken: a panic while one is encoded would have waited for its own lock for ever.

Shown: the new test found no such line before the change, and passes with it. Looked at: a connection's task that panics before an answer closes its connection without one, its request is told as `dropped`, the process goes on; an answer under way is cut visibly.

--- a/crates/samphiregrade-gateway/src/observe/logbook.rs
+++ b/crates/samphiregrade-gateway/src/observe/logbook.rs
@@ -5,8 +5,8 @@
 
 use std::io::{self, Write};
 use std::sync::{Arc, Condvar, Mutex, OnceLock, PoisonError};
-use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::{panic, thread};
 
 use serde::Serialize;
 
@@ -20,6 +20,9 @@
 /// Bytes that may wait for the writing thread.
 const BUFFER_BYTES: usize = 512 << 10;
 
+/// Room made for a line; most fit.
+const LINE_BYTES: usize = 512;
+
 /// Time over which lines are gathered into one write.
 const GATHER: Duration = Duration::from_millis(150);
 
@@ -56,6 +59,13 @@
     message: String,
 }
 
+#[derive(Serialize)]
+struct PanicLine<'text> {
+    thread: &'text str,
+    place: String,
+    message: &'text str,
+}
+
 impl Logbook {
     /// Returns the process's logbook; its thread starts with the first line.
     pub fn of_process() -> &'static Self {
@@ -94,22 +104,23 @@
             event,
             detail,
         };
+        // Encoded without the lock: a panic meanwhile is told by a line of its own, which needs the lock.
+        let mut bytes = Vec::with_capacity(LINE_BYTES);
+        let encoded = serde_json::to_writer(&mut bytes, &line);
+        bytes.push(b'\n');
         let (lock, wake) = &*self.shared;
         let mut state = lock.lock().unwrap_or_else(PoisonError::into_inner);
         if !state.allow() {
             return;
         }
-        let length = state.waiting.len();
-        let written = serde_json::to_writer(&mut state.waiting, &line);
-        if written.is_err() {
-            state.waiting.truncate(length);
+        if encoded.is_err() {
             state.dropped += 1;
             return;
         }
-        state.waiting.push(b'\n');
-        if length == 0 {
+        if state.waiting.is_empty() {
             wake.notify_one();
         }
+        state.waiting.extend_from_slice(&bytes);
     }
 
     /// Writes what waits, after what is being written; for the end of a process.
@@ -213,10 +224,33 @@
     }
 }
 
-/// Makes the logbook the process's logger for `log` macros as well.
+/// Makes the logbook the process's logger for `log` macros as well, and tells panics in it.
 pub fn install_logger(filter: log::LevelFilter) {
     let logger = Box::new(LogbookLogger { filter });
     if log::set_boxed_logger(logger).is_ok() {
         log::set_max_level(filter);
+        tell_panics();
     }
 }
+
+/// Writes a line for each panic. A task that panics ends without a word to whoever does not wait for it, and nobody
+/// collects what a process on a platform's machine writes beside its log.
+fn tell_panics() {
+    let earlier = panic::take_hook();
+    panic::set_hook(Box::new(move |panicked| {
+        let thread = thread::current();
+        let line = PanicLine {
+            thread: thread.name().unwrap_or_default(),
+            place: panicked
+                .location()
+                .map(ToString::to_string)
+                .unwrap_or_default(),
+            message: panicked.payload_as_str().unwrap_or_default(),
+        };
+        let logbook = Logbook::of_process();
+        logbook.record("panic", &line);
+        // The process may end with it.
+        logbook.flush();
+        earlier(panicked);
+    }));
+}
--- a/crates/samphiregrade-gateway/tests/suite/main.rs
+++ b/crates/samphiregrade-gateway/tests/suite/main.rs
@@ -12,6 +12,7 @@
 mod membership;
 mod mirror;
 mod outcomes;
+mod panics;
 mod rank;
 mod routing;
 mod run_table;
