A connection that can't be accepted costs no other that waits when a listener closes

Cause: a stopping entry takes what waits in the system's queue before it closes its listener, and gave up at the first error: one client that had gone again (the system tells that on accept), or a moment without free descriptors, and all that waited behind was reset, requests included.

Change: errors are logged and passed over, ten at most with 20 ms between them: idle connections end meanwhile and free descriptors.

Ruled out for the time before the stop: the accepting loop pauses 20 ms at an error and goes on, and the queue holds 1024.

--- a/crates/samphiregrade-gateway/src/exchange/connection.rs
+++ b/crates/samphiregrade-gateway/src/exchange/connection.rs
@@ -1,7 +1,7 @@
 //! A client's connection: one request after the other, each answered or visibly cut.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::{Bytes, BytesMut};
 use samphiregrade_http::wire::{
@@ -20,12 +20,10 @@
 use super::request::RoutedRequest;
 use super::survey::{PlacementView, survey};
 use super::turn::{ProgramStanding, TurnPlan};
+use super::waiting::{ACCEPT_PAUSE, take_waiting};
 use crate::model::{ClientLimits, RequestKind, RequestMetadata};
 use crate::routing::{RouteTable, service_for};
 
-/// Pause after a connection could not be accepted.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
 /// What ends connections while the instance stops; passed down to each of them.
 #[derive(Clone, Debug, Default)]
 pub struct ServingTokens {
@@ -56,29 +54,21 @@
             }
         }
     }
-    if let Err(error) = take_waiting(&context, listener, &tokens) {
-        log::warn!("connections that waited were not accepted: {error}");
+    match listener.into_std() {
+        Ok(listener) => {
+            let accept = || accept_now(&listener);
+            let take = |stream| spawn_connection(&context, stream, &tokens);
+            take_waiting(accept, take).await;
+        }
+        Err(error) => log::warn!("connections that waited were not accepted: {error}"),
     }
 }
 
-/// Takes the connections that the system has accepted already, whose requests get a refusal in place of a reset, and
-/// closes the listener.
-fn take_waiting(
-    context: &Arc<EntryContext>,
-    listener: TcpListener,
-    tokens: &ServingTokens,
-) -> std::io::Result<()> {
-    let listener = listener.into_std()?;
-    loop {
-        match listener.accept() {
-            Ok((stream, _)) => {
-                stream.set_nonblocking(true)?;
-                spawn_connection(context, TcpStream::from_std(stream)?, tokens);
-            }
-            Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => return Ok(()),
-            Err(error) => return Err(error),
-        }
-    }
+/// Accepts a connection that the system has accepted already; its request gets a refusal in place of a reset.
+fn accept_now(listener: &std::net::TcpListener) -> std::io::Result<TcpStream> {
+    let (stream, _) = listener.accept()?;
+    stream.set_nonblocking(true)?;
+    TcpStream::from_std(stream)
 }
 
 /// Serves a connection, which counts as open from here on: a task that has not begun must not be overlooked.
--- a/crates/samphiregrade-gateway/src/exchange/mod.rs
+++ b/crates/samphiregrade-gateway/src/exchange/mod.rs
@@ -12,9 +12,11 @@
 mod survey;
 mod turn;
 mod turn_cache;
+mod waiting;
 
 pub use connection::{ServingTokens, serve_clients};
 pub use context::EntryContext;
 pub use events::EventTap;
 pub use refusal::{Refusal, RefusalReason};
 pub use turn_cache::TurnCache;
+pub use waiting::take_waiting;
--- /dev/null
+++ b/crates/samphiregrade-gateway/src/exchange/waiting.rs
@@ -0,0 +1,35 @@
+//! Taking the connections that wait in the system's queue when a listener is about to close.
+
+use std::io;
+use std::time::Duration;
+
+/// Pause after a connection could not be accepted: others end meanwhile, and free their descriptors.
+pub const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Failures after which no more is tried: 0.2 s in all, in which idle connections have long ended, and which a short
+/// grace period still holds.
+const MOST_FAILURES: usize = 10;
+
+/// Accepts without waiting until the queue is empty.
+///
+/// Closing the listener resets what is left in the queue, though its clients may have sent their requests: one
+/// connection that is gone again, or a moment without descriptors, must not cost all that wait behind it.
+pub async fn take_waiting<Accept, Connection, Take>(mut accept: Accept, mut take: Take)
+where
+    Accept: FnMut() -> io::Result<Connection>,
+    Take: FnMut(Connection),
+{
+    let mut failures = 0;
+    while failures < MOST_FAILURES {
+        match accept() {
+            Ok(connection) => take(connection),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
+            Err(error) => {
+                log::warn!("a connection that waited was not accepted: {error}");
+                failures += 1;
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+    log::error!("connections that waited are given up; raise the limit of open files");
+}
--- a/crates/samphiregrade-gateway/tests/suite/main.rs
+++ b/crates/samphiregrade-gateway/tests/suite/main.rs
@@ -20,3 +20,4 @@
 mod settings;
 mod silence;
 mod upstreams;
+mod waiting;
