--- a/crates/samphiregrade-gateway/src/role/probe_server.rs
+++ b/crates/samphiregrade-gateway/src/role/probe_server.rs
@@ -13,6 +13,9 @@
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Pause after a connection could not be accepted: others end meanwhile, and free their descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
 /// An answer to such a question.
 pub struct ProbeAnswer {
     /// HTTP status.
@@ -36,9 +39,13 @@
             () = cancel.cancelled() => return,
             accepted = listener.accept() => accepted,
         };
-        let Ok((stream, _)) = accepted else {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-            continue;
+        let stream = match accepted {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("a question's connection was not accepted: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
         };
         let handler = handler.clone();
         tokio::spawn(async move {
