--- a/crates/samphiregrade-gateway/src/exchange/turn.rs
+++ b/crates/samphiregrade-gateway/src/exchange/turn.rs
@@ -1,6 +1,6 @@
 //! A turn of a program: its budget before it runs, its history in front of it, and its durability after it.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bytes::{BufMut, Bytes, BytesMut};
 
@@ -16,13 +16,6 @@
 /// How long budgets last where a route keeps no turns: a stopped program that comes back is still known.
 const BUDGET_RETENTION: Duration = Duration::from_mins(1);
 
-/// Time in which keepers are asked again to make a turn durable: with the last question it stays within the two seconds
-/// that callers wait at least for the next part of an answer.
-const COMMIT_PATIENCE: Duration = Duration::from_millis(1400);
-
-/// Pause before they are asked again: those that told of a newer placement have answered at once.
-const COMMIT_PAUSE: Duration = Duration::from_millis(20);
-
 /// What has to be done for a turn beside sending it.
 #[derive(Clone, Debug)]
 pub struct TurnPlan {
@@ -216,9 +209,6 @@
 
     /// Makes the whole turn durable; only then its answer may end.
     ///
-    /// Keepers whose disks stall, that start again or have a newer placement are asked again for as long as callers
-    /// wait for the next part of an answer: all that is missing is its end. Storing a fact again changes nothing.
-    ///
     /// # Errors
     ///
     /// [`FactFailure`] where it is not known to be durable.
@@ -234,14 +224,7 @@
             .load_full()
             .ok_or(FactFailure::NoPlacement)?;
         let fact = FactRecord::Turn(self.fact(output, spent, upstream));
-        let since = Instant::now();
-        loop {
-            let stored = keepers.store(&self.program, fact.clone()).await;
-            if stored.is_ok() || since.elapsed() >= COMMIT_PATIENCE {
-                return stored;
-            }
-            tokio::time::sleep(COMMIT_PAUSE).await;
-        }
+        keepers.store(&self.program, fact).await
     }
 
     fn fact(&self, output: Bytes, spent: u32, upstream: &UpstreamEntry) -> TurnFact {
