--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,5 +9,6 @@
 mod orders;
 mod process;
 mod records;
+mod stopping;
 mod support;
 mod upstreams;
--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -1,5 +1,7 @@
 //! Starting clusters and sending single requests.
 
+pub mod raw;
+
 use std::future::Future;
 use std::path::PathBuf;
 use std::process::{Command, Output};
