HTTP layer: close connections that answers close, count requests to their last byte, close listeners without a loss

Cause: the event loop writes the connection header itself and left out the handler's, so that a kept connection never left an instance that shuts down. Requests were counted until their handler ended, streams not at all. The event loop's own graceful stop waits for nothing once its server had been without connections (trial: a request under way at stop(true) ended without an answer), drops what it has accepted but not handed over, and resets what waits in the system's queue. Ruled out: closing in a moment with an empty queue alone. Conclusion: the gate tells when nothing is under way, the closer ends the listener, and only then is the event loop stopped.

--- a/crates/samphiregrade-http/src/lib.rs
+++ b/crates/samphiregrade-http/src/lib.rs
@@ -17,6 +17,7 @@
 //! ```
 
 mod client;
+mod closing;
 mod message;
 mod server;
 pub mod wire;
@@ -24,6 +25,7 @@
 use std::future::Future;
 
 pub use client::{HttpError, HttpPool, IncomingResponse};
+pub use closing::{ListenerCloser, RequestGate};
 pub use message::{
     HeaderList, IncomingRequest, OutgoingRequest, OutgoingResponse, ResponseBody, header_value,
 };
--- a/crates/samphiregrade-http/src/message.rs
+++ b/crates/samphiregrade-http/src/message.rs
@@ -136,6 +136,13 @@
         self.headers.push((name.into(), value.into()));
         self
     }
+
+    /// Returns whether the connection is to be closed after this response.
+    #[must_use]
+    pub fn closes_connection(&self) -> bool {
+        let mut named = self.headers.iter().filter(|(name, _)| name == "connection");
+        named.any(|(_, value)| value == "close")
+    }
 }
 
 /// A request for [`HttpPool::send`](crate::HttpPool::send).
--- a/crates/samphiregrade-http/src/server.rs
+++ b/crates/samphiregrade-http/src/server.rs
@@ -4,11 +4,13 @@
 use std::future::Future;
 use std::io;
 use std::net::TcpListener;
+use std::task::Poll;
 use std::time::Duration;
 
-use futures_util::StreamExt;
 use futures_util::stream;
+use futures_util::{Stream, StreamExt};
 use ntex::SharedCfg;
+use ntex::http::body::SizedStream;
 use ntex::http::{HttpServiceConfig, KeepAlive, StatusCode};
 use ntex::server::Server;
 use ntex::time::Seconds;
@@ -16,11 +18,15 @@
 use ntex::web::{self, App, HttpRequest, HttpResponse};
 use serde_json::json;
 
+use crate::closing::{RequestGate, RequestGuard};
 use crate::message::{IncomingRequest, OutgoingResponse, ResponseBody};
 
 /// Slowest accepted rate for reading heads and bodies.
 const MINIMUM_BYTES_PER_SECOND: u16 = 64;
 
+/// Longest time that a graceful stop gives open connections; nothing is under way on them then.
+const STOP_TIMEOUT: Seconds = Seconds(3);
+
 /// Limits of a server.
 #[derive(Clone, Debug)]
 pub struct ServerSettings {
@@ -34,6 +40,8 @@
     pub keep_alive: Duration,
     /// Event-loop threads.
     pub workers: usize,
+    /// Counts the requests, from the end of their heads to the last byte of their answers.
+    pub gate: RequestGate,
 }
 
 impl Default for ServerSettings {
@@ -44,6 +52,7 @@
             head_timeout: Duration::from_secs(5),
             keep_alive: Duration::from_secs(75),
             workers: 1,
+            gate: RequestGate::default(),
         }
     }
 }
@@ -89,6 +98,7 @@
         .config(SharedCfg::new("http").add(config))
         .workers(workers)
         .disable_signals()
+        .shutdown_timeout(STOP_TIMEOUT)
         .listen(listener)?
         .run();
         Ok(server)
@@ -113,9 +123,10 @@
     Handler: Fn(IncomingRequest) -> Reply,
     Reply: Future<Output = OutgoingResponse>,
 {
+    let guard = settings.gate.enter();
     let body = match read_body(payload, &settings).await {
         Ok(body) => body,
-        Err(failure) => return into_response(failure_response(&failure, &settings)),
+        Err(failure) => return into_response(failure_response(&failure, &settings), guard),
     };
     let incoming = IncomingRequest {
         method: request.method().clone(),
@@ -128,7 +139,7 @@
             .collect(),
         body,
     };
-    into_response(handler(incoming).await)
+    into_response(handler(incoming).await, guard)
 }
 
 async fn read_body(
@@ -174,20 +185,37 @@
         .with_header("connection", "close")
 }
 
-fn into_response(outgoing: OutgoingResponse) -> HttpResponse {
+fn into_response(outgoing: OutgoingResponse, guard: RequestGuard) -> HttpResponse {
     let status = StatusCode::from_u16(outgoing.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let mut builder = HttpResponse::build(status);
     for (name, value) in &outgoing.headers {
         builder.header(name.as_str(), value.as_str());
     }
+    if outgoing.closes_connection() {
+        // The event loop writes this header itself and leaves out the handler's.
+        builder.force_close();
+    }
     match outgoing.body {
-        ResponseBody::Full(body) => builder.body(body),
+        ResponseBody::Full(body) if body.is_empty() => builder.body(body),
+        ResponseBody::Full(body) => {
+            let length = body.len() as u64;
+            let parts = stream::iter([Ok(body)]).chain(held_until_end(guard));
+            builder.body(SizedStream::new(length, Box::pin(parts)))
+        }
         ResponseBody::Stream(receiver) => {
             let chunks = stream::unfold(receiver, async |mut receiver| {
                 let chunk = receiver.recv().await?;
                 Some((Ok::<_, Infallible>(chunk), receiver))
             });
-            builder.streaming(Box::pin(chunks))
+            builder.streaming(Box::pin(chunks.chain(held_until_end(guard))))
         }
     }
 }
+
+/// Ends the count of a request only once its body was taken for writing or its connection is gone.
+fn held_until_end<Failure>(guard: RequestGuard) -> impl Stream<Item = Result<Bytes, Failure>> {
+    stream::poll_fn(move |_| {
+        let _held = &guard;
+        Poll::Ready(None)
+    })
+}
