An instance that shuts down answers everything, and ends however many callers stay

Cause: it took requests until its time was over and then broke off what was left: kept connections were not told to end, streams not counted, the limit exceeded by up to a minute, signals handled only after the listeners were open, SIGHUP not at all. A forwarded stream whose link broke ended as if it were complete. Design: linger as before; then refuse what comes, as shutting-down with ran unknown, since the same key may have come before elsewhere; wait for what is under way; at the limit give it a last word; close the listener; stop the event loops. Before: five tests of stopping.rs red.

--- a/src/cmd/serve.rs
+++ b/src/cmd/serve.rs
@@ -12,7 +12,7 @@
 use samphiregrade::{Instance, InstanceParts, Settings};
 use samphiregrade_http::{HttpPool, run_system};
 use tokio::runtime::{Builder, Runtime};
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 
 pub const USAGE: &str = "\
 Runs an entry instance until it gets SIGTERM or SIGINT, then shuts down gracefully.
@@ -45,6 +45,8 @@
 }
 
 async fn serve(settings: Settings, runtime: Runtime) -> Result<ExitCode> {
+    // From before the first listener on: a signal must find its handler once a connection can be accepted.
+    let signals = StopSignals::install()?;
     let listen = &settings.listen;
     let bound = |what: &str| format!("listening for {what}");
     let callers = TcpListener::bind(listen.callers).with_context(|| bound("callers"))?;
@@ -69,14 +71,11 @@
         let _runtime = runtime.enter();
         Instance::start(parts)?
     };
-    let servers = instance
+    let listeners = instance
         .listen(callers, operators)
         .context("starting the listeners")?;
-    wait_for_signal().await?;
-    let clean = instance.drain().await;
-    for server in servers {
-        server.stop(true).await;
-    }
+    signals.wait().await;
+    let clean = instance.shut_down(listeners).await;
     instance.stop();
     runtime.shutdown_background();
     log::info!("instance stopped clean={clean}");
@@ -87,12 +86,37 @@
     })
 }
 
-async fn wait_for_signal() -> Result<()> {
-    let mut terminate = signal(SignalKind::terminate()).context("waiting for SIGTERM")?;
-    let mut interrupt = signal(SignalKind::interrupt()).context("waiting for SIGINT")?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+/// The signals that a process has to outlive until it has shut down.
+struct StopSignals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl StopSignals {
+    fn install() -> Result<Self> {
+        let install = |kind, name: &str| {
+            let waiting = || format!("waiting for {name}");
+            signal(kind).with_context(waiting)
+        };
+        Ok(Self {
+            terminate: install(SignalKind::terminate(), "SIGTERM")?,
+            interrupt: install(SignalKind::interrupt(), "SIGINT")?,
+            hangup: install(SignalKind::hangup(), "SIGHUP")?,
+        })
+    }
+
+    /// Waits until the process is told to stop.
+    async fn wait(mut self) {
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => return,
+                _ = self.interrupt.recv() => return,
+                _ = self.hangup.recv() => {
+                    // Without a handler the system would end the process, with all requests under way.
+                    log::info!("settings are read at the start only; SIGHUP changes nothing");
+                }
+            }
+        }
     }
-    Ok(())
 }
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -18,7 +18,7 @@
 use tokio::runtime::Runtime;
 
 use crate::client::CallerClient;
-use crate::instance::{Instance, InstanceParts};
+use crate::instance::{Instance, InstanceListeners, InstanceParts};
 use crate::keyvalue::{InstanceList, KeyValueStore, ListedInstance, MemoryStore, SwapOutcome};
 use crate::link::{make_authority, make_identity};
 use crate::record::record_key;
@@ -99,7 +99,8 @@
     /// What the programs came to.
     pub report: DemoReport,
     instances: Vec<Instance>,
-    servers: Vec<Server>,
+    listeners: Vec<InstanceListeners>,
+    upstreams: Vec<Server>,
 }
 
 impl RunningDemo {
@@ -108,8 +109,11 @@
         for instance in &self.instances {
             instance.stop();
         }
-        for server in self.servers {
-            server.stop(false).await;
+        for listeners in self.listeners {
+            listeners.abort().await;
+        }
+        for upstream in self.upstreams {
+            upstream.stop(false).await;
         }
     }
 }
@@ -137,11 +141,10 @@
     let deployment = &settings.deployment;
     let pool = HttpPool::start(1);
     let store: Arc<dyn KeyValueStore> = Arc::new(MemoryStore::default());
-    let (mut servers, addresses) = start_upstreams(deployment).context("starting the stand-ins")?;
+    let (upstreams, addresses) = start_upstreams(deployment).context("starting the stand-ins")?;
     write_records(deployment, &addresses, store.as_ref()).await?;
     let started = start_instances(&settings, &store, &pool, runtime);
     let (instances, entries, listeners) = started.context("starting the instances")?;
-    servers.extend(listeners);
     wait_until_ready(&instances).await?;
     let client = CallerClient::new(pool, entries.clone(), deployment.token.clone());
     let started = Instant::now();
@@ -157,7 +160,8 @@
     Ok(RunningDemo {
         report,
         instances,
-        servers,
+        listeners,
+        upstreams,
     })
 }
 
@@ -218,7 +222,7 @@
     store: &Arc<dyn KeyValueStore>,
     pool: &HttpPool,
     runtime: &Runtime,
-) -> Result<(Vec<Instance>, Vec<SmolStr>, Vec<Server>)> {
+) -> Result<(Vec<Instance>, Vec<SmolStr>, Vec<InstanceListeners>)> {
     let (authority, authority_key) = make_authority()?;
     let mut first_address = settings.listen;
     let mut prepared = Vec::new();
@@ -240,7 +244,7 @@
     let _runtime = runtime.enter();
     let mut instances = Vec::new();
     let mut entries = Vec::new();
-    let mut servers = Vec::new();
+    let mut listeners = Vec::new();
     for prepared in prepared {
         entries.push(format_smolstr!("http://{}", prepared.callers.local_addr()?));
         let name = prepared.parts_settings.instance.name.clone();
@@ -253,10 +257,10 @@
             peer_socket: prepared.peers,
         };
         let instance = Instance::start(parts)?;
-        servers.extend(instance.listen(prepared.callers, prepared.operators)?);
+        listeners.push(instance.listen(prepared.callers, prepared.operators)?);
         instances.push(instance);
     }
-    Ok((instances, entries, servers))
+    Ok((instances, entries, listeners))
 }
 
 fn prepare_instance(
--- a/src/instance/callers.rs
+++ b/src/instance/callers.rs
@@ -11,6 +11,7 @@
 use tokio::sync::oneshot;
 
 pub use operation::{CallerOperation, OperationKind};
+pub use respond::MOVED_EVENT;
 
 use super::InstanceState;
 use crate::contract::{BeginRequest, Refusal, RefusalKind};
@@ -27,6 +28,9 @@
 /// When a caller should ask again whose shard has no primary.
 const ROUTE_RETRY: Duration = Duration::from_millis(500);
 
+/// When a caller should ask again that came to an instance that ends: at once, since others go on.
+const STOPPING_RETRY: Duration = Duration::from_millis(100);
+
 /// What an instance that may be primary answers.
 pub enum LocalAnswer {
     /// The answer.
@@ -38,20 +42,11 @@
 impl InstanceState {
     /// Answers a caller's request.
     pub(super) async fn serve_caller(&self, request: IncomingRequest) -> OutgoingResponse {
-        match request.path.as_str() {
-            "/healthz" => return OutgoingResponse::json(200, &json!({"status": "alive"})),
-            "/readyz" => return self.readiness(),
-            _ => {}
-        }
-        self.open_requests.fetch_add(1, Ordering::Relaxed);
-        self.served_requests.fetch_add(1, Ordering::Relaxed);
-        let counted = OpenRequest { state: self };
-        let response = self.route_request(request).await;
-        drop(counted);
-        let response = response.unwrap_or_else(|refusal| {
-            log::debug!("request refused refusal={refusal}");
-            refusal.response()
-        });
+        let response = match request.path.as_str() {
+            "/healthz" => OutgoingResponse::json(200, &json!({"status": "alive"})),
+            "/readyz" => self.readiness(),
+            _ => self.answer_caller(request).await,
+        };
         if self.is_draining() {
             // The caller's next request is to go to another instance.
             return response.with_header("connection", "close");
@@ -59,6 +54,29 @@
         response
     }
 
+    async fn answer_caller(&self, request: IncomingRequest) -> OutgoingResponse {
+        if self.gate.is_closed() {
+            return refuse_stopping().response();
+        }
+        self.served_requests.fetch_add(1, Ordering::Relaxed);
+        let response = self.route_request(request).await;
+        response.unwrap_or_else(|refusal| {
+            log::debug!("request refused refusal={refusal}");
+            refusal.response()
+        })
+    }
+
+    /// The last word to a caller whose request is under way when the instance ends.
+    pub(super) fn refuse_at_end(&self) -> OutgoingResponse {
+        log::info!(
+            "request refused at the end instance={}",
+            self.peers.view().me
+        );
+        refuse_stopping()
+            .response()
+            .with_header("connection", "close")
+    }
+
     pub(super) fn readiness(&self) -> OutgoingResponse {
         if self.is_ready() {
             return OutgoingResponse::json(200, &json!({"status": "ready"}));
@@ -223,7 +241,7 @@
                 self.inspect(&shard, operation, organisation, question)
                     .await;
                 let answer = answer.await.unwrap_or(CallReply::Moved);
-                respond::respond_late(&operation.program, *sequence, *offset, answer)
+                self.respond_late(&operation.program, *sequence, *offset, answer)
             }
             OperationKind::Show => {
                 let (reply, answer) = oneshot::channel();
@@ -332,13 +350,10 @@
     }
 }
 
-/// Counts a request that is under way, until it is dropped.
-struct OpenRequest<'state> {
-    state: &'state InstanceState,
-}
-
-impl Drop for OpenRequest<'_> {
-    fn drop(&mut self) {
-        self.state.open_requests.fetch_sub(1, Ordering::Relaxed);
-    }
+/// Refuses a request because the instance ends.
+///
+/// Whether it ran is left open: the same request may have come before, here or through another instance.
+fn refuse_stopping() -> Refusal {
+    let refusal = Refusal::unknown(RefusalKind::ShuttingDown, "the instance is shutting down");
+    refusal.with_retry_after(STOPPING_RETRY)
 }
--- a/src/instance/callers/respond.rs
+++ b/src/instance/callers/respond.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 use serde_json::json;
 use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
 
 use super::LocalAnswer;
 use crate::contract::{Refusal, RefusalKind};
@@ -19,6 +20,9 @@
 /// Events of a stream that may wait for their reader.
 const STREAM_QUEUE: usize = 64;
 
+/// Last event of a stream that goes on elsewhere: the caller has to ask again.
+pub const MOVED_EVENT: Bytes = Bytes::from_static(b"event: moved\ndata: {}\n\n");
+
 /// When a caller should ask again whose answer takes long.
 const LONG_ANSWER_RETRY: Duration = Duration::from_millis(200);
 
@@ -53,7 +57,7 @@
                 LocalAnswer::Response(stream_outcome(&outcome, program, sequence, offset))
             }
             (CallReply::Stream(stream), Some(offset)) => {
-                LocalAnswer::Response(stream_text(&stream, offset))
+                LocalAnswer::Response(self.stream_text(&stream, offset))
             }
             (CallReply::Stream(stream), None) => {
                 self.wait_for_outcome(program, sequence, &stream).await
@@ -79,41 +83,51 @@
             }
         }
     }
-}
 
-/// Answers a question for the answer of an earlier call.
-pub fn respond_late(
-    program: &ProgramId,
-    sequence: SequenceNumber,
-    offset: Option<usize>,
-    answer: CallReply,
-) -> LocalAnswer {
-    let response = match (answer, offset) {
-        (CallReply::Moved, _) => return LocalAnswer::Moved,
-        (CallReply::Refused(refusal), _) => refusal.response(),
-        (CallReply::Outcome(outcome), None) => outcome.response(program, sequence),
-        (CallReply::Outcome(outcome), Some(offset)) => {
-            stream_outcome(&outcome, program, sequence, offset)
-        }
-        (CallReply::Stream(stream), Some(offset)) => stream_text(&stream, offset),
-        (CallReply::Stream(_), None) => OutgoingResponse::json(202, &json!({"status": "running"}))
-            .with_header("retry-after", "1"),
-    };
-    LocalAnswer::Response(response)
-}
+    /// Answers a question for the answer of an earlier call.
+    pub fn respond_late(
+        &self,
+        program: &ProgramId,
+        sequence: SequenceNumber,
+        offset: Option<usize>,
+        answer: CallReply,
+    ) -> LocalAnswer {
+        let response = match (answer, offset) {
+            (CallReply::Moved, _) => return LocalAnswer::Moved,
+            (CallReply::Refused(refusal), _) => refusal.response(),
+            (CallReply::Outcome(outcome), None) => outcome.response(program, sequence),
+            (CallReply::Outcome(outcome), Some(offset)) => {
+                stream_outcome(&outcome, program, sequence, offset)
+            }
+            (CallReply::Stream(stream), Some(offset)) => self.stream_text(&stream, offset),
+            (CallReply::Stream(_), None) => {
+                OutgoingResponse::json(202, &json!({"status": "running"}))
+                    .with_header("retry-after", "1")
+            }
+        };
+        LocalAnswer::Response(response)
+    }
 
-/// Streams a running answer from an offset.
-fn stream_text(stream: &Arc<StreamBuffer>, offset: usize) -> OutgoingResponse {
-    let (sender, events) = mpsc::channel(STREAM_QUEUE);
-    let reader = stream.reader();
-    tokio::spawn(async move { relay_text(reader, offset, sender).await });
-    OutgoingResponse::stream(200, "text/event-stream", events)
+    /// Streams a running answer from an offset.
+    fn stream_text(&self, stream: &Arc<StreamBuffer>, offset: usize) -> OutgoingResponse {
+        let (sender, events) = mpsc::channel(STREAM_QUEUE);
+        let reader = stream.reader();
+        let cut = self.cut.clone();
+        tokio::spawn(async move { relay_text(reader, offset, sender, cut).await });
+        OutgoingResponse::stream(200, "text/event-stream", events)
+    }
 }
 
-async fn relay_text(reader: StreamReader, mut offset: usize, sender: mpsc::Sender<Bytes>) {
+async fn relay_text(
+    reader: StreamReader,
+    mut offset: usize,
+    sender: mpsc::Sender<Bytes>,
+    cut: CancellationToken,
+) {
     loop {
         let read = tokio::select! {
             read = reader.read(offset) => read,
+            () = cut.cancelled() => StreamRead::Closed,
             () = sender.closed() => return,
         };
         let event = match read {
@@ -131,9 +145,7 @@
                 return;
             }
             StreamRead::Closed => {
-                let _ = sender
-                    .send(Bytes::from_static(b"event: moved\ndata: {}\n\n"))
-                    .await;
+                let _ = sender.send(MOVED_EVENT).await;
                 return;
             }
         };
--- a/src/instance/dump.rs
+++ b/src/instance/dump.rs
@@ -86,7 +86,7 @@
                 requests,
             },
             requests: RequestDump {
-                open: self.open_requests.load(Ordering::Relaxed),
+                open: self.gate.under_way(),
                 served: self.served_requests.load(Ordering::Relaxed),
                 forwarded: self.forwarded_requests.load(Ordering::Relaxed),
             },
--- a/src/instance/forward.rs
+++ b/src/instance/forward.rs
@@ -6,9 +6,10 @@
 use ntex::util::Bytes;
 use samphiregrade_http::{OutgoingResponse, ResponseBody};
 use tokio::sync::mpsc;
+use tokio_util::sync::CancellationToken;
 
 use super::InstanceState;
-use super::callers::{CallerOperation, LocalAnswer};
+use super::callers::{CallerOperation, LocalAnswer, MOVED_EVENT};
 use crate::ids::{InstanceRef, ProgramId, ShardId, UpstreamName};
 use crate::link::{ForwardHead, ForwardedRequest, PeerAnswer, PeerReply, PeerRequest, ReplyStream};
 
@@ -78,7 +79,7 @@
             return None;
         }
         if head.streamed {
-            return Some(streamed_response(head, stream));
+            return Some(streamed_response(head, stream, self.cut.clone()));
         }
         let mut body = Vec::new();
         while let Some(chunk) = stream.next_chunk().await.ok()? {
@@ -123,20 +124,13 @@
     }
 }
 
-fn streamed_response(head: ForwardHead, mut stream: ReplyStream) -> OutgoingResponse {
+fn streamed_response(
+    head: ForwardHead,
+    stream: ReplyStream,
+    cut: CancellationToken,
+) -> OutgoingResponse {
     let (sender, chunks) = mpsc::channel(BODY_QUEUE);
-    tokio::spawn(async move {
-        loop {
-            let chunk = tokio::select! {
-                chunk = stream.next_chunk() => chunk,
-                () = sender.closed() => return,
-            };
-            let Ok(Some(chunk)) = chunk else { return };
-            if sender.send(Bytes::from(chunk)).await.is_err() {
-                return;
-            }
-        }
-    });
+    tokio::spawn(async move { relay_chunks(stream, sender, cut).await });
     OutgoingResponse {
         status: head.status,
         headers: head.headers,
@@ -144,6 +138,35 @@
     }
 }
 
+/// Hands on the events of a primary's stream, each of which is one chunk.
+async fn relay_chunks(
+    mut stream: ReplyStream,
+    sender: mpsc::Sender<Bytes>,
+    cut: CancellationToken,
+) {
+    loop {
+        let chunk = tokio::select! {
+            chunk = stream.next_chunk() => chunk,
+            () = sender.closed() => return,
+            () = cut.cancelled() => break,
+        };
+        match chunk {
+            Ok(Some(chunk)) => {
+                if sender.send(Bytes::from(chunk)).await.is_err() {
+                    return;
+                }
+            }
+            Ok(None) => return,
+            Err(error) => {
+                log::info!("forwarded stream broke off error={error}");
+                break;
+            }
+        }
+    }
+    // Without this the end of the body would look like the end of the answer.
+    let _ = sender.send(MOVED_EVENT).await;
+}
+
 /// Tells a program's primary that an engine lists a hold for it.
 pub fn pass_hold(
     state: &InstanceState,
--- a/src/instance/metrics.rs
+++ b/src/instance/metrics.rs
@@ -143,7 +143,7 @@
     (
         "samphiregrade_requests_open",
         "Requests of callers under way",
-        |state| state.open_requests.load(Ordering::Relaxed) as u64,
+        |state| state.gate.under_way() as u64,
     ),
 ];
 
--- a/src/instance/mod.rs
+++ b/src/instance/mod.rs
@@ -3,6 +3,7 @@
 mod callers;
 mod dump;
 mod forward;
+mod listeners;
 mod metrics;
 mod news;
 mod operators;
@@ -12,19 +13,17 @@
 mod shards;
 
 use std::collections::HashMap;
-use std::io;
-use std::net::{TcpListener, UdpSocket};
+use std::net::UdpSocket;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use arc_swap::ArcSwap;
-use samphiregrade_http::{HttpPool, HttpServer, IncomingRequest, OutgoingResponse, ServerSettings};
+use samphiregrade_http::{HttpPool, RequestGate};
 use thiserror::Error;
 use tokio::runtime::Handle;
 use tokio::sync::{Semaphore, mpsc};
 use tokio_util::sync::CancellationToken;
-use tokio_util::task::AbortOnDropHandle;
 
 use crate::ids::{InstanceRef, ShardId};
 use crate::keyvalue::{InstanceList, KeyValueClient, KeyValueLimits, KeyValueStore};
@@ -37,6 +36,7 @@
 use crate::storage::{BulkStore, RecoveredCopy, StorageError};
 use crate::upstream::{OrderContext, UpstreamRunner, run_orders, run_poller};
 
+pub use listeners::InstanceListeners;
 use metrics::MetricsExporter;
 use news::NewsSource;
 use peers::PeerDesk;
@@ -46,9 +46,6 @@
 /// Whole copies that an instance sends at the same time.
 const INSTALL_PERMITS: usize = 2;
 
-/// Pause between two looks at whether a graceful shutdown is done.
-const DRAIN_PAUSE: Duration = Duration::from_millis(50);
-
 /// What an instance is started with.
 pub struct InstanceParts {
     /// Checked settings.
@@ -100,11 +97,13 @@
     runner: UpstreamRunner,
     pool: HttpPool,
     metrics: MetricsExporter,
-    open_requests: AtomicUsize,
+    gate: RequestGate,
     served_requests: AtomicUsize,
     forwarded_requests: AtomicUsize,
     draining: AtomicBool,
     started: Instant,
+    /// Cancelled when a graceful shutdown takes no longer: callers get a last word.
+    cut: CancellationToken,
     stop: CancellationToken,
 }
 
@@ -166,7 +165,7 @@
             records: RecordKeeper::new(config.clone()),
             shards: ShardHost::new(context),
             metrics: MetricsExporter::new(),
-            open_requests: AtomicUsize::new(0),
+            gate: RequestGate::default(),
             served_requests: AtomicUsize::new(0),
             forwarded_requests: AtomicUsize::new(0),
             draining: AtomicBool::new(false),
@@ -180,6 +179,7 @@
             config,
             queue,
             runner,
+            cut: CancellationToken::new(),
             stop,
         });
         let instance = Self { state, runtime };
@@ -232,98 +232,12 @@
         tokio::spawn(shards::follow_maps(state.clone()));
     }
 
-    /// Starts the listeners for callers and operators; to be called inside a running system.
-    ///
-    /// # Errors
-    ///
-    /// Returns the listener's error.
-    pub fn listen(
-        &self,
-        callers: TcpListener,
-        operators: TcpListener,
-    ) -> io::Result<Vec<ntex::server::Server>> {
-        let limits = &self.state.settings.limits;
-        let settings = ServerSettings {
-            body_limit: limits.body_bytes,
-            body_timeout: Duration::from_secs(limits.body_seconds),
-            workers: self.state.settings.listen.workers,
-            ..ServerSettings::default()
-        };
-        let instance = self.clone();
-        let for_callers = HttpServer::start(callers, settings, move |request| {
-            let instance = instance.clone();
-            async move { instance.serve_caller(request).await }
-        })?;
-        let instance = self.clone();
-        let settings = ServerSettings::default();
-        let for_operators = HttpServer::start(operators, settings, move |request| {
-            let instance = instance.clone();
-            async move { instance.serve_operator(request).await }
-        })?;
-        Ok(vec![for_callers, for_operators])
-    }
-
-    /// Answers a caller's request on the instance's own runtime.
-    ///
-    /// A caller that hangs up drops the task, and with it its interest in the answer.
-    async fn serve_caller(&self, request: IncomingRequest) -> OutgoingResponse {
-        let state = self.state.clone();
-        let task = self
-            .runtime
-            .spawn(async move { state.serve_caller(request).await });
-        match AbortOnDropHandle::new(task).await {
-            Ok(response) => response,
-            Err(error) => {
-                log::error!("request not answered error={error}");
-                OutgoingResponse::full(500, "text/plain", "the instance has failed; ask again")
-            }
-        }
-    }
-
-    async fn serve_operator(&self, request: IncomingRequest) -> OutgoingResponse {
-        let state = self.state.clone();
-        let task = self
-            .runtime
-            .spawn(async move { state.serve_operator(&request).await });
-        task.await.unwrap_or_else(|error| {
-            OutgoingResponse::full(
-                500,
-                "text/plain",
-                format!("the instance has failed: {error}"),
-            )
-        })
-    }
-
     /// Returns whether the instance can serve programs of its own failure domain.
     #[must_use]
     pub fn is_ready(&self) -> bool {
         self.state.is_ready()
     }
 
-    /// Shuts down gracefully: shards are handed over and requests under way are answered.
-    ///
-    /// Returns whether everything was done within the time of the settings.
-    pub async fn drain(&self) -> bool {
-        let state = &self.state;
-        state.draining.store(true, Ordering::Relaxed);
-        log::info!("instance draining instance={}", state.peers.view().me);
-        state.shards.drain().await;
-        let limits = &state.settings.limits;
-        let deadline = Instant::now() + Duration::from_secs(limits.drain_seconds);
-        tokio::time::sleep(Duration::from_millis(limits.linger_ms)).await;
-        while Instant::now() < deadline {
-            let open = state.open_requests.load(Ordering::Relaxed);
-            if open == 0 && state.own_primaries() == 0 {
-                return true;
-            }
-            if open == 0 && state.is_alone() {
-                return true;
-            }
-            tokio::time::sleep(DRAIN_PAUSE).await;
-        }
-        false
-    }
-
     /// Stops every task.
     pub fn stop(&self) {
         self.state.stop.cancel();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -43,5 +43,5 @@
 pub mod upstream;
 pub mod workload;
 
-pub use instance::{Instance, InstanceParts};
+pub use instance::{Instance, InstanceListeners, InstanceParts};
 pub use settings::Settings;
--- a/tests/testsuite/stopping.rs
+++ b/tests/testsuite/stopping.rs
@@ -95,7 +95,7 @@
     number: usize,
     gone: Arc<AtomicBool>,
 ) -> JoinHandle<Vec<Complaint>> {
-    let mut caller = RawCaller::new(address, token, number % 2 == 0);
+    let mut caller = RawCaller::new(address, token, number.is_multiple_of(2));
     thread::spawn(move || {
         let mut complaints = Vec::new();
         for round in 0.. {
@@ -104,15 +104,15 @@
             }
             let begin = json!({
                 "key": format!("{number}-{round}"), "class": "dossier", "home": STAYING_HOME});
-            let began = caller.post("/v1/programs", &begin);
-            complaints.extend(complaint(&began));
-            let Some(program) = began.json()["program"].as_str().map(str::to_owned) else {
+            let first = caller.post("/v1/programs", &begin);
+            complaints.extend(complaint(&first));
+            let Some(program) = first.json()["program"].as_str().map(str::to_owned) else {
                 thread::sleep(CALLER_PAUSE);
                 continue;
             };
             let path = format!("/v1/programs/{program}/calls/1");
-            let called = caller.post(&path, &prompt(30, number % 3 == 0));
-            complaints.extend(complaint(&called));
+            let second = caller.post(&path, &prompt(30, number.is_multiple_of(3)));
+            complaints.extend(complaint(&second));
         }
         complaints
     })
--- a/tests/testsuite/support/raw.rs
+++ b/tests/testsuite/support/raw.rs
@@ -8,7 +8,7 @@
 use serde_json::Value;
 
 /// Longest wait for a connection or the next bytes; a caller that waits longer was left without an answer.
-const SILENCE: Duration = Duration::from_secs(60);
+const SILENCE: Duration = Duration::from_mins(1);
 
 /// Pause between two tries to reach a listener that is being opened.
 const LISTEN_PAUSE: Duration = Duration::from_millis(1);
