Callers that an ending instance refuses go to another one

Cause: a refusal as shutting-down was asked again at the same instance, for as long as that took to end. Before: out of patience after 5 s. After: served (the test is in stopping.rs).

--- a/src/client.rs
+++ b/src/client.rs
@@ -11,7 +11,9 @@
 use smol_str::{SmolStr, format_smolstr};
 use thiserror::Error;
 
-use crate::contract::{BeginReply, BeginRequest, CallBody, ProblemBody, ProgramReply, RanState};
+use crate::contract::{
+    BeginReply, BeginRequest, CallBody, ProblemBody, ProgramReply, RanState, RefusalKind,
+};
 use crate::ids::{ProgramId, SequenceNumber};
 
 /// Shortest and longest pause between two attempts.
@@ -223,7 +225,13 @@
                 AttemptEnd::Refused(problem, _) if !problem.transient => {
                     return Err(ClientError::Refused(problem));
                 }
-                AttemptEnd::Refused(problem, wait) => (problem.title, wait),
+                AttemptEnd::Refused(problem, wait) => {
+                    if problem.kind == RefusalKind::ShuttingDown.name() {
+                        // This instance may go on refusing for a minute, while others serve.
+                        entry += 1;
+                    }
+                    (problem.title, wait)
+                }
                 AttemptEnd::Failed(failure) => {
                     entry += 1;
                     (failure, None)
--- a/tests/testsuite/stopping.rs
+++ b/tests/testsuite/stopping.rs
@@ -15,6 +15,7 @@
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use samphiregrade::Settings;
+use samphiregrade::client::CallerClient;
 use samphiregrade::settings::LimitSection;
 use samphiregrade_bench::cluster::{Cluster, ClusterSettings};
 use samphiregrade_http::OutgoingRequest;
@@ -213,6 +214,39 @@
     });
 }
 
+#[test]
+fn caller_that_an_ending_instance_refuses_goes_to_another_one() {
+    let limits = LimitSection {
+        linger_ms: 0,
+        ..LimitSection::default()
+    };
+    let settings = slow_settings(Duration::from_millis(500), limits);
+    with_cluster(settings, |cluster| async move {
+        let address = callers_address(&cluster, STOPPING);
+        let token = cluster.settings.deployment.token.clone();
+        let begin = |key: &str| json!({"key": key, "class": "dossier", "home": STAYING_HOME});
+        let program = begin_program(&cluster, STOPPING, &begin("long")).await;
+        let path = format!("/v1/programs/{program}/calls/1");
+        let mut long_caller = RawCaller::new(address, &token, true);
+        let long_call = thread::spawn(move || long_caller.post(&path, &prompt(40, true)));
+        tokio::time::sleep(WARM_UP).await;
+        signal(&cluster, STOPPING, Signal::SIGTERM);
+        let url = format!("{}/v1/programs/x", cluster.instances[STOPPING].entry);
+        eventually("a refusal", || async {
+            let answer = send(&cluster.pool, OutgoingRequest::get(&url)).await;
+            answer.json()["type"] == "shutting-down"
+        })
+        .await;
+        let entries = [STOPPING, "bilbao-c-0"].map(|name| cluster.instances[name].entry.clone());
+        let client = CallerClient::new(cluster.pool.clone(), entries.into(), token)
+            .with_preferred(1)
+            .with_patience(Duration::from_secs(5));
+        let request = serde_json::from_value(begin("other")).expect("a request");
+        client.begin(&request).await.expect("another instance");
+        assert!(!long_call.is_finished(), "the instance had ended before");
+    });
+}
+
 #[test]
 fn forwarded_stream_whose_primary_is_killed_does_not_look_complete() {
     let settings = slow_settings(Duration::from_millis(100), LimitSection::default());
