--- a/crates/samphiregrade-gateway/src/exchange/connection.rs
+++ b/crates/samphiregrade-gateway/src/exchange/connection.rs
@@ -1,7 +1,7 @@
 //! A client's connection: one request after the other, each answered or visibly cut.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use samphiregrade_http::wire::{
@@ -24,6 +24,10 @@
 use crate::model::{ClientLimits, RequestKind, RequestMetadata};
 use crate::routing::{RouteTable, service_for};
 
+/// Time for the first request on a new connection of an instance that takes nothing new: a round trip, and a wait for the
+/// processor of a small machine.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(250);
+
 /// What ends connections while the instance stops; passed down to each of them.
 #[derive(Clone, Debug, Default)]
 pub struct ServingTokens {
@@ -170,7 +174,7 @@
             let read = tokio::select! {
                 biased;
                 read = tokio::time::timeout(limits.idle_timeout, self.socket.fill()) => read,
-                () = self.tokens.closing.cancelled() => return HeadEnd::Closed,
+                () = idle_end(&self.tokens.closing, &self.age) => return HeadEnd::Closed,
             };
             if !matches!(read, Ok(Ok(count)) if count > 0) {
                 return HeadEnd::Closed;
@@ -458,6 +462,17 @@
     }
 }
 
+/// Resolves when a connection on which no request has begun is to be closed since nothing new is taken.
+///
+/// What was accepted last has its first request on the way, or in the system's buffer without being known here yet: closed
+/// at once, all connections that waited in the queue were reset.
+async fn idle_end(closing: &CancellationToken, age: &ConnectionAge) {
+    closing.cancelled().await;
+    if age.earlier_requests == 0 {
+        tokio::time::sleep_until((age.accepted + FIRST_REQUEST_TIME).into()).await;
+    }
+}
+
 /// Prepares a turn where it is one, and dispatches the request.
 async fn send_request(
     context: &EntryContext,
--- a/crates/samphiregrade-gateway/src/exchange/waiting.rs
+++ b/crates/samphiregrade-gateway/src/exchange/waiting.rs
@@ -10,6 +10,10 @@
 /// grace period still holds.
 const MOST_FAILURES: usize = 10;
 
+/// Connections after which no more are taken: the length of the queue. Clients that come faster than they are accepted
+/// must not keep the listener open.
+const MOST_TAKEN: usize = 1024;
+
 /// Accepts without waiting until the queue is empty.
 ///
 /// Closing the listener resets what is left in the queue, though its clients may have sent their requests: one
@@ -20,9 +24,13 @@
     Take: FnMut(Connection),
 {
     let mut failures = 0;
-    while failures < MOST_FAILURES {
+    let mut taken = 0;
+    while failures < MOST_FAILURES && taken < MOST_TAKEN {
         match accept() {
-            Ok(connection) => take(connection),
+            Ok(connection) => {
+                take(connection);
+                taken += 1;
+            }
             Err(error) if error.kind() == io::ErrorKind::WouldBlock => return,
             Err(error) => {
                 log::warn!("a connection that waited was not accepted: {error}");
@@ -31,5 +39,5 @@
             }
         }
     }
-    log::error!("connections that waited are given up; raise the limit of open files");
+    log::error!("connections that waited are given up after {taken} taken and {failures} failures");
 }
--- a/crates/samphiregrade-gateway/src/fact/client.rs
+++ b/crates/samphiregrade-gateway/src/fact/client.rs
@@ -37,6 +37,9 @@
 /// callers wait at least for the next part of an answer.
 const STORE_PATIENCE: Duration = Duration::from_millis(1800);
 
+/// Pause between two looks at whether a newer placement was learnt while a fact is being stored.
+const OUTDATED_LOOK: Duration = Duration::from_millis(50);
+
 /// Why a fact is not known to be durable, or a question has no sure answer.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
 pub enum FactFailure {
@@ -223,14 +226,17 @@
         let group = group_slots(placement, program)?;
         let mut replies = self.ask_group(placement, &group, &KeeperRequest::Store(fact.clone()));
         let mut stored = 0;
-        while let Some(reply) = replies.recv().await {
+        while !self.is_outdated(placement) {
+            // A newer placement may be learnt while nobody replies.
+            let reply = match tokio::time::timeout(OUTDATED_LOOK, replies.recv()).await {
+                Err(_) => continue,
+                Ok(None) => break,
+                Ok(Some(reply)) => reply,
+            };
             stored += usize::from(matches!(reply, Some(KeeperReply::Stored)));
             if stored >= placement.majority() {
                 return Ok(());
             }
-            if self.is_outdated(placement) {
-                break;
-            }
         }
         Err(FactFailure::TooFew)
     }
@@ -323,14 +329,13 @@
                 Some(KeeperReply::Chain(ChainAnswer::Absent)) => absent += 1,
                 _ => {}
             }
-            if absent >= placement.meets_majorities_anywhere() {
-                break;
-            }
         }
         if let Some(part) = partial {
             return Ok(part);
         }
-        if absent >= placement.meets_majorities_anywhere() {
+        // All have been heard by then: while a slot changes hands, the one that knows the turn, or the newer placement,
+        // may be the last to answer.
+        if absent >= placement.meets_majorities_anywhere() && !self.is_outdated(placement) {
             return Ok(ChainAnswer::Absent);
         }
         Err(FactFailure::TooFew)
--- a/crates/samphiregrade-gateway/src/fact/service.rs
+++ b/crates/samphiregrade-gateway/src/fact/service.rs
@@ -200,7 +200,8 @@
     /// its own over with its first question, and from then on nothing is taken under an older one. No other request
     /// does that. Where entries that had heard of a newer placement first did, a keeper refused all others for
     /// 0.3 s, until it could tell the newer one itself, and turns that had run were broken off as not durable. What
-    /// such an entry stores is known wherever it was confirmed, whichever placement is asked under.
+    /// such an entry stores may be known to one keeper of the older placement only: who asks under that one takes a turn
+    /// for absent only when all of its keepers have been heard.
     fn newer_placement(&self, generation: PlacementGeneration) -> Option<KeeperPlacement> {
         self.with(|state| {
             let held = &state.disk_state.placement;
--- a/crates/samphiregrade-gateway/src/role/mod.rs
+++ b/crates/samphiregrade-gateway/src/role/mod.rs
@@ -15,3 +15,4 @@
 pub use entry::run_entry;
 pub use keeper::run_keeper;
 pub use membership::{MemberView, MembershipStep, next_step};
+pub use signals::hold_reloads;
--- a/crates/samphiregrade-gateway/src/role/signals.rs
+++ b/crates/samphiregrade-gateway/src/role/signals.rs
@@ -2,6 +2,7 @@
 
 use std::path::{Path, PathBuf};
 
+use nix::sys::signal::{SigSet, Signal};
 use serde::Serialize;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio_util::sync::CancellationToken;
@@ -15,6 +16,25 @@
     detail: String,
 }
 
+/// Holds reloads back until they are followed: the system ends a process that gets SIGHUP before it has a handler, and
+/// a platform reloads all instances when it changes settings, those that are just starting too.
+///
+/// To be called first thing on the main thread; threads that start meanwhile hold them back for good, which leaves
+/// them to the main thread.
+///
+/// # Errors
+///
+/// The system's error where signals can't be held back.
+pub fn hold_reloads() -> std::io::Result<()> {
+    Ok(reload_set().thread_block()?)
+}
+
+fn reload_set() -> SigSet {
+    let mut signals = SigSet::empty();
+    signals.add(Signal::SIGHUP);
+    signals
+}
+
 /// Follows the process's signals; returns the token that the first SIGTERM or SIGINT cancels.
 ///
 /// # Errors
@@ -54,6 +74,7 @@
 /// The system's error where signals can't be waited for.
 fn check_on_hangup(path: PathBuf) -> std::io::Result<()> {
     let mut hangup = signal(SignalKind::hangup())?;
+    reload_set().thread_unblock()?;
     tokio::spawn(async move {
         while hangup.recv().await.is_some() {
             report(&path);
--- a/crates/samphiregrade-gateway/tests/suite/keepers.rs
+++ b/crates/samphiregrade-gateway/tests/suite/keepers.rs
@@ -289,6 +289,26 @@
     );
 }
 
+/// A turn that was confirmed under a newer placement is known to one keeper of the older one only: whoever still asks
+/// under that must not take the word of the two others for all.
+#[tokio::test]
+async fn turn_that_only_the_last_keeper_knows_is_not_denied_while_a_slot_changes_hands() {
+    let deployment = Deployment::start().await;
+    deployment
+        .store_on(&[1], &turn("t1", None, b"in1 ", b"out1\n"))
+        .await;
+    let newer = deployment
+        .placement
+        .with_occupant(0, "a", deployment.keepers[0].slot.address);
+    deployment.keepers[1].service.adopt_placement(newer).await;
+    let client = deployment.client("a");
+    let found = client.chain(&"p".into(), &"t1".into()).await;
+    assert_eq!(
+        found,
+        Ok(ChainLookup::Found(Bytes::from_static(b"in1 out1\n")))
+    );
+}
+
 /// A relay that closes the first connections and passes the others on: a process that has ended and is there again.
 async fn restarting_relay(target: SocketAddr, closed: usize) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
--- a/src/cmd/gateway.rs
+++ b/src/cmd/gateway.rs
@@ -4,10 +4,11 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
-use anyhow::Result;
+use anyhow::{Context, Result};
 use pico_args::Arguments;
 use samphiregrade_gateway::dialect::Dialect;
 use samphiregrade_gateway::observe::Logbook;
+use samphiregrade_gateway::role::hold_reloads;
 use samphiregrade_gateway::settings::GatewaySettings;
 use samphiregrade_http::run_system;
 use samphiregrade_platform::PlatformDialect;
@@ -32,6 +33,7 @@
     Role: FnOnce(GatewaySettings, PathBuf, Arc<dyn Dialect>) -> Running,
     Running: Future<Output = Result<()>> + 'static,
 {
+    hold_reloads().context("holding reloads back")?;
     super::install_crypto();
     let path = arguments.settings;
     let settings = GatewaySettings::read(&path)?;
