--- a/crates/samphiregrade-gateway/src/exchange/connection.rs
+++ b/crates/samphiregrade-gateway/src/exchange/connection.rs
@@ -1,15 +1,15 @@
 //! A client's connection: one request after the other, each answered or visibly cut.
 
+mod accepting;
+mod reading;
+
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use bytes::{Bytes, BytesMut};
-use samphiregrade_http::wire::{
-    BodyDecoder, BodyPiece, HeadError, RequestHead, SocketLimits, WireSocket,
-};
+use samphiregrade_http::wire::{RequestHead, SocketLimits, WireSocket};
 use smol_str::SmolStr;
-use tokio::net::{TcpListener, TcpStream};
-use tokio_util::sync::CancellationToken;
+use tokio::net::TcpStream;
 
 use super::attempt::LiveAnswer;
 use super::context::EntryContext;
@@ -20,70 +20,11 @@
 use super::request::RoutedRequest;
 use super::survey::{PlacementView, survey};
 use super::turn::{ProgramStanding, TurnPlan};
-use super::waiting::{ACCEPT_PAUSE, take_waiting};
 use crate::model::{ClientLimits, RequestKind, RequestMetadata};
 use crate::routing::{RouteTable, service_for};
 
-/// Time for the first request on a new connection of an instance that takes nothing new: a round trip, and a wait for the
-/// processor of a small machine.
-const FIRST_REQUEST_TIME: Duration = Duration::from_millis(250);
-
-/// What ends connections while the instance stops; passed down to each of them.
-#[derive(Clone, Debug, Default)]
-pub struct ServingTokens {
-    /// Nothing new is taken: the listener closes and idle connections end. A request that is there already is taken only
-    /// where it ends before what is under way is given up.
-    pub closing: CancellationToken,
-    /// What is under way is given up, each with an answer that says whether it may have run.
-    pub giving_up: CancellationToken,
-}
-
-/// Accepts clients' connections until nothing more is taken.
-pub async fn serve_clients(
-    context: Arc<EntryContext>,
-    listener: TcpListener,
-    tokens: ServingTokens,
-) {
-    loop {
-        let accepted = tokio::select! {
-            () = tokens.closing.cancelled() => break,
-            accepted = listener.accept() => accepted,
-        };
-        match accepted {
-            Ok((stream, _)) => spawn_connection(&context, stream, &tokens),
-            Err(error) => {
-                // Out of descriptors, or a connection that is gone again: a pause lets others end.
-                log::warn!("a client's connection was not accepted: {error}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
-        }
-    }
-    match listener.into_std() {
-        Ok(listener) => {
-            let accept = || accept_now(&listener);
-            let take = |stream| spawn_connection(&context, stream, &tokens);
-            take_waiting(accept, take).await;
-        }
-        Err(error) => log::warn!("connections that waited were not accepted: {error}"),
-    }
-}
-
-/// Accepts a connection that the system has accepted already; its request gets a refusal in place of a reset.
-fn accept_now(listener: &std::net::TcpListener) -> std::io::Result<TcpStream> {
-    let (stream, _) = listener.accept()?;
-    stream.set_nonblocking(true)?;
-    TcpStream::from_std(stream)
-}
-
-/// Serves a connection, which counts as open from here on: a task that has not begun must not be overlooked.
-fn spawn_connection(context: &Arc<EntryContext>, stream: TcpStream, tokens: &ServingTokens) {
-    let guard = context.open_connection();
-    let serving = serve_stream(context.clone(), stream, tokens.clone());
-    tokio::spawn(async move {
-        serving.await;
-        drop(guard);
-    });
-}
+pub use accepting::{ServingTokens, serve_clients};
+use reading::{BodyEnd, HeadEnd};
 
 async fn serve_stream(context: Arc<EntryContext>, stream: TcpStream, tokens: ServingTokens) {
     let socket = match WireSocket::new(stream, &SocketLimits::default()) {
@@ -113,25 +54,6 @@
     tokens: ServingTokens,
 }
 
-enum HeadEnd {
-    Head(RequestHead),
-    Refused(RefusalReason),
-    Closed,
-}
-
-enum BodyEnd {
-    Whole(Bytes),
-    Refused(RefusalReason),
-    Gone,
-}
-
-/// What became of waiting for more of a request.
-enum MoreRead {
-    Some,
-    Refused(RefusalReason),
-    Gone,
-}
-
 /// What a request needs before it can be sent.
 struct PreparedRequest {
     request: RoutedRequest,
@@ -168,52 +90,6 @@
             .unwrap_or_default()
     }
 
-    /// Waits for the next request's head.
-    async fn read_head(&mut self, limits: &ClientLimits) -> HeadEnd {
-        if self.socket.buffer.is_empty() {
-            let read = tokio::select! {
-                biased;
-                read = tokio::time::timeout(limits.idle_timeout, self.socket.fill()) => read,
-                () = idle_end(&self.tokens.closing, &self.age) => return HeadEnd::Closed,
-            };
-            if !matches!(read, Ok(Ok(count)) if count > 0) {
-                return HeadEnd::Closed;
-            }
-        }
-        let due = Instant::now() + limits.head_timeout;
-        loop {
-            match RequestHead::take(&mut self.socket.buffer, limits.head_bytes) {
-                Ok(Some(head)) => return HeadEnd::Head(head),
-                Ok(None) => {}
-                Err(HeadError::TooLarge(_)) => {
-                    return HeadEnd::Refused(RefusalReason::HeadTooLarge);
-                }
-                Err(HeadError::Malformed(error)) => {
-                    log::info!("a client's head is malformed: {error}");
-                    return HeadEnd::Refused(RefusalReason::Malformed);
-                }
-            }
-            match self.read_more(due).await {
-                MoreRead::Some => {}
-                MoreRead::Refused(reason) => return HeadEnd::Refused(reason),
-                MoreRead::Gone => return HeadEnd::Closed,
-            }
-        }
-    }
-
-    /// Reads more of a request that has begun.
-    async fn read_more(&mut self, due: Instant) -> MoreRead {
-        tokio::select! {
-            biased;
-            read = tokio::time::timeout_at(due.into(), self.socket.fill()) => match read {
-                Err(_) => MoreRead::Refused(RefusalReason::TooSlow),
-                Ok(Ok(count)) if count > 0 => MoreRead::Some,
-                Ok(_) => MoreRead::Gone,
-            },
-            () = self.tokens.giving_up.cancelled() => MoreRead::Refused(RefusalReason::Stopping),
-        }
-    }
-
     /// Answers a head that can't be read as a request.
     async fn refuse_head(&mut self, reason: RefusalReason) {
         let mut record = self.open_record(SmolStr::default(), Instant::now());
@@ -260,53 +136,6 @@
         !self.tokens.closing.is_cancelled() || self.context.outlasts(request.due)
     }
 
-    async fn read_body(&mut self, head: &RequestHead, limits: &ClientLimits) -> BodyEnd {
-        let Ok(framing) = head.framing() else {
-            return BodyEnd::Refused(RefusalReason::Malformed);
-        };
-        if head.fields.lists("expect", "100-continue")
-            && self
-                .socket
-                .write(b"HTTP/1.1 100 Continue\r\n\r\n")
-                .await
-                .is_err()
-        {
-            return BodyEnd::Gone;
-        }
-        let due = Instant::now() + limits.idle_timeout;
-        let mut decoder = BodyDecoder::new(framing);
-        let mut first: Option<Bytes> = None;
-        let mut rest = BytesMut::new();
-        loop {
-            match decoder.take(&mut self.socket.buffer) {
-                Ok(BodyPiece::End) if rest.is_empty() => {
-                    return BodyEnd::Whole(first.unwrap_or_default());
-                }
-                Ok(BodyPiece::End) => return BodyEnd::Whole(rest.freeze()),
-                Ok(BodyPiece::Data(data)) => {
-                    let length = first.as_ref().map_or(0, Bytes::len).max(rest.len()) + data.len();
-                    if length > limits.body_bytes {
-                        return BodyEnd::Refused(RefusalReason::BodyTooLarge);
-                    }
-                    match first.take() {
-                        None if rest.is_empty() => first = Some(data),
-                        None => rest.extend_from_slice(&data),
-                        Some(earlier) => {
-                            rest.extend_from_slice(&earlier);
-                            rest.extend_from_slice(&data);
-                        }
-                    }
-                }
-                Ok(BodyPiece::More) => match self.read_more(due).await {
-                    MoreRead::Some => {}
-                    MoreRead::Refused(reason) => return BodyEnd::Refused(reason),
-                    MoreRead::Gone => return BodyEnd::Gone,
-                },
-                Err(_) => return BodyEnd::Refused(RefusalReason::Malformed),
-            }
-        }
-    }
-
     /// Finds the request's route and service in the configuration as it is now.
     fn prepare(
         &self,
@@ -462,17 +291,6 @@
     }
 }
 
-/// Resolves when a connection on which no request has begun is to be closed since nothing new is taken.
-///
-/// What was accepted last has its first request on the way, or in the system's buffer without being known here yet: closed
-/// at once, all connections that waited in the queue were reset.
-async fn idle_end(closing: &CancellationToken, age: &ConnectionAge) {
-    closing.cancelled().await;
-    if age.earlier_requests == 0 {
-        tokio::time::sleep_until((age.accepted + FIRST_REQUEST_TIME).into()).await;
-    }
-}
-
 /// Prepares a turn where it is one, and dispatches the request.
 async fn send_request(
     context: &EntryContext,
--- /dev/null
+++ b/crates/samphiregrade-gateway/src/exchange/connection/accepting.rs
@@ -0,0 +1,67 @@
+//! Accepting clients' connections, until nothing new is taken.
+
+use std::sync::Arc;
+
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::sync::CancellationToken;
+
+use super::serve_stream;
+use crate::exchange::context::EntryContext;
+use crate::exchange::waiting::{ACCEPT_PAUSE, take_waiting};
+
+/// What ends connections while the instance stops; passed down to each of them.
+#[derive(Clone, Debug, Default)]
+pub struct ServingTokens {
+    /// Nothing new is taken: the listener closes and idle connections end. A request that is there already is taken only
+    /// where it ends before what is under way is given up.
+    pub closing: CancellationToken,
+    /// What is under way is given up, each with an answer that says whether it may have run.
+    pub giving_up: CancellationToken,
+}
+
+/// Accepts clients' connections until nothing more is taken.
+pub async fn serve_clients(
+    context: Arc<EntryContext>,
+    listener: TcpListener,
+    tokens: ServingTokens,
+) {
+    loop {
+        let accepted = tokio::select! {
+            () = tokens.closing.cancelled() => break,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => spawn_connection(&context, stream, &tokens),
+            Err(error) => {
+                // Out of descriptors, or a connection that is gone again: a pause lets others end.
+                log::warn!("a client's connection was not accepted: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+    match listener.into_std() {
+        Ok(listener) => {
+            let accept = || accept_now(&listener);
+            let take = |stream| spawn_connection(&context, stream, &tokens);
+            take_waiting(accept, take).await;
+        }
+        Err(error) => log::warn!("connections that waited were not accepted: {error}"),
+    }
+}
+
+/// Accepts a connection that the system has accepted already; its request gets a refusal in place of a reset.
+fn accept_now(listener: &std::net::TcpListener) -> std::io::Result<TcpStream> {
+    let (stream, _) = listener.accept()?;
+    stream.set_nonblocking(true)?;
+    TcpStream::from_std(stream)
+}
+
+/// Serves a connection, which counts as open from here on: a task that has not begun must not be overlooked.
+fn spawn_connection(context: &Arc<EntryContext>, stream: TcpStream, tokens: &ServingTokens) {
+    let guard = context.open_connection();
+    let serving = serve_stream(context.clone(), stream, tokens.clone());
+    tokio::spawn(async move {
+        serving.await;
+        drop(guard);
+    });
+}
--- a/crates/samphiregrade-gateway/src/fact/client.rs
+++ b/crates/samphiregrade-gateway/src/fact/client.rs
@@ -1,5 +1,7 @@
 //! Asking the keepers: reservations, commits and chains by majorities.
 
+mod asking;
+
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::time::{Duration, Instant};
@@ -11,10 +13,8 @@
 
 use super::health::KeeperHealth;
 use super::helper::{HelperAddress, HelperBook};
-use super::message::{
-    ChainAnswer, FactRecord, KeeperEnvelope, KeeperReply, KeeperRequest, ProgramLedger,
-};
-use super::placement::{KeeperPlacement, KeeperSlot, PlacementGeneration};
+use super::message::{ChainAnswer, FactRecord, KeeperReply, KeeperRequest, ProgramLedger};
+use super::placement::{KeeperPlacement, KeeperSlot};
 use crate::link::LinkEndpoint;
 use crate::model::{ProgramId, TurnId};
 use crate::observe::GatewayMetrics;
@@ -23,15 +23,6 @@
 /// Longest wait for one keeper: dozens of round trips and syncs, and short against a client's deadline.
 pub(super) const ASK_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Longest wait for a keeper that nobody waits for.
-const BACKGROUND_TIMEOUT: Duration = Duration::from_millis(1500);
-
-/// Times that a fact is sent to a keeper that does not confirm it.
-const BACKGROUND_TRIES: usize = 3;
-
-/// Pause before a question is sent again whose connection failed: half of what a link waits before it connects again.
-const REPEAT_PAUSE: Duration = Duration::from_millis(50);
-
 /// Longest wait until a fact is durable. The end of an answer that has run waits for it, and is broken off otherwise.
 /// It outlasts a stop of a keeper and its start, which take some 0.6 s together, and stays within the two seconds that
 /// callers wait at least for the next part of an answer.
@@ -69,15 +60,6 @@
     Absent,
 }
 
-/// What became of a question.
-enum AskedKeeper {
-    Answered(KeeperReply),
-    /// A helper has passed it on.
-    Helped(KeeperReply),
-    /// The connection failed, or no answer came in time.
-    Silent,
-}
-
 /// The client of all keepers; cloning it is cheap.
 #[derive(Clone)]
 pub struct KeeperClient {
@@ -354,197 +336,6 @@
         Ok(group)
     }
 
-    /// Asks several keepers at once; each reply comes as it arrives, `None` for one that failed. A fact's confirmation
-    /// may still come after that.
-    fn ask_group(
-        &self,
-        placement: &Arc<KeeperPlacement>,
-        slots: &[KeeperSlot],
-        request: &KeeperRequest,
-    ) -> mpsc::Receiver<Option<KeeperReply>> {
-        let (sender, replies) = mpsc::channel(slots.len().max(1));
-        for slot in slots {
-            let client = self.clone();
-            let placement = placement.clone();
-            let request = request.clone();
-            let sender = sender.clone();
-            let slot = slot.clone();
-            tokio::spawn(async move {
-                let asking = client.ask_until(&slot, &placement, &request, ASK_TIMEOUT);
-                let reply = asking.await;
-                let failed = reply.is_none();
-                // The asker may have its majority already.
-                let _ = sender.send(reply).await;
-                let lasting = matches!(request, KeeperRequest::Store(_));
-                if !failed || !lasting {
-                    return;
-                }
-                let confirmed = client.insist(slot, request).await;
-                if confirmed == Some(placement.generation) {
-                    // The asker may have given up, or have its majority.
-                    let _ = sender.send(Some(KeeperReply::Stored)).await;
-                }
-            });
-        }
-        replies
-    }
-
-    /// Sends a fact until the keeper confirms it, a few times; returns the placement's number under which it did.
-    async fn insist(
-        &self,
-        slot: KeeperSlot,
-        request: KeeperRequest,
-    ) -> Option<PlacementGeneration> {
-        for _ in 0..BACKGROUND_TRIES {
-            let placement = self.placement.load_full();
-            let asking = self.ask_until(&slot, &placement, &request, BACKGROUND_TIMEOUT);
-            if matches!(asking.await, Some(KeeperReply::Stored)) {
-                return Some(placement.generation);
-            }
-            tokio::time::sleep(ASK_TIMEOUT).await;
-        }
-        None
-    }
-
-    /// Puts a request into the envelope for a keeper, with what the keeper has not been told of upstreams.
-    pub(super) fn envelope(
-        &self,
-        slot: &KeeperSlot,
-        placement: &KeeperPlacement,
-        request: KeeperRequest,
-    ) -> KeeperEnvelope {
-        KeeperEnvelope {
-            generation: placement.generation,
-            outcomes: self.outcomes.untold(&slot.name),
-            request,
-        }
-    }
-
-    /// Asks a keeper, through a helper where it doesn't answer straight.
-    pub(super) async fn ask(
-        &self,
-        slot: KeeperSlot,
-        placement: &KeeperPlacement,
-        request: KeeperRequest,
-        timeout: Duration,
-    ) -> Option<KeeperReply> {
-        let asked = self.ask_once(&slot, placement, request, timeout).await;
-        self.take_asked(asked)
-    }
-
-    /// Asks a keeper, and asks it again where the connection fails while the asker still waits: a process that is
-    /// stopped takes the questions on its links with it, and the next one may be there already. All of these
-    /// questions may come twice: a keeper that knows a fact takes it as it is.
-    async fn ask_until(
-        &self,
-        slot: &KeeperSlot,
-        placement: &KeeperPlacement,
-        request: &KeeperRequest,
-        timeout: Duration,
-    ) -> Option<KeeperReply> {
-        let due = Instant::now() + timeout;
-        loop {
-            let left = due.saturating_duration_since(Instant::now());
-            let asked = self.ask_once(slot, placement, request.clone(), left).await;
-            let over = Instant::now() + REPEAT_PAUSE >= due;
-            if over || !matches!(asked, AskedKeeper::Silent) {
-                return self.take_asked(asked);
-            }
-            tokio::time::sleep(REPEAT_PAUSE).await;
-        }
-    }
-
-    async fn ask_once(
-        &self,
-        slot: &KeeperSlot,
-        placement: &KeeperPlacement,
-        request: KeeperRequest,
-        timeout: Duration,
-    ) -> AskedKeeper {
-        let envelope = self.envelope(slot, placement, request);
-        let straight = self.health.is_straight(&slot.name, Instant::now());
-        if straight || self.helpers.used().is_empty() {
-            return match self.links.ask(slot.address, &envelope, timeout).await {
-                Ok(reply) => {
-                    self.health.note(&slot.name, Instant::now());
-                    AskedKeeper::Answered(reply)
-                }
-                Err(error) => {
-                    log::debug!("keeper={} {error}", slot.name);
-                    AskedKeeper::Silent
-                }
-            };
-        }
-        match self.ask_indirectly(slot, &envelope, timeout).await {
-            Some(reply) => AskedKeeper::Helped(reply),
-            None => AskedKeeper::Silent,
-        }
-    }
-
-    /// Counts a question and takes what its answer tells.
-    fn take_asked(&self, asked: AskedKeeper) -> Option<KeeperReply> {
-        let (result, reply) = match asked {
-            AskedKeeper::Answered(reply) => ("answered", Some(reply)),
-            AskedKeeper::Helped(reply) => ("helped", Some(reply)),
-            AskedKeeper::Silent => ("failed", None),
-        };
-        self.metrics.count_keeper_call(result);
-        self.learn_from(reply?)
-    }
-
-    pub(super) async fn ask_straight(
-        &self,
-        slot: &KeeperSlot,
-        placement: &KeeperPlacement,
-        request: KeeperRequest,
-        timeout: Duration,
-    ) -> Option<KeeperReply> {
-        let envelope = self.envelope(slot, placement, request);
-        match self.links.ask(slot.address, &envelope, timeout).await {
-            Ok(reply) => {
-                self.health.note(&slot.name, Instant::now());
-                self.metrics.count_keeper_call("answered");
-                self.learn_from(reply)
-            }
-            Err(error) => {
-                self.metrics.count_keeper_call("failed");
-                log::debug!("keeper={} {error}", slot.name);
-                None
-            }
-        }
-    }
-
-    /// Takes what a keeper tells beside its answer; `None` where the answer is only that the placement is old.
-    fn learn_from(&self, reply: KeeperReply) -> Option<KeeperReply> {
-        match &reply {
-            KeeperReply::NewerPlacement(newer) => {
-                self.adopt(newer);
-                return None;
-            }
-            KeeperReply::Reserved { suspects, .. } | KeeperReply::Alive { suspects, .. } => {
-                self.outcomes.learn(suspects, Instant::now());
-            }
-            KeeperReply::Accounts {
-                suspects,
-                revision,
-                helper,
-                ..
-            } => {
-                self.outcomes.learn(suspects, Instant::now());
-                self.note_revision(*revision);
-                if let Some(helper) = helper {
-                    self.note_helper(helper.clone());
-                }
-            }
-            KeeperReply::Stream {
-                helper: Some(helper),
-                ..
-            } => self.note_helper(helper.clone()),
-            _ => {}
-        }
-        Some(reply)
-    }
-
     /// Notes an entry that may carry questions to keepers which this instance doesn't reach.
     pub fn note_helper(&self, helper: HelperAddress) {
         if helper.name != self.own.name {
