--- a/crates/samphiregrade-gateway/src/exchange/waiting.rs
+++ b/crates/samphiregrade-gateway/src/exchange/waiting.rs
@@ -1,4 +1,7 @@
 //! Taking the connections that wait in the system's queue when a listener is about to close.
+//!
+//! For listeners that are accepted from here; one that an event loop accepts from is closed by
+//! `samphiregrade_http::ListenerCloser`.
 
 use std::io;
 use std::time::Duration;
--- a/crates/samphiregrade-gateway/src/role/departure.rs
+++ b/crates/samphiregrade-gateway/src/role/departure.rs
@@ -3,6 +3,9 @@
 //! Each phase is a type that only the phase before leads to. What is taken after the signal must end before the process
 //! does, so there has to be a moment from which on nothing is taken: an entry that goes on until it happens to be without
 //! connections never is while clients keep coming, and breaks off at the kill what it took last.
+//!
+//! What tells the phases to others: [`EntryContext::is_stopping`] from the signal on; of [`ServingTokens`], `closing` while
+//! finishing and `giving_up` at the last moment; the token that `run_entry` calls `ended` after the last phase.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
