One way to accept, one store with its patience, one answer to a call

Three loops accepted a connection, logged a failure and paused alike: one function serves links, questions and clients. The bound on what is taken of the queue at the closing is the queue's length itself, no second 1024. A store that waits until a given moment had no caller but the store itself. A call's answer repeated the answer to an earlier call but for one case.

Behaviour stays, but that a closing listener no longer waits out the pause of 20 ms after a failed accept. Checked: format, Clippy, docs, 140 of the gateway's suite, the HTTP crate's tests, 61 deployment tests (soak included), the ten of `callers` and `stopping` of the testsuite.

--- a/crates/samphiregrade-gateway/src/exchange/connection/accepting.rs
+++ b/crates/samphiregrade-gateway/src/exchange/connection/accepting.rs
@@ -6,8 +6,9 @@
 use tokio_util::sync::CancellationToken;
 
 use super::serve_stream;
+use crate::accept::accept;
 use crate::exchange::context::EntryContext;
-use crate::exchange::waiting::{ACCEPT_PAUSE, take_waiting};
+use crate::exchange::waiting::take_waiting;
 
 /// What ends connections while the instance stops; passed down to each of them.
 #[derive(Clone, Debug, Default)]
@@ -28,15 +29,10 @@
     loop {
         let accepted = tokio::select! {
             () = tokens.closing.cancelled() => break,
-            accepted = listener.accept() => accepted,
+            accepted = accept(&listener, "a client's connection") => accepted,
         };
-        match accepted {
-            Ok((stream, _)) => spawn_connection(&context, stream, &tokens),
-            Err(error) => {
-                // Out of descriptors, or a connection that is gone again: a pause lets others end.
-                log::warn!("a client's connection was not accepted: {error}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-            }
+        if let Some(stream) = accepted {
+            spawn_connection(&context, stream, &tokens);
         }
     }
     match listener.into_std() {
--- a/crates/samphiregrade-gateway/src/exchange/waiting.rs
+++ b/crates/samphiregrade-gateway/src/exchange/waiting.rs
@@ -4,19 +4,15 @@
 //! `samphiregrade_http::ListenerCloser`.
 
 use std::io;
-use std::time::Duration;
 
-/// Pause after a connection could not be accepted: others end meanwhile, and free their descriptors.
-pub const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+use samphiregrade_http::wire::ACCEPT_QUEUE;
+
+use crate::accept::ACCEPT_PAUSE;
 
 /// Failures after which no more is tried: 0.2 s in all, in which idle connections have long ended, and which a short
 /// grace period still holds.
 const MOST_FAILURES: usize = 10;
 
-/// Connections after which no more are taken: the length of the queue. Clients that come faster than they are accepted
-/// must not keep the listener open.
-const MOST_TAKEN: usize = 1024;
-
 /// Accepts without waiting until the queue is empty.
 ///
 /// Closing the listener resets what is left in the queue, though its clients may have sent their requests: one
@@ -28,7 +24,8 @@
 {
     let mut failures = 0;
     let mut taken = 0;
-    while failures < MOST_FAILURES && taken < MOST_TAKEN {
+    // No more than the queue holds: clients that come faster than they are accepted must not keep the listener open.
+    while failures < MOST_FAILURES && taken < ACCEPT_QUEUE {
         match accept() {
             Ok(connection) => {
                 take(connection);
--- a/crates/samphiregrade-gateway/src/fact/client.rs
+++ b/crates/samphiregrade-gateway/src/fact/client.rs
@@ -155,26 +155,11 @@
     ///
     /// [`FactFailure`] where too few confirm it in time.
     pub async fn store(&self, program: &ProgramId, fact: FactRecord) -> Result<(), FactFailure> {
-        let due = Instant::now() + STORE_PATIENCE;
-        self.store_until(program, fact, due).await
-    }
-
-    /// Stores a fact as [`Self::store`] does, and waits until a given moment.
-    ///
-    /// # Errors
-    ///
-    /// [`FactFailure`] where too few confirm it by then.
-    pub async fn store_until(
-        &self,
-        program: &ProgramId,
-        fact: FactRecord,
-        due: Instant,
-    ) -> Result<(), FactFailure> {
         let fact = &fact;
         let storing = self.under_newest(move |placement| async move {
             self.store_under(&placement, program, fact).await
         });
-        tokio::time::timeout_at(due.into(), storing)
+        tokio::time::timeout(STORE_PATIENCE, storing)
             .await
             .unwrap_or(Err(FactFailure::TooFew))
     }
--- a/crates/samphiregrade-gateway/src/lib.rs
+++ b/crates/samphiregrade-gateway/src/lib.rs
@@ -23,6 +23,7 @@
 //! assert_eq!(choose_upstream(&[idle, cached], &work, 0.5), Some(1));
 //! ```
 
+mod accept;
 pub mod dialect;
 pub mod exchange;
 pub mod fact;
--- a/crates/samphiregrade-gateway/src/link.rs
+++ b/crates/samphiregrade-gateway/src/link.rs
@@ -22,13 +22,14 @@
 use serde::de::DeserializeOwned;
 use thiserror::Error;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::{mpsc, oneshot};
 use tokio_rustls::client::TlsStream;
 use tokio_rustls::{TlsAcceptor, TlsConnector};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::accept::accept;
 use crate::identity::{LinkIdentity, SERVER_NAME};
 
 /// Largest accepted message; the longest chain and one part of an export fit.
@@ -68,9 +69,6 @@
 /// it alone. A keeper's answer takes some milliseconds, its disk at worst hundreds.
 const SILENCE_LIMIT: Duration = Duration::from_millis(900);
 
-/// Pause after a connection could not be accepted.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
 /// Why an instance gave no answer.
 #[derive(Clone, Debug, Error)]
 pub enum LinkFailure {
@@ -240,7 +238,7 @@
         loop {
             let accepted = tokio::select! {
                 () = stop.cancelled() => break,
-                accepted = accept(&listener) => accepted,
+                accepted = accept(&listener, "a link") => accepted,
             };
             let Some(stream) = accepted else {
                 continue;
@@ -462,17 +460,6 @@
     Ok(Some((number, buffer.split_to(length).freeze())))
 }
 
-async fn accept(listener: &TcpListener) -> Option<TcpStream> {
-    match listener.accept().await {
-        Ok((stream, _)) => Some(stream),
-        Err(error) => {
-            log::warn!("a link was not accepted: {error}");
-            tokio::time::sleep(ACCEPT_PAUSE).await;
-            None
-        }
-    }
-}
-
 async fn serve_link<Handler, Request, Reply, Answering>(
     stream: TcpStream,
     acceptor: TlsAcceptor,
--- a/crates/samphiregrade-gateway/src/role/probe_server.rs
+++ b/crates/samphiregrade-gateway/src/role/probe_server.rs
@@ -7,15 +7,14 @@
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
+use crate::accept::accept;
+
 /// Longest head of such a question.
 const HEAD_LIMIT: usize = 8 << 10;
 
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
-/// Pause after a connection could not be accepted: others end meanwhile, and free their descriptors.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-
 /// An answer to such a question.
 pub struct ProbeAnswer {
     /// HTTP status.
@@ -37,15 +36,10 @@
     loop {
         let accepted = tokio::select! {
             () = cancel.cancelled() => return,
-            accepted = listener.accept() => accepted,
+            accepted = accept(&listener, "a question's connection") => accepted,
         };
-        let stream = match accepted {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                log::warn!("a question's connection was not accepted: {error}");
-                tokio::time::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
+        let Some(stream) = accepted else {
+            continue;
         };
         let handler = handler.clone();
         tokio::spawn(async move {
--- a/crates/samphiregrade-http/src/wire/socket.rs
+++ b/crates/samphiregrade-http/src/wire/socket.rs
@@ -11,7 +11,7 @@
 use super::queue::unacknowledged;
 
 /// New connections that may wait to be accepted; a burst of every client of a failure domain fits.
-const ACCEPT_QUEUE: i32 = 1024;
+pub const ACCEPT_QUEUE: u16 = 1024;
 
 /// Bytes read ahead of a request that is being served; a further request of the same client fits.
 const READ_AHEAD: usize = 64 << 10;
@@ -108,7 +108,7 @@
     socket.set_reuse_address(true)?;
     socket.set_nonblocking(true)?;
     socket.bind(&address.into())?;
-    socket.listen(ACCEPT_QUEUE)?;
+    socket.listen(ACCEPT_QUEUE.into())?;
     TcpListener::from_std(socket.into())
 }
 
--- a/src/instance/callers/respond.rs
+++ b/src/instance/callers/respond.rs
@@ -48,20 +48,10 @@
         answer: CallReply,
     ) -> LocalAnswer {
         match (answer, offset) {
-            (CallReply::Moved, _) => LocalAnswer::Moved,
-            (CallReply::Refused(refusal), _) => LocalAnswer::Response(refusal.response()),
-            (CallReply::Outcome(outcome), None) => {
-                LocalAnswer::Response(outcome.response(program, sequence))
-            }
-            (CallReply::Outcome(outcome), Some(offset)) => {
-                LocalAnswer::Response(stream_outcome(&outcome, program, sequence, offset))
-            }
-            (CallReply::Stream(stream), Some(offset)) => {
-                LocalAnswer::Response(self.stream_text(&stream, offset))
-            }
             (CallReply::Stream(stream), None) => {
                 self.wait_for_outcome(program, sequence, &stream).await
             }
+            (answer, offset) => self.respond_late(program, sequence, offset, answer),
         }
     }
 
