Logs tell how far a source of configurations had come, and since when others were known to be ahead

Before any change of what is decided. store-lost: position and time since the service answered last; configuration: its revision; store-source: the newest revision that any keeper has told, and how long the keeper before was known to be behind.

--- a/crates/samphiregrade-gateway/src/role/beliefs.rs
+++ b/crates/samphiregrade-gateway/src/role/beliefs.rs
@@ -29,6 +29,7 @@
 #[derive(Serialize)]
 struct ConfigLine {
     version: u64,
+    revision: StoreRevision,
     routes: usize,
     services: usize,
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -138,6 +139,7 @@
     let table = RouteTable::new(config);
     let line = ConfigLine {
         version: table.version,
+        revision: item.revision,
         routes,
         services,
         organisations: table.keys().map(KeyTable::organisation_count),
--- a/crates/samphiregrade-gateway/src/role/stream.rs
+++ b/crates/samphiregrade-gateway/src/role/stream.rs
@@ -63,6 +63,10 @@
     position: StoreRevision,
     /// How long nobody had told anything, in milliseconds.
     silent_ms: u128,
+    /// Newest revision of which any keeper has told.
+    newest: StoreRevision,
+    /// How long it has been known that others know more than the keeper before, in milliseconds.
+    behind_ms: u128,
 }
 
 /// Follows what instances have to know until cancelled; the events go to the sender.
@@ -86,6 +90,7 @@
         turn: 0,
         told: Instant::now(),
         behind: None,
+        behind_for: Duration::ZERO,
         patience: START_PATIENCE,
     };
     tokio::select! {
@@ -119,6 +124,8 @@
     told: Instant,
     /// Since when the keeper has been behind what others have told.
     behind: Option<Instant>,
+    /// How long the keeper was behind when it answered last.
+    behind_for: Duration,
     patience: Duration,
 }
 
@@ -220,6 +227,7 @@
             return false;
         }
         let since = *self.behind.get_or_insert_with(Instant::now);
+        self.behind_for = since.elapsed();
         if since.elapsed() < BEHIND_PATIENCE {
             return false;
         }
@@ -328,16 +336,23 @@
         self.events.send(event).await.map_err(|_| Ended)
     }
 
-    fn note_source(&self, keeper: &str, reason: &'static str) {
+    fn note_source(&mut self, keeper: &str, reason: &'static str) {
         if self.keeper == keeper && !keeper.is_empty() {
+            self.behind_for = Duration::ZERO;
             return;
         }
+        let keepers = self.context.keepers.load_full();
         let line = SourceLine {
             keeper,
             reason,
             position: self.position.unwrap_or(0),
             silent_ms: self.told.elapsed().as_millis(),
+            newest: keepers
+                .as_ref()
+                .map_or(0, |keepers| keepers.newest_revision()),
+            behind_ms: self.behind_for.as_millis(),
         };
         Logbook::of_process().record("store-source", &line);
+        self.behind_for = Duration::ZERO;
     }
 }
--- a/crates/samphiregrade-gateway/src/store/follow.rs
+++ b/crates/samphiregrade-gateway/src/store/follow.rs
@@ -9,7 +9,7 @@
 
 use super::client::{StoreClient, StoreFailure};
 use crate::access::BootTime;
-use crate::dialect::StorePage;
+use crate::dialect::{StorePage, StoreRevision};
 use crate::observe::Logbook;
 
 /// How long the service holds a watch without changes: its own longest wait is 30 s.
@@ -75,7 +75,11 @@
 struct StoreLine<'line> {
     prefix: &'line str,
     reason: String,
-    lost_ms: u64,
+    lost_ms: u128,
+    /// Revision up to which everything is known; 0 where everything has to be read.
+    position: StoreRevision,
+    /// How long ago the service answered last, in milliseconds.
+    unanswered_ms: u128,
 }
 
 /// Follows a prefix until cancelled; the events go to the sender. Everything is read again when `outdated` is told.
@@ -97,6 +101,7 @@
         wait: pace.watch_wait(true),
         pause: FIRST_PAUSE,
         lost_since: None,
+        answered: Instant::now(),
     };
     tokio::select! {
         () = cancel.cancelled() => {}
@@ -117,6 +122,8 @@
     wait: Duration,
     pause: Duration,
     lost_since: Option<Instant>,
+    /// When the service answered last.
+    answered: Instant,
 }
 
 impl PrefixFollower {
@@ -158,6 +165,7 @@
 
     async fn take(&mut self, event: FollowEvent) -> bool {
         self.pause = FIRST_PAUSE;
+        self.answered = Instant::now();
         if let Some(since) = self.lost_since.take() {
             let lost = since.elapsed();
             self.log("store-regained", String::new(), lost);
@@ -209,7 +217,9 @@
         let line = StoreLine {
             prefix: self.prefix,
             reason,
-            lost_ms: u64::try_from(lost.as_millis()).unwrap_or(u64::MAX),
+            lost_ms: lost.as_millis(),
+            position: self.position.unwrap_or(0),
+            unanswered_ms: self.answered.elapsed().as_millis(),
         };
         Logbook::of_process().record(event, &line);
     }
