An entry leaves a keeper that hears of no changes before a configuration is late

What callers saw: 404 for a route that had been confirmed more than the bound of 2 s before, on one entry, while the others had it.

Cause: a keeper that is cut off from the key-value service tells that nothing is new until its watch times out, 2.5 s or more after sending it. The entry that follows it compared it with what others tell, but heard of that only with accounts of engines, looked only when its keeper answered (held for 0.4 s), and was patient for 1.5 s more. Class: silence is taken for news of nothing, and waits in a row add up to more than the bound.

Now answers to probes and reservations carry the keeper's revision as those about engines do, so that each keeper is heard every quarter of a second. What is missing is dated from the first word of it, and the source is left for the one that knows most after one and a half times the time of gathering: a quarter, an eighth and three eighths of the bound in a row. RevisionNews decides, without network. Its model (three keepers, all but one turn deaf at any time, random changes) holds within 2 s and fails with the patience of 1.5 s. Ruled out: shorter watches (calls for ever), two sources (bytes).

--- a/crates/samphiregrade-gateway/src/fact/client.rs
+++ b/crates/samphiregrade-gateway/src/fact/client.rs
@@ -3,7 +3,6 @@
 mod asking;
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
 use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
@@ -15,6 +14,7 @@
 use super::helper::{HelperAddress, HelperBook};
 use super::message::{ChainAnswer, FactRecord, KeeperReply, KeeperRequest, ProgramLedger};
 use super::placement::{KeeperPlacement, KeeperSlot};
+use super::stream::NewsBoard;
 use crate::limits::InstanceTag;
 use crate::link::LinkEndpoint;
 use crate::model::{ProgramId, TurnId, name_tag};
@@ -77,8 +77,8 @@
     pub(super) helpers: Arc<HelperBook>,
     /// Hash of this instance's name.
     pub(super) tag: InstanceTag,
-    /// Newest revision of the key-value service that a keeper has told.
-    pub(super) newest: Arc<AtomicU64>,
+    /// What keepers have told of the key-value service's revisions.
+    pub(super) news: Arc<NewsBoard>,
 }
 
 impl KeeperClient {
@@ -100,7 +100,7 @@
             health: Arc::default(),
             outcomes,
             seed: rand::random(),
-            newest: Arc::default(),
+            news: Arc::default(),
             helpers: Arc::default(),
         }
     }
--- a/crates/samphiregrade-gateway/src/fact/client/asking.rs
+++ b/crates/samphiregrade-gateway/src/fact/client/asking.rs
@@ -104,7 +104,7 @@
         timeout: Duration,
     ) -> Option<KeeperReply> {
         let asked = self.ask_once(&slot, placement, request, timeout).await;
-        self.take_asked(asked)
+        self.take_asked(&slot, asked)
     }
 
     /// Asks a keeper, and asks it again where the connection fails while the asker still waits: a process that is
@@ -123,7 +123,7 @@
             let asked = self.ask_once(slot, placement, request.clone(), left).await;
             let over = Instant::now() + REPEAT_PAUSE >= due;
             if over || !matches!(asked, AskedKeeper::Silent) {
-                return self.take_asked(asked);
+                return self.take_asked(slot, asked);
             }
             tokio::time::sleep(REPEAT_PAUSE).await;
         }
@@ -169,14 +169,14 @@
     }
 
     /// Counts a question and takes what its answer tells.
-    fn take_asked(&self, asked: AskedKeeper) -> Option<KeeperReply> {
+    fn take_asked(&self, slot: &KeeperSlot, asked: AskedKeeper) -> Option<KeeperReply> {
         let (result, reply) = match asked {
             AskedKeeper::Answered(reply) => ("answered", Some(reply)),
             AskedKeeper::Helped(reply) => ("helped", Some(reply)),
             AskedKeeper::Silent => ("failed", None),
         };
         self.metrics.count_keeper_call(result);
-        self.learn_from(reply?)
+        self.learn_from(slot, reply?)
     }
 
     pub(in crate::fact) async fn ask_straight(
@@ -187,18 +187,24 @@
         timeout: Duration,
     ) -> Option<KeeperReply> {
         let asked = self.ask_link(slot, placement, request, timeout).await;
-        self.take_asked(asked)
+        self.take_asked(slot, asked)
     }
 
     /// Takes what a keeper tells beside its answer; `None` where the answer is only that the placement is old.
-    fn learn_from(&self, reply: KeeperReply) -> Option<KeeperReply> {
+    fn learn_from(&self, slot: &KeeperSlot, reply: KeeperReply) -> Option<KeeperReply> {
         match &reply {
             KeeperReply::NewerPlacement(newer) => {
                 self.adopt(newer);
                 return None;
             }
-            KeeperReply::Reserved { suspects, .. } | KeeperReply::Alive { suspects, .. } => {
+            KeeperReply::Reserved {
+                suspects, revision, ..
+            }
+            | KeeperReply::Alive {
+                suspects, revision, ..
+            } => {
                 self.outcomes.learn(suspects, Instant::now());
+                self.news.hear(&slot.name, *revision);
             }
             KeeperReply::Accounts {
                 suspects,
@@ -207,7 +213,7 @@
                 ..
             } => {
                 self.outcomes.learn(suspects, Instant::now());
-                self.note_revision(*revision);
+                self.news.hear(&slot.name, *revision);
                 if let Some(helper) = helper {
                     self.note_helper(helper.clone());
                 }
--- a/crates/samphiregrade-gateway/src/fact/message.rs
+++ b/crates/samphiregrade-gateway/src/fact/message.rs
@@ -290,6 +290,8 @@
         complete: bool,
         /// Upstreams that fail, by all entries' account.
         suspects: Vec<UpstreamSuspect>,
+        /// Revision of the key-value service up to which the keeper knows everything.
+        revision: StoreRevision,
     },
     /// The fact is stored.
     Stored,
@@ -308,6 +310,8 @@
         complete: bool,
         /// Upstreams that fail, by all entries' account.
         suspects: Vec<UpstreamSuspect>,
+        /// Revision of the key-value service up to which it knows everything.
+        revision: StoreRevision,
     },
     /// How upstreams stand.
     Accounts {
--- a/crates/samphiregrade-gateway/src/fact/mod.rs
+++ b/crates/samphiregrade-gateway/src/fact/mod.rs
@@ -37,3 +37,4 @@
 pub use reader::FactReader;
 pub use rebuild::rebuild_from_others;
 pub use service::KeeperService;
+pub use stream::NewsBoard;
--- a/crates/samphiregrade-gateway/src/fact/service.rs
+++ b/crates/samphiregrade-gateway/src/fact/service.rs
@@ -178,6 +178,7 @@
                     ledger,
                     complete: self.is_complete(),
                     suspects: self.suspects(),
+                    revision: self.mirror.revision(),
                 }
             }
             KeeperRequest::Store(fact) => match self.store(fact, now).await {
@@ -200,6 +201,7 @@
             KeeperRequest::Probe => KeeperReply::Alive {
                 complete: self.is_complete(),
                 suspects: self.suspects(),
+                revision: self.mirror.revision(),
             },
             KeeperRequest::RunBegan(start) => {
                 self.with(|state| state.runs.begin(start, now));
--- a/crates/samphiregrade-gateway/src/role/stream.rs
+++ b/crates/samphiregrade-gateway/src/role/stream.rs
@@ -40,9 +40,6 @@
 /// Longest such time, after tries that brought nothing: keepers go on asking the service more often.
 const LONGEST_PATIENCE: Duration = Duration::from_secs(6);
 
-/// Time for which a keeper may be behind what other keepers have told: it gathers changes for up to a second.
-const BEHIND_PATIENCE: Duration = Duration::from_millis(1500);
-
 /// Pause between two reads of the shared keys while these are not written yet: a deployment starts.
 const START_PAUSE: Duration = Duration::from_secs(1);
 
@@ -88,9 +85,8 @@
         keeper: SmolStr::default(),
         returns: 0,
         turn: 0,
+        turned: Instant::now(),
         told: Instant::now(),
-        behind: None,
-        behind_for: Duration::ZERO,
         patience: START_PATIENCE,
     };
     tokio::select! {
@@ -120,12 +116,10 @@
     returns: u64,
     /// Place of the next keeper in the order of preference.
     turn: usize,
+    /// When this keeper was turned to.
+    turned: Instant,
     /// When somebody told something last.
     told: Instant,
-    /// Since when the keeper has been behind what others have told.
-    behind: Option<Instant>,
-    /// How long the keeper was behind when it answered last.
-    behind_for: Duration,
     patience: Duration,
 }
 
@@ -164,18 +158,38 @@
                 tokio::time::sleep(NEXT_PAUSE).await;
                 continue;
             };
-            let useful = match self.ask(&source, STREAM_HOLD).await {
+            let reply = tokio::select! {
+                reply = self.ask(&source, STREAM_HOLD) => reply,
+                () = source.keepers.news().leave(self.turned, self.pace.source_patience()) => {
+                    self.turn_to_teller(&source.keepers);
+                    continue;
+                }
+            };
+            let useful = match reply {
                 Some(reply) => self.take(&source, reply).await?,
                 None => false,
             };
             if !useful {
-                self.turn += 1;
+                self.turn_to(self.turn + 1);
                 tokio::time::sleep(NEXT_PAUSE).await;
             }
         }
         Ok(())
     }
 
+    /// Turns to the keeper that knows most.
+    fn turn_to_teller(&mut self, keepers: &KeeperClient) {
+        let (_, teller) = keepers.news().newest();
+        let sources = keepers.stream_sources();
+        let place = sources.iter().position(|slot| slot.name == teller);
+        self.turn_to(place.unwrap_or(self.turn + 1));
+    }
+
+    fn turn_to(&mut self, turn: usize) {
+        self.turn = turn;
+        self.turned = Instant::now();
+    }
+
     /// Returns the keeper whose turn it is, of those within reach in the order of preference.
     fn source(&self, turn: usize) -> Option<StreamSource> {
         let keepers = self.context.keepers.load_full()?;
@@ -195,8 +209,7 @@
     /// Takes a keeper's answer; returns whether the keeper is worth following.
     async fn take(&mut self, source: &StreamSource, reply: StreamReply) -> Result<bool, Ended> {
         let lost = reply.lost;
-        let revision = reply.revision().unwrap_or(0);
-        if !reply.reaches(self.position) || self.is_left_behind(&source.keepers, revision) {
+        if !reply.reaches(self.position) {
             return Ok(false);
         }
         if !lost {
@@ -220,21 +233,6 @@
         }
     }
 
-    /// Returns whether other keepers have known more for a while.
-    fn is_left_behind(&mut self, keepers: &KeeperClient, revision: StoreRevision) -> bool {
-        if keepers.newest_revision() <= revision {
-            self.behind = None;
-            return false;
-        }
-        let since = *self.behind.get_or_insert_with(Instant::now);
-        self.behind_for = since.elapsed();
-        if since.elapsed() < BEHIND_PATIENCE {
-            return false;
-        }
-        self.behind = None;
-        true
-    }
-
     /// Tells that the service was away, once for each time that a keeper found it back.
     async fn take_return(&mut self, source: &KeeperSlot, reply: &StreamReply) -> Result<(), Ended> {
         let fresh = if self.keeper == source.name {
@@ -329,6 +327,9 @@
         Event: FnOnce(StorePage) -> FollowEvent,
     {
         self.position = Some(page.at);
+        if let Some(keepers) = self.context.keepers.load().as_ref() {
+            keepers.news().take(page.at);
+        }
         self.send(event(page)).await
     }
 
@@ -336,23 +337,21 @@
         self.events.send(event).await.map_err(|_| Ended)
     }
 
-    fn note_source(&mut self, keeper: &str, reason: &'static str) {
+    fn note_source(&self, keeper: &str, reason: &'static str) {
         if self.keeper == keeper && !keeper.is_empty() {
-            self.behind_for = Duration::ZERO;
             return;
         }
-        let keepers = self.context.keepers.load_full();
+        let keepers = self.context.keepers.load();
+        let keepers = keepers.as_ref();
+        let behind = keepers.map_or(Duration::ZERO, |keepers| keepers.news().behind_for());
         let line = SourceLine {
             keeper,
             reason,
             position: self.position.unwrap_or(0),
             silent_ms: self.told.elapsed().as_millis(),
-            newest: keepers
-                .as_ref()
-                .map_or(0, |keepers| keepers.newest_revision()),
-            behind_ms: self.behind_for.as_millis(),
+            newest: keepers.map_or(0, |keepers| keepers.news().newest().0),
+            behind_ms: behind.as_millis(),
         };
         Logbook::of_process().record("store-source", &line);
-        self.behind_for = Duration::ZERO;
     }
 }
--- a/crates/samphiregrade-gateway/src/store/follow.rs
+++ b/crates/samphiregrade-gateway/src/store/follow.rs
@@ -45,6 +45,13 @@
         }
     }
 
+    /// Returns the time in which a source has to tell what others tell: it may have begun to gather changes just before,
+    /// and half as much again is for the way.
+    #[must_use]
+    pub fn source_patience(&self) -> Duration {
+        self.gather.mul_f64(1.5)
+    }
+
     /// Returns how long the service holds the next watch, after one that brought changes or none.
     #[must_use]
     pub fn watch_wait(&self, changed: bool) -> Duration {
--- a/crates/samphiregrade-gateway/src/store/mod.rs
+++ b/crates/samphiregrade-gateway/src/store/mod.rs
@@ -3,12 +3,14 @@
 mod client;
 mod follow;
 mod mirror;
+mod news;
 mod proof;
 mod router;
 
 pub use client::{StoreClient, StoreFailure};
 pub use follow::{FollowEvent, FollowPace, follow_prefix};
 pub use mirror::{StoreMirror, StreamPart, StreamReply, StreamRequest};
+pub use news::RevisionNews;
 pub use proof::{ConfigurationProof, ConfigurationProver, ProofBoard};
 pub use router::{EVENT_QUEUE, EventRouter};
 
--- a/crates/samphiregrade-gateway/tests/suite/main.rs
+++ b/crates/samphiregrade-gateway/tests/suite/main.rs
@@ -13,6 +13,7 @@
 mod link;
 mod membership;
 mod mirror;
+mod news;
 mod outcomes;
 mod panics;
 mod rank;
