A silent path of a held watch is noticed within two seconds

Probes after 1 s, one of them, and 2 s for what was sent: no call, some packets.

Test: for_held_answers is noticed within the 2 s of a configuration (the limits before: 4 s), and the system has the options.

--- a/crates/samphiregrade-gateway/src/store/client.rs
+++ b/crates/samphiregrade-gateway/src/store/client.rs
@@ -214,7 +214,7 @@
         let mut socket = if let Some(socket) = quiet {
             socket
         } else {
-            let limits = SocketLimits::for_calls();
+            let limits = SocketLimits::for_held_answers();
             let connecting = WireSocket::connect(self.address, CONNECT_TIMEOUT, &limits);
             connecting.await.map_err(text)?
         };
--- a/crates/samphiregrade-http/src/wire/socket.rs
+++ b/crates/samphiregrade-http/src/wire/socket.rs
@@ -40,6 +40,15 @@
     pub unacknowledged: Duration,
 }
 
+impl SilenceLimits {
+    /// Returns the time after which a silent path is noticed, whether something was sent or not.
+    #[must_use]
+    pub fn noticed_after(&self) -> Duration {
+        let probed = self.probe_after + self.probe_interval * self.probe_count;
+        probed.max(self.unacknowledged)
+    }
+}
+
 impl Default for SilenceLimits {
     fn default() -> Self {
         Self {
@@ -72,6 +81,21 @@
         }
     }
 
+    /// Returns the limits of a connection on which an answer may be held back for long: a silent path looks like an answer
+    /// that is not due yet, so that the system alone can notice it.
+    #[must_use]
+    pub fn for_held_answers() -> Self {
+        Self {
+            silence: Some(SilenceLimits {
+                probe_after: Duration::from_secs(1),
+                probe_count: 1,
+                unacknowledged: Duration::from_secs(2),
+                ..SilenceLimits::default()
+            }),
+            reset_on_close: true,
+        }
+    }
+
     /// Returns the limits of a connection that carries requests which must not arrive after they were given up.
     ///
     /// The system must not end it before its caller does: what it still holds may arrive then, and can't be taken
--- a/crates/samphiregrade-http/tests/socket.rs
+++ b/crates/samphiregrade-http/tests/socket.rs
@@ -2,8 +2,10 @@
 
 use std::time::Duration;
 
-use samphiregrade_http::wire::{SocketLimits, WireSocket, listen};
+use samphiregrade_http::wire::{SocketLimits, WireSocket, apply_limits, listen};
+use socket2::SockRef;
 use tokio::io::AsyncReadExt;
+use tokio::net::TcpStream;
 
 /// More than both systems hold for a program that does not read.
 const LONG: usize = 32 << 20;
@@ -11,6 +13,9 @@
 /// Bytes of an answer that both systems hold together, and the peer's alone does not.
 const LAST_ANSWER: usize = 512 << 10;
 
+/// Time within which a configuration has to be in force.
+const CONFIGURATION_TIME: Duration = Duration::from_secs(2);
+
 /// Time given to something that may not come; nothing depends on it.
 const MOMENT: Duration = Duration::from_millis(200);
 
@@ -79,3 +84,32 @@
     });
     read.await.expect_err("a reset");
 }
+
+// Guards against keepers that all hold an old configuration for longer than it may be in force: a watch without changes
+// is held for many seconds, and its path fell silent meanwhile.
+#[test]
+fn silent_path_of_a_held_answer_is_noticed_within_the_time_of_a_configuration() {
+    let limits = SocketLimits::for_held_answers();
+    let silence = limits.silence.expect("the system watches the path");
+    assert!(silence.noticed_after() <= CONFIGURATION_TIME);
+}
+
+#[tokio::test]
+async fn limits_of_silence_reach_the_system() {
+    let listener = listen("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let limits = SocketLimits::for_held_answers();
+    let silence = limits.silence.expect("the system watches the path");
+    let stream = TcpStream::connect(address).await.expect("a connection");
+    apply_limits(&stream, &limits).expect("accepted options");
+    let options = SockRef::from(&stream);
+    assert!(options.keepalive().expect("an option"));
+    let probe_after = options.tcp_keepalive_time().expect("a time");
+    let probe_interval = options.tcp_keepalive_interval().expect("a time");
+    let probe_count = options.tcp_keepalive_retries().expect("a count");
+    let unacknowledged = options.tcp_user_timeout().expect("a time");
+    assert_eq!(probe_after, silence.probe_after);
+    assert_eq!(probe_interval, silence.probe_interval);
+    assert_eq!(probe_count, silence.probe_count);
+    assert_eq!(unacknowledged, Some(silence.unacknowledged));
+}
