--- a/crates/samphiregrade-bench/src/cmd/account.rs
+++ b/crates/samphiregrade-bench/src/cmd/account.rs
@@ -1,4 +1,4 @@
-//! `samphiregrade-bench account`: where programs lose time, from instances' logs.
+//! `samphiregrade-bench account`: where programs lose time, and how late configurations were, from instances' logs.
 
 use std::fs;
 use std::path::PathBuf;
@@ -7,6 +7,7 @@
 use anyhow::{Context, Result, ensure};
 use pico_args::Arguments;
 use samphiregrade_bench::account::LossAccount;
+use samphiregrade_bench::lag::LagAccount;
 
 /// Length of a window in seconds, where none is named: most programs of one window meet the same fault.
 const WINDOW: f64 = 2.0;
@@ -39,8 +40,9 @@
         texts.push(String::from_utf8_lossy(&bytes).into_owned());
     }
     let lines = texts.iter().flat_map(|text| text.lines());
-    let account = LossAccount::read(lines, arguments.window);
+    let account = LossAccount::read(lines.clone(), arguments.window);
     print!("{}", account.table());
+    print!("{}", LagAccount::read(lines).table());
     if let Some(path) = &arguments.plot {
         let svg = account.plot()?;
         fs::write(path, svg).with_context(|| format!("writing {}", path.display()))?;
--- a/crates/samphiregrade-bench/tests/account.rs
+++ b/crates/samphiregrade-bench/tests/account.rs
@@ -1,6 +1,7 @@
 //! The account of losses from instances' logs.
 
 use samphiregrade_bench::account::LossAccount;
+use samphiregrade_bench::lag::LagAccount;
 
 fn line(time: u32, program: &str, outcome: &str, left: u32, more: &str) -> String {
     format!(
@@ -42,3 +43,41 @@
     assert!(account.windows.is_empty());
     assert!(account.plot().expect("a picture").contains("<svg"));
 }
+
+fn taken(instance: &str, time: u32, version: u32) -> String {
+    format!(
+        "  12.5 {instance} {{\"time_ms\":{time},\"event\":\"configuration\",\"version\":{version},\"routes\":3}}"
+    )
+}
+
+fn started(instance: &str, time: u32) -> String {
+    format!(
+        "  12.5 {instance} {{\"time_ms\":{time},\"event\":\"start\",\"instance\":\"{instance}\",\"version\":\"0.1.0\"}}"
+    )
+}
+
+#[test]
+fn an_entry_that_keeps_an_older_configuration_is_told() {
+    let lines = [
+        taken("entry-a", 10_000, 4),
+        taken("entry-b", 10_100, 4),
+        taken("entry-a", 11_000, 7),
+        taken("entry-b", 13_400, 7),
+        taken("entry-a", 12_000, 9),
+        taken("entry-b", 13_400, 9),
+        started("entry-c", 20_000),
+        taken("entry-c", 20_100, 9),
+    ];
+    let account = LagAccount::read(lines.iter().map(String::as_str));
+    assert_eq!(account.versions, 3);
+    let lag = &account.lags[0];
+    assert_eq!((lag.instance.as_str(), lag.version), ("entry-b", 7));
+    assert!((lag.milliseconds - 2400.0).abs() < 0.1);
+    let late_start = account.lags.iter().any(|lag| lag.instance == "entry-c");
+    assert!(!late_start, "what it missed while it was away is no lag");
+    assert!(
+        account
+            .table()
+            .contains("2400 ms behind the first with version 7: entry-b")
+    );
+}
