Each answer of a keeper tells how far it knows the key-value service

So the revision goes with each answer, whatever was asked, beside the reply in place of within three kinds of it. A test of its own: a chain and a stored turn tell.

--- a/crates/samphiregrade-gateway/src/fact/client/asking.rs
+++ b/crates/samphiregrade-gateway/src/fact/client/asking.rs
@@ -6,7 +6,7 @@
 use tokio::sync::mpsc;
 
 use super::{ASK_TIMEOUT, KeeperClient};
-use crate::fact::message::{KeeperEnvelope, KeeperReply, KeeperRequest};
+use crate::fact::message::{KeeperAnswer, KeeperEnvelope, KeeperReply, KeeperRequest};
 use crate::fact::placement::{KeeperPlacement, KeeperSlot, PlacementGeneration};
 
 /// Longest wait for a keeper that nobody waits for.
@@ -20,9 +20,9 @@
 
 /// What became of a question.
 enum AskedKeeper {
-    Answered(KeeperReply),
+    Answered(KeeperAnswer),
     /// A helper has passed it on.
-    Helped(KeeperReply),
+    Helped(KeeperAnswer),
     /// The connection failed, or no answer came in time.
     Silent,
 }
@@ -142,7 +142,7 @@
         }
         let envelope = self.envelope(slot, placement, request);
         match self.ask_indirectly(slot, &envelope, timeout).await {
-            Some(reply) => AskedKeeper::Helped(reply),
+            Some(answer) => AskedKeeper::Helped(answer),
             None => AskedKeeper::Silent,
         }
     }
@@ -157,9 +157,9 @@
     ) -> AskedKeeper {
         let envelope = self.envelope(slot, placement, request);
         match self.links.ask(slot.address, &envelope, timeout).await {
-            Ok(reply) => {
+            Ok(answer) => {
                 self.health.note(&slot.name, Instant::now());
-                AskedKeeper::Answered(reply)
+                AskedKeeper::Answered(answer)
             }
             Err(error) => {
                 log::debug!("keeper={} {error}", slot.name);
@@ -170,13 +170,15 @@
 
     /// Counts a question and takes what its answer tells.
     fn take_asked(&self, slot: &KeeperSlot, asked: AskedKeeper) -> Option<KeeperReply> {
-        let (result, reply) = match asked {
-            AskedKeeper::Answered(reply) => ("answered", Some(reply)),
-            AskedKeeper::Helped(reply) => ("helped", Some(reply)),
+        let (result, answer) = match asked {
+            AskedKeeper::Answered(answer) => ("answered", Some(answer)),
+            AskedKeeper::Helped(answer) => ("helped", Some(answer)),
             AskedKeeper::Silent => ("failed", None),
         };
         self.metrics.count_keeper_call(result);
-        self.learn_from(slot, reply?)
+        let KeeperAnswer { revision, reply } = answer?;
+        self.news.hear(&slot.name, revision);
+        self.learn_from(reply)
     }
 
     pub(in crate::fact) async fn ask_straight(
@@ -191,29 +193,19 @@
     }
 
     /// Takes what a keeper tells beside its answer; `None` where the answer is only that the placement is old.
-    fn learn_from(&self, slot: &KeeperSlot, reply: KeeperReply) -> Option<KeeperReply> {
+    fn learn_from(&self, reply: KeeperReply) -> Option<KeeperReply> {
         match &reply {
             KeeperReply::NewerPlacement(newer) => {
                 self.adopt(newer);
                 return None;
             }
-            KeeperReply::Reserved {
-                suspects, revision, ..
-            }
-            | KeeperReply::Alive {
-                suspects, revision, ..
-            } => {
+            KeeperReply::Reserved { suspects, .. } | KeeperReply::Alive { suspects, .. } => {
                 self.outcomes.learn(suspects, Instant::now());
-                self.news.hear(&slot.name, *revision);
             }
             KeeperReply::Accounts {
-                suspects,
-                revision,
-                helper,
-                ..
+                suspects, helper, ..
             } => {
                 self.outcomes.learn(suspects, Instant::now());
-                self.news.hear(&slot.name, *revision);
                 if let Some(helper) = helper {
                     self.note_helper(helper.clone());
                 }
--- a/crates/samphiregrade-gateway/src/fact/helper.rs
+++ b/crates/samphiregrade-gateway/src/fact/helper.rs
@@ -15,7 +15,7 @@
 use tokio::sync::Semaphore;
 
 use super::client::KeeperClient;
-use super::message::{KeeperEnvelope, KeeperReply};
+use super::message::{KeeperAnswer, KeeperEnvelope};
 use crate::hold::hold;
 use crate::model::DomainId;
 
@@ -73,7 +73,7 @@
     /// The keepers that it reaches.
     Reach(Vec<ReachedKeeper>),
     /// The keeper's answer.
-    Passed(KeeperReply),
+    Passed(KeeperAnswer),
     /// It doesn't reach the keeper, or carries too many questions.
     NotPassed,
 }
@@ -220,7 +220,7 @@
                     return HelperReply::NotPassed;
                 };
                 match self.keepers.pass_on(&keeper, &envelope, wait).await {
-                    Some(reply) => HelperReply::Passed(reply),
+                    Some(answer) => HelperReply::Passed(answer),
                     None => HelperReply::NotPassed,
                 }
             }
--- a/crates/samphiregrade-gateway/src/fact/indirect.rs
+++ b/crates/samphiregrade-gateway/src/fact/indirect.rs
@@ -7,7 +7,7 @@
 
 use super::client::KeeperClient;
 use super::helper::{HelperAddress, HelperReply, HelperRequest, ReachedKeeper};
-use super::message::{KeeperEnvelope, KeeperReply};
+use super::message::{KeeperAnswer, KeeperEnvelope};
 use super::placement::{KeeperPlacement, KeeperSlot};
 use crate::observe::Logbook;
 
@@ -66,7 +66,7 @@
         slot: &KeeperSlot,
         envelope: &KeeperEnvelope,
         timeout: Duration,
-    ) -> Option<KeeperReply> {
+    ) -> Option<KeeperAnswer> {
         let due = Instant::now() + timeout;
         for helper in self.helpers.used() {
             let wait = due.saturating_duration_since(Instant::now());
@@ -76,9 +76,9 @@
                 wait,
             };
             match self.links.ask(helper.address, &request, wait).await {
-                Ok(HelperReply::Passed(reply)) => {
+                Ok(HelperReply::Passed(answer)) => {
                     self.health.note_indirect(&slot.name, Instant::now());
-                    return Some(reply);
+                    return Some(answer);
                 }
                 Ok(_) => {}
                 Err(error) => {
@@ -120,16 +120,16 @@
         keeper: &SmolStr,
         envelope: &KeeperEnvelope,
         wait: Duration,
-    ) -> Option<KeeperReply> {
+    ) -> Option<KeeperAnswer> {
         let placement = self.placement.load_full();
         let slot = placement.slots.iter().find(|slot| slot.name == *keeper)?;
         if !self.health.is_straight(&slot.name, Instant::now()) {
             return None;
         }
         match self.links.ask(slot.address, envelope, wait).await {
-            Ok(reply) => {
+            Ok(answer) => {
                 self.health.note(&slot.name, Instant::now());
-                Some(reply)
+                Some(answer)
             }
             Err(error) => {
                 log::debug!("keeper={} {error}", slot.name);
--- a/crates/samphiregrade-gateway/src/fact/message.rs
+++ b/crates/samphiregrade-gateway/src/fact/message.rs
@@ -279,6 +279,15 @@
     Unknown,
 }
 
+/// A keeper's reply, with what it tells each time.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct KeeperAnswer {
+    /// Revision of the key-value service up to which the keeper knows everything.
+    pub revision: StoreRevision,
+    /// The reply.
+    pub reply: KeeperReply,
+}
+
 /// A keeper's reply.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub enum KeeperReply {
@@ -290,8 +299,6 @@
         complete: bool,
         /// Upstreams that fail, by all entries' account.
         suspects: Vec<UpstreamSuspect>,
-        /// Revision of the key-value service up to which the keeper knows everything.
-        revision: StoreRevision,
     },
     /// The fact is stored.
     Stored,
@@ -310,8 +317,6 @@
         complete: bool,
         /// Upstreams that fail, by all entries' account.
         suspects: Vec<UpstreamSuspect>,
-        /// Revision of the key-value service up to which it knows everything.
-        revision: StoreRevision,
     },
     /// How upstreams stand.
     Accounts {
@@ -319,8 +324,6 @@
         accounts: Vec<UpstreamAccount>,
         /// Upstreams that fail, by all entries' account.
         suspects: Vec<UpstreamSuspect>,
-        /// Revision of the key-value service up to which the keeper knows everything.
-        revision: StoreRevision,
         /// An entry that may carry questions.
         helper: Option<HelperAddress>,
     },
--- a/crates/samphiregrade-gateway/src/fact/mod.rs
+++ b/crates/samphiregrade-gateway/src/fact/mod.rs
@@ -30,8 +30,8 @@
     ReachedKeeper,
 };
 pub use message::{
-    ChainAnswer, ExportRequest, FactRecord, KeeperEnvelope, KeeperReply, KeeperRequest,
-    ProgramLedger, Reservation, TurnFact, TurnPlace,
+    ChainAnswer, ExportRequest, FactRecord, KeeperAnswer, KeeperEnvelope, KeeperReply,
+    KeeperRequest, ProgramLedger, Reservation, TurnFact, TurnPlace,
 };
 pub use placement::{KeeperPlacement, KeeperSlot, PlacementGeneration};
 pub use reader::FactReader;
--- a/crates/samphiregrade-gateway/src/fact/rebuild.rs
+++ b/crates/samphiregrade-gateway/src/fact/rebuild.rs
@@ -7,7 +7,7 @@
 use tokio::task::JoinSet;
 
 use super::book::EXPORT_PARTS;
-use super::message::{ExportRequest, KeeperEnvelope, KeeperReply, KeeperRequest};
+use super::message::{ExportRequest, KeeperAnswer, KeeperEnvelope, KeeperReply, KeeperRequest};
 use super::placement::{KeeperPlacement, KeeperSlot};
 use super::service::KeeperService;
 use crate::link::LinkEndpoint;
@@ -156,8 +156,9 @@
 ) -> Result<ReadPart, String> {
     let generation = request.placement.generation;
     let envelope = KeeperEnvelope::between_keepers(generation, KeeperRequest::Export(request));
-    let reply = links.ask(source.address, &envelope, PART_TIMEOUT).await;
-    match reply.map_err(|error| error.to_string())? {
+    let answer = links.ask(source.address, &envelope, PART_TIMEOUT).await;
+    let KeeperAnswer { reply, .. } = answer.map_err(|error| error.to_string())?;
+    match reply {
         KeeperReply::Part { facts, complete } => {
             let taken = service.take_part(facts).await;
             let facts = taken.ok_or_else(|| "not durable here".to_owned())?;
--- a/crates/samphiregrade-gateway/src/fact/service.rs
+++ b/crates/samphiregrade-gateway/src/fact/service.rs
@@ -11,8 +11,8 @@
 use super::disk::{DiskState, FactDisk, RecoveredFacts};
 use super::helper::FollowerTable;
 use super::message::{
-    ChainAnswer, ExportRequest, FactRecord, KeeperEnvelope, KeeperReply, KeeperRequest,
-    ProgramLedger,
+    ChainAnswer, ExportRequest, FactRecord, KeeperAnswer, KeeperEnvelope, KeeperReply,
+    KeeperRequest, ProgramLedger,
 };
 use super::placement::{KeeperPlacement, PlacementGeneration};
 use crate::limits::{LedgerTime, LimitLedger, LimitRule};
@@ -154,7 +154,15 @@
     }
 
     /// Answers a request.
-    pub async fn answer(&self, envelope: KeeperEnvelope) -> KeeperReply {
+    pub async fn answer(&self, envelope: KeeperEnvelope) -> KeeperAnswer {
+        let reply = self.reply_to(envelope).await;
+        KeeperAnswer {
+            revision: self.mirror.revision(),
+            reply,
+        }
+    }
+
+    async fn reply_to(&self, envelope: KeeperEnvelope) -> KeeperReply {
         let now = Instant::now();
         self.with(|state| {
             state.outcomes.take(&envelope.outcomes, now);
@@ -178,7 +186,6 @@
                     ledger,
                     complete: self.is_complete(),
                     suspects: self.suspects(),
-                    revision: self.mirror.revision(),
                 }
             }
             KeeperRequest::Store(fact) => match self.store(fact, now).await {
@@ -201,7 +208,6 @@
             KeeperRequest::Probe => KeeperReply::Alive {
                 complete: self.is_complete(),
                 suspects: self.suspects(),
-                revision: self.mirror.revision(),
             },
             KeeperRequest::RunBegan(start) => {
                 self.with(|state| state.runs.begin(start, now));
@@ -214,7 +220,6 @@
             KeeperRequest::Accounts(question) => KeeperReply::Accounts {
                 accounts: self.with(|state| state.runs.answer(&question, now)),
                 suspects: self.suspects(),
-                revision: self.mirror.revision(),
                 helper: self.with(|state| state.followers.next(None, now)),
             },
             KeeperRequest::Confirm => KeeperReply::Confirmed(self.proofs.answer().await),
--- a/crates/samphiregrade-gateway/src/role/member.rs
+++ b/crates/samphiregrade-gateway/src/role/member.rs
@@ -13,8 +13,8 @@
 use super::membership::{MemberView, MembershipStep, next_step};
 use crate::dialect::{Dialect, StoreChange, StoreItem, StoreRevision, StoreValue};
 use crate::fact::{
-    KeeperEnvelope, KeeperPlacement, KeeperReply, KeeperRequest, KeeperService, KeeperSlot,
-    rebuild_from_others,
+    KeeperAnswer, KeeperEnvelope, KeeperPlacement, KeeperReply, KeeperRequest, KeeperService,
+    KeeperSlot, rebuild_from_others,
 };
 use crate::link::LinkEndpoint;
 use crate::observe::Logbook;
@@ -229,7 +229,7 @@
             let envelope =
                 KeeperEnvelope::between_keepers(placement.generation, KeeperRequest::Probe);
             tokio::spawn(async move {
-                let reply = links.ask::<_, KeeperReply>(slot.address, &envelope, PROBE_TIMEOUT);
+                let reply = links.ask::<_, KeeperAnswer>(slot.address, &envelope, PROBE_TIMEOUT);
                 if reply.await.is_ok() {
                     // The member may have stopped.
                     let _ = answers.send(slot.name).await;
@@ -362,7 +362,8 @@
             let envelope =
                 KeeperEnvelope::between_keepers(placement.generation, KeeperRequest::Probe);
             let asking = self.links.ask(slot.address, &envelope, PROBE_TIMEOUT);
-            if !matches!(asking.await, Ok(KeeperReply::Alive { complete: true, .. })) {
+            let reply = asking.await.map(|answer: KeeperAnswer| answer.reply);
+            if !matches!(reply, Ok(KeeperReply::Alive { complete: true, .. })) {
                 return false;
             }
         }
--- a/crates/samphiregrade-gateway/tests/suite/keepers.rs
+++ b/crates/samphiregrade-gateway/tests/suite/keepers.rs
@@ -2,10 +2,11 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
+use samphiregrade_gateway::dialect::StorePage;
 use samphiregrade_gateway::fact::{
     ChainAnswer, ChainLookup, FactDisk, FactFailure, FactRecord, HelperAddress, KeeperClient,
     KeeperEnvelope, KeeperPlacement, KeeperReply, KeeperRequest, KeeperService, KeeperSlot,
@@ -15,6 +16,7 @@
 use samphiregrade_gateway::limits::LimitRule;
 use samphiregrade_gateway::link::LinkEndpoint;
 use samphiregrade_gateway::observe::GatewayMetrics;
+use samphiregrade_gateway::store::FollowEvent;
 use samphiregrade_gateway::upstream::{AccountQuestion, RunEnd, RunStart};
 use tempfile::TempDir;
 use tokio::net::{TcpListener, TcpStream};
@@ -73,7 +75,7 @@
     /// Stores a fact on some keepers only, as a write that did not reach the others.
     async fn store_on(&self, indices: &[usize], fact: &FactRecord) {
         for &index in indices {
-            let reply = self.keepers[index]
+            let answer = self.keepers[index]
                 .service
                 .answer(KeeperEnvelope {
                     outcomes: Vec::new(),
@@ -82,7 +84,7 @@
                     request: KeeperRequest::Store(fact.clone()),
                 })
                 .await;
-            assert!(matches!(reply, KeeperReply::Stored));
+            assert!(matches!(answer.reply, KeeperReply::Stored));
         }
     }
 }
@@ -238,6 +240,35 @@
     );
 }
 
+// Guards against an entry that hears of newer configurations only with some kinds of answers, and keeps an old one while
+// its requests ask for others.
+#[tokio::test]
+async fn each_answer_tells_how_far_its_keeper_knows_the_service() {
+    let deployment = Deployment::start().await;
+    let client = deployment.client("a");
+    let learn = |revision: u64| {
+        let page = StorePage {
+            at: revision,
+            ..StorePage::default()
+        };
+        let mirror = deployment.keepers[0].service.mirror();
+        mirror.take(&FollowEvent::All(page), Instant::now());
+    };
+    learn(3);
+    let program = "p".into();
+    let stored = client.store(&program, turn("t1", None, b"in", b"out"));
+    stored.await.expect("a stored turn");
+    eventually("a stored fact tells", async || {
+        client.news().newest().0 == 3
+    })
+    .await;
+    learn(5);
+    let chain = client.chain(&program, &"t1".into()).await;
+    assert!(matches!(chain, Ok(ChainLookup::Found(_))), "{chain:?}");
+    eventually("a chain tells", async || client.news().newest().0 == 5).await;
+    assert_eq!(client.news().newest().1, "a");
+}
+
 #[tokio::test]
 async fn old_placement_is_refused_and_the_newer_one_learnt() {
     let deployment = Deployment::start().await;
@@ -255,11 +286,11 @@
             generation: deployment.placement.generation,
             request: KeeperRequest::Store(fact.clone()),
         };
-        let reply = keeper.service.answer(envelope).await;
+        let reply = keeper.service.answer(envelope).await.reply;
         assert!(matches!(reply, KeeperReply::NewerPlacement(told) if told == newer));
         let chain =
             KeeperEnvelope::between_keepers(newer.generation, KeeperRequest::Chain("t1".into()));
-        let reply = keeper.service.answer(chain).await;
+        let reply = keeper.service.answer(chain).await.reply;
         assert!(matches!(reply, KeeperReply::Chain(ChainAnswer::Absent)));
     }
     // The turn has run by then: its answer isn't broken off since a slot has changed hands.
@@ -405,7 +436,8 @@
                 deployment.placement.generation,
                 KeeperRequest::Store(turn("t1", None, b"in", b"out")),
             ))
-            .await;
+            .await
+            .reply;
         assert!(
             matches!(&reply, KeeperReply::NewerPlacement(told) if *told == newer),
             "{reply:?}"
