A test: an organisation at eight times its usual costs 84 others nothing

Without network: one home, six entries, 85 organisations that use half of their limit in programs of ten requests; one of them begins eight times as many, of the usual length and twelve times as long. Each other one is served at least 0.98 of what it is without.

--- a/crates/samphiregrade-gateway/tests/suite/main.rs
+++ b/crates/samphiregrade-gateway/tests/suite/main.rs
@@ -7,6 +7,7 @@
 mod facts;
 mod health;
 mod helpers;
+mod hot_organisation;
 mod keepers;
 mod keepers_model;
 mod limits;
