A flood of revisions is dated as well; what keepers told has a file of its own

Beyond 256 revisions that were heard of and not taken, later ones were dropped: once the kept ones were taken, nothing dated the rest. The last one kept stands for them now, with its earlier time. Found by reading; a test.

--- a/crates/samphiregrade-gateway/src/fact/mod.rs
+++ b/crates/samphiregrade-gateway/src/fact/mod.rs
@@ -13,6 +13,7 @@
 mod helper;
 mod indirect;
 mod message;
+mod news;
 mod placement;
 mod proofs;
 mod reach;
@@ -33,8 +34,8 @@
     ChainAnswer, ExportRequest, FactRecord, KeeperAnswer, KeeperEnvelope, KeeperReply,
     KeeperRequest, ProgramLedger, Reservation, TurnFact, TurnPlace,
 };
+pub use news::NewsBoard;
 pub use placement::{KeeperPlacement, KeeperSlot, PlacementGeneration};
 pub use reader::FactReader;
 pub use rebuild::rebuild_from_others;
 pub use service::KeeperService;
-pub use stream::NewsBoard;
--- a/crates/samphiregrade-gateway/src/store/news.rs
+++ b/crates/samphiregrade-gateway/src/store/news.rs
@@ -40,7 +40,13 @@
         }
         self.newest = revision;
         self.teller = teller.clone();
-        if revision <= self.position || self.untaken.len() >= HEARD_LIMIT {
+        if revision <= self.position {
+            return false;
+        }
+        if self.untaken.len() >= HEARD_LIMIT
+            && let Some(last) = self.untaken.back_mut()
+        {
+            last.revision = revision;
             return false;
         }
         self.untaken.push_back(HeardRevision {
--- a/crates/samphiregrade-gateway/tests/suite/news.rs
+++ b/crates/samphiregrade-gateway/tests/suite/news.rs
@@ -67,6 +67,19 @@
     assert_eq!(news.leave_at(turned, patience), Some(turned + patience));
 }
 
+#[test]
+fn a_flood_of_revisions_is_not_forgotten() {
+    let start = Instant::now();
+    let mut news = RevisionNews::default();
+    for revision in 1..=1000 {
+        news.hear(&name(1), revision, start);
+    }
+    news.take(900);
+    assert_eq!(news.behind_since(), Some(start));
+    news.take(1000);
+    assert_eq!(news.behind_since(), None);
+}
+
 /// Changes of the key-value service, keepers that gather them, and keepers that stop hearing of any.
 #[derive(Clone, Debug)]
 struct DeafPlay {
