Waits for changes are held against the time of a configuration too, where it is shorter than that for draining

Gathering and the patience with a source came from the time for draining alone; the platform tells both times, and they are the same on each deployment that we know.

--- a/crates/samphiregrade-gateway/src/settings.rs
+++ b/crates/samphiregrade-gateway/src/settings.rs
@@ -14,9 +14,8 @@
 use crate::model::DomainId;
 use crate::store::FollowPace;
 
-/// Part of the time for draining for which changes of the key-value service are gathered: upstreams start and leave in
-/// groups, and each change costs calls of each one who follows. A configuration is to be in force within the time for
-/// draining as well.
+/// Part of the time in which changes have to be in force for which they are gathered: upstreams start and leave in groups,
+/// and each change costs calls of each one who follows.
 const GATHER_SHARE: f64 = 0.25;
 
 /// Settings that can't be used.
@@ -162,6 +161,8 @@
     pub grace_seconds: f64,
     /// Milliseconds within which an upstream that leaves must get nothing more.
     pub drain_milliseconds: f64,
+    /// Milliseconds within which a change of the configuration is in force; without it, those for draining.
+    pub configuration_milliseconds: Option<f64>,
 }
 
 impl Default for TimeSection {
@@ -169,6 +170,7 @@
         Self {
             grace_seconds: 8.0,
             drain_milliseconds: 2000.0,
+            configuration_milliseconds: None,
         }
     }
 }
@@ -228,10 +230,20 @@
         Duration::from_secs_f64(self.drain_milliseconds / 1000.0)
     }
 
+    /// Returns the time within which each change of the key-value service has to be in force: an upstream that leaves, and
+    /// a configuration.
+    #[must_use]
+    pub fn in_force(&self) -> Duration {
+        let configuration = self.configuration_milliseconds;
+        let configuration = configuration.unwrap_or(self.drain_milliseconds);
+        let shorter = configuration.min(self.drain_milliseconds);
+        Duration::from_secs_f64(shorter / 1000.0)
+    }
+
     /// Returns the time for which changes of the key-value service are gathered.
     #[must_use]
     pub fn gather(&self) -> Duration {
-        self.drain().mul_f64(GATHER_SHARE)
+        self.in_force().mul_f64(GATHER_SHARE)
     }
 }
 
@@ -289,6 +301,13 @@
                 "is out of range; use 0 to 600000",
             );
         }
+        let configuration = self.times.configuration_milliseconds;
+        if configuration.is_some_and(|bound| !(0.0..=600_000.0).contains(&bound)) {
+            return bad(
+                "times.configuration-milliseconds",
+                "is out of range; use 0 to 600000, or leave it out",
+            );
+        }
         let bound = self.organisations.withdrawal_milliseconds;
         if bound.is_some_and(|bound| !(500.0..=600_000.0).contains(&bound)) {
             return bad(
--- a/crates/samphiregrade-gateway/tests/suite/settings.rs
+++ b/crates/samphiregrade-gateway/tests/suite/settings.rs
@@ -1,5 +1,7 @@
 //! Settings are checked as a whole, with the key and the remedy in the message.
 
+use std::time::Duration;
+
 use samphiregrade_gateway::settings::{GatewaySettings, GatewaySettingsError};
 
 const GOOD: &str = r#"
@@ -44,3 +46,31 @@
     ));
     assert!(error.to_string().contains("name a first and a last one"));
 }
+
+// Guards against waits that are chosen one by one and add up to more than a configuration may take.
+#[test]
+fn waits_on_the_way_of_a_configuration_fit_into_its_time() {
+    // Time within which an entry has heard from each keeper.
+    let heard = Duration::from_millis(250);
+    for (drain, configuration) in [(2000, 2000), (4000, 4000), (4000, 2000), (2000, 6000)] {
+        let times = format!(
+            "{GOOD}[times]\ndrain-milliseconds = {drain}.0\nconfiguration-milliseconds = {configuration}.0\n"
+        );
+        let settings = GatewaySettings::parse(&times).expect("good settings");
+        let pace = settings.follow_pace();
+        let in_force = Duration::from_millis(drain.min(configuration));
+        assert!(pace.gather + heard + pace.source_patience() <= in_force * 3 / 4);
+    }
+}
+
+#[test]
+fn time_of_a_configuration_is_that_of_draining_where_none_is_named() {
+    let settings = GatewaySettings::parse(GOOD).expect("good settings");
+    assert_eq!(settings.times.in_force(), settings.times.drain());
+    let text = format!("{GOOD}[times]\nconfiguration-milliseconds = -1.0\n");
+    let error = GatewaySettings::parse(&text).expect_err("a negative time");
+    assert!(
+        error.to_string().contains("configuration-milliseconds"),
+        "{error}"
+    );
+}
