Restore each reservation of a limit's home once

What callers saw: after restarts of an organisation's home while an entry was cut off, the home refused requests of all other entries as over-limit although the limit had room. After some thirty restarts the sum overflowed: a panic with overflow checks, a wrapped sum without.

Cause: reservations for unresponsive entries were written as uses of a window, four times in a window, and restore adds up all uses in the window; the sum was reserved again, and written at that size. Each restart made it about three times larger.

Change: a reservation is a record of its own that replaces the earlier one of the same organisation and instance; it is written when it changes and removed when the entry is back. Sums over restored records use 64 bits.

Ruled out in a trial: writing only the part of a reservation that saved uses don't cover. All of it could leave the window while the home was down, and the random property failed (65 requests of 64 in a window; Requests 11 3, Requests 2 9, Requests 2 11, Cut 2, HomeRestart, Requests 4 6, Cut 11, limit 40).

--- a/crates/samphiregrade-gateway/src/fact/book.rs
+++ b/crates/samphiregrade-gateway/src/fact/book.rs
@@ -109,7 +109,7 @@
                 keep,
             } => self.insert_reservation(program, reservation.clone(), *keep, now),
             FactRecord::Turn(turn) => self.insert_turn(turn, now),
-            FactRecord::LimitUses { .. } => false,
+            FactRecord::LimitUses { .. } | FactRecord::LimitReservations { .. } => false,
         }
     }
 
--- a/crates/samphiregrade-gateway/src/fact/disk.rs
+++ b/crates/samphiregrade-gateway/src/fact/disk.rs
@@ -445,6 +445,12 @@
         match postcard::from_bytes::<FactRecord>(payload) {
             Ok(FactRecord::LimitUses { at, uses }) => {
                 recovered.limits_at = recovered.limits_at.max(at);
+                let uses = uses.into_iter().map(LimitUse::Tokens);
+                recovered.limit_uses.extend(uses);
+            }
+            Ok(FactRecord::LimitReservations { at, reservations }) => {
+                recovered.limits_at = recovered.limits_at.max(at);
+                let uses = reservations.into_iter().map(LimitUse::Reservation);
                 recovered.limit_uses.extend(uses);
             }
             Ok(fact) => {
--- a/crates/samphiregrade-gateway/src/fact/message.rs
+++ b/crates/samphiregrade-gateway/src/fact/message.rs
@@ -8,7 +8,9 @@
 use super::helper::HelperAddress;
 use super::placement::{KeeperPlacement, PlacementGeneration};
 use crate::dialect::StoreRevision;
-use crate::limits::{AllowanceGrant, AllowanceRequest, InstanceTag, LedgerTime, LimitUse};
+use crate::limits::{
+    AllowanceGrant, AllowanceRequest, InstanceTag, LedgerTime, LimitReservation, TokenUse,
+};
 use crate::model::{ProgramId, SessionId, TurnId, UpstreamId, UpstreamStart};
 use crate::store::{ConfigurationProof, StreamReply, StreamRequest};
 use crate::upstream::{
@@ -160,7 +162,14 @@
         /// Time on the home's clock.
         at: LedgerTime,
         /// The uses.
-        uses: Vec<LimitUse>,
+        uses: Vec<TokenUse>,
+    },
+    /// Reservations for unresponsive instances, as made by their home.
+    LimitReservations {
+        /// Time on the home's clock.
+        at: LedgerTime,
+        /// The reservations.
+        reservations: Vec<LimitReservation>,
     },
 }
 
@@ -182,6 +191,7 @@
         match self {
             Self::Reservation { .. } => 120,
             Self::LimitUses { uses, .. } => 20 + 20 * uses.len(),
+            Self::LimitReservations { reservations, .. } => 20 + 20 * reservations.len(),
             Self::Turn(turn) => turn.input.len() + turn.output.len() + 160,
         }
     }
--- a/crates/samphiregrade-gateway/src/fact/service.rs
+++ b/crates/samphiregrade-gateway/src/fact/service.rs
@@ -15,7 +15,7 @@
     KeeperRequest, ProgramLedger,
 };
 use super::placement::{KeeperPlacement, PlacementGeneration};
-use crate::limits::{LedgerTime, LimitLedger, LimitRule};
+use crate::limits::{LedgerTime, LimitLedger, LimitRule, LimitUse};
 use crate::model::TurnId;
 use crate::observe::Logbook;
 use crate::store::{ProofCache, StoreMirror};
@@ -450,12 +450,10 @@
             let now = state.limit_clock.now();
             (now, state.limits.take_unsaved(now))
         });
-        if uses.is_empty() {
-            return;
+        for fact in limit_facts(at, uses) {
+            self.with(|state| state.written_bytes += fact.estimated_bytes() as u64);
+            self.disk.append_later(fact);
         }
-        let fact = FactRecord::LimitUses { at, uses };
-        self.with(|state| state.written_bytes += fact.estimated_bytes() as u64);
-        self.disk.append_later(fact);
     }
 
     /// Resolves once all facts accepted so far have been written, as far as the disk accepts them. Background facts are
@@ -497,7 +495,9 @@
         // Part by part, so that memory never holds a second copy of all facts.
         let mut complete = self.disk.begin_segment().await;
         let (at, uses) = self.with(|state| (state.limit_clock.now(), state.limits.all_uses()));
-        self.disk.append_later(FactRecord::LimitUses { at, uses });
+        for fact in limit_facts(at, uses) {
+            self.disk.append_later(fact);
+        }
         for part in 0..super::book::EXPORT_PARTS {
             let all = ExportRequest {
                 part,
@@ -523,10 +523,29 @@
     }
 }
 
+/// Returns the facts that keep uses of limits over a restart of the home.
+fn limit_facts(at: LedgerTime, uses: Vec<LimitUse>) -> Vec<FactRecord> {
+    let (mut tokens, mut reservations) = (Vec::new(), Vec::new());
+    for limit_use in uses {
+        match limit_use {
+            LimitUse::Tokens(tokens_used) => tokens.push(tokens_used),
+            LimitUse::Reservation(reservation) => reservations.push(reservation),
+        }
+    }
+    let mut facts = Vec::new();
+    if !tokens.is_empty() {
+        facts.push(FactRecord::LimitUses { at, uses: tokens });
+    }
+    if !reservations.is_empty() {
+        facts.push(FactRecord::LimitReservations { at, reservations });
+    }
+    facts
+}
+
 fn program_of_fact(fact: &FactRecord) -> &str {
     match fact {
         FactRecord::Reservation { program, .. } => program,
         FactRecord::Turn(turn) => &turn.program,
-        FactRecord::LimitUses { .. } => "",
+        FactRecord::LimitUses { .. } | FactRecord::LimitReservations { .. } => "",
     }
 }
--- a/crates/samphiregrade-gateway/src/limits/ledger.rs
+++ b/crates/samphiregrade-gateway/src/limits/ledger.rs
@@ -3,11 +3,10 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
-
 use super::message::{AllowanceGrant, AllowanceRequest, InstanceTag, LimitRule};
 use super::organisation::{OrganisationLedger, UNRESPONSIVE_AFTER, rounded_up};
 use super::program_size::ProgramSize;
+use super::saved::{LimitReservation, LimitUse, TokenUse};
 use crate::model::OrganisationTag;
 
 /// Time on a home's own clock, which continues at its last value after a restart of the home.
@@ -16,25 +15,12 @@
 /// Time for which the last contact with an instance is kept.
 const CONTACT_MEMORY: Duration = Duration::from_mins(2);
 
-/// How often in a window the reservations for unresponsive instances are written to disk.
+/// How often in a window changed reservations for unresponsive instances are written to disk.
 const RESERVATION_WRITES: u32 = 4;
 
 /// Number of the newest unsaved uses that are searched for one with the same time, instance and organisation.
 const UNSAVED_SEARCH: usize = 16;
 
-/// Tokens that an instance has used of an organisation's limit, with the time at which they leave the window.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct LimitUse {
-    /// The organisation.
-    pub organisation: OrganisationTag,
-    /// The instance that used the tokens.
-    pub instance: InstanceTag,
-    /// Time at which the tokens leave the window.
-    pub leaves: LedgerTime,
-    /// Number of tokens.
-    pub count: u32,
-}
-
 /// A home's ledger of all organisations that it is responsible for.
 #[derive(Debug)]
 pub struct LimitLedger {
@@ -43,7 +29,7 @@
     /// Time of the last contact with each instance.
     last_contacts: HashMap<InstanceTag, LedgerTime>,
     /// Uses that were not passed to the disk yet.
-    unsaved: Vec<LimitUse>,
+    unsaved: Vec<TokenUse>,
     programs: ProgramSize,
     /// Time at which the reservations for unresponsive instances are next written to disk.
     next_reservation_write: LedgerTime,
@@ -94,7 +80,7 @@
             return;
         }
         let leaves = rounded_up(leaves);
-        let same_use = |matching_use: &&mut LimitUse| {
+        let same_use = |matching_use: &&mut TokenUse| {
             matching_use.organisation == request.organisation
                 && matching_use.instance == request.instance
                 && matching_use.leaves == leaves
@@ -109,7 +95,7 @@
             matching_use.count += count;
             return;
         }
-        self.unsaved.push(LimitUse {
+        self.unsaved.push(TokenUse {
             organisation: request.organisation,
             instance: request.instance,
             leaves,
@@ -119,26 +105,25 @@
 
     /// Returns the uses since the last call, which have to be kept over a restart of the home.
     ///
-    /// They include the reservations for unresponsive instances, since nobody reports what these instances use.
+    /// They include changed reservations for unresponsive instances, since nobody reports what these instances use.
     pub fn take_unsaved(&mut self, now: LedgerTime) -> Vec<LimitUse> {
-        let mut uses = std::mem::take(&mut self.unsaved);
+        let uses = std::mem::take(&mut self.unsaved).into_iter();
+        let mut uses: Vec<LimitUse> = uses.map(LimitUse::Tokens).collect();
         if now < self.next_reservation_write {
             return uses;
         }
         self.next_reservation_write = now + self.rule.window / RESERVATION_WRITES;
-        for (&organisation, ledger) in &self.organisations {
-            for account in ledger.accounts.values() {
-                let standalone = account.may_be_standalone(&self.last_contacts, &self.rule, now);
-                if account.reserved == 0 || !standalone {
-                    continue;
-                }
-                uses.push(LimitUse {
+        for (&organisation, ledger) in &mut self.organisations {
+            let current = ledger.current_reservations(&self.last_contacts, &self.rule, now);
+            let changed = ledger.replace_saved_reservations(current);
+            uses.extend(changed.into_iter().map(|(instance, saved)| {
+                LimitUse::Reservation(LimitReservation {
                     organisation,
-                    instance: account.instance,
-                    leaves: now + self.rule.window,
-                    count: account.reserved,
-                });
-            }
+                    instance,
+                    last_request: saved.last_request,
+                    requests: saved.requests,
+                })
+            }));
         }
         uses
     }
@@ -158,13 +143,22 @@
         let mut uses = Vec::new();
         for (&organisation, ledger) in &self.organisations {
             for account in ledger.accounts.values() {
-                uses.extend(account.charges.iter().map(|&(leaves, count)| LimitUse {
+                let charges = account.charges.iter().map(|&(leaves, count)| TokenUse {
                     organisation,
                     instance: account.instance,
                     leaves,
                     count,
-                }));
+                });
+                uses.extend(charges.map(LimitUse::Tokens));
             }
+            let saved = ledger.saved_reservations.iter();
+            let reservations = saved.map(|(&instance, saved)| LimitReservation {
+                organisation,
+                instance,
+                last_request: saved.last_request,
+                requests: saved.requests,
+            });
+            uses.extend(reservations.map(LimitUse::Reservation));
         }
         uses
     }
@@ -173,27 +167,51 @@
     ///
     /// An instance that stays unresponsive from then on may be cut off and continue at its previous rate.
     pub fn restore(&mut self, uses: &[LimitUse], now: LedgerTime) {
-        for saved_use in uses.iter().filter(|saved_use| saved_use.leaves > now) {
-            // Until the first contact, the instance counts as unresponsive.
-            self.last_contacts
-                .insert(saved_use.instance, now.saturating_sub(UNRESPONSIVE_AFTER));
+        let mut reservations = HashMap::new();
+        for saved_use in uses {
+            match saved_use {
+                LimitUse::Tokens(tokens) if tokens.leaves > now => self.restore_tokens(tokens, now),
+                LimitUse::Tokens(_) => {}
+                LimitUse::Reservation(reservation) => {
+                    let key = (reservation.organisation, reservation.instance);
+                    reservations.insert(key, reservation);
+                }
+            }
+        }
+        for reservation in reservations.into_values() {
+            let end = reservation.last_request + self.rule.standalone_period + self.rule.window;
+            if reservation.requests == 0 || end <= now {
+                continue;
+            }
+            self.await_contact(reservation.instance, now);
             let organisation = self
                 .organisations
-                .entry(saved_use.organisation)
+                .entry(reservation.organisation)
                 .or_default();
-            organisation.restored_until = Some(now + self.rule.window);
-            // All starts of an instance before the home's restart are combined into one account.
-            let incarnation = saved_use.instance;
-            organisation.charge(incarnation, saved_use.leaves, saved_use.count);
-            let account = organisation.accounts.entry(incarnation).or_default();
-            account.instance = saved_use.instance;
-            account.last_request = now;
-            account.recent_use += saved_use.count;
-            account.reserved += saved_use.count;
-            organisation.reserved += saved_use.count;
+            organisation.restore_reservation(reservation);
         }
     }
 
+    fn restore_tokens(&mut self, tokens: &TokenUse, now: LedgerTime) {
+        self.await_contact(tokens.instance, now);
+        let organisation = self.organisations.entry(tokens.organisation).or_default();
+        organisation.restored_until = Some(now + self.rule.window);
+        // All starts of an instance before the home's restart are combined into one account.
+        let incarnation = tokens.instance;
+        organisation.charge(incarnation, tokens.leaves, tokens.count);
+        let account = organisation.accounts.entry(incarnation).or_default();
+        account.instance = tokens.instance;
+        account.last_request = now;
+        account.reserved += u64::from(tokens.count);
+        organisation.reserved += u64::from(tokens.count);
+    }
+
+    /// Lets an instance count as unresponsive until the first contact.
+    fn await_contact(&mut self, instance: InstanceTag, now: LedgerTime) {
+        self.last_contacts
+            .insert(instance, now.saturating_sub(UNRESPONSIVE_AFTER));
+    }
+
     /// Drops state that no longer counts.
     pub fn sweep(&mut self, now: LedgerTime) {
         self.last_contacts
--- a/crates/samphiregrade-gateway/src/limits/mod.rs
+++ b/crates/samphiregrade-gateway/src/limits/mod.rs
@@ -18,11 +18,13 @@
 mod organisation;
 mod program_size;
 mod recent;
+mod saved;
 
 pub use allowance::{EntrySource, OrganisationAllowance};
-pub use ledger::{LedgerTime, LimitLedger, LimitUse};
+pub use ledger::{LedgerTime, LimitLedger};
 pub use message::{
     AllowanceGrant, AllowanceRequest, EntryIncarnation, InstanceTag, LimitRule, WindowLimit,
     WindowUse,
 };
 pub use recent::{RECENT_PARTS, RecentUse};
+pub use saved::{LimitReservation, LimitUse, TokenUse};
--- a/crates/samphiregrade-gateway/src/limits/organisation.rs
+++ b/crates/samphiregrade-gateway/src/limits/organisation.rs
@@ -9,6 +9,7 @@
     WindowUse,
 };
 use super::recent::RECENT_PARTS;
+use super::saved::LimitReservation;
 
 /// Time after the request for which a granted token is valid.
 const TOKEN_LIFE: Duration = Duration::from_secs(2);
@@ -54,7 +55,7 @@
     /// Tokens used in the entry's window at the last request: without a home, the entry continues with as many.
     pub(super) recent_use: u32,
     /// Requests in a window that are reserved for the entry in case it loses contact.
-    pub(super) reserved: u32,
+    pub(super) reserved: u64,
     /// Programs that were started with the entry's tokens.
     pub(super) started: u64,
     /// Tokens, used or about to be used, that were passed to the disk.
@@ -83,19 +84,30 @@
     }
 }
 
+/// Reservation for an unresponsive instance, as it is on disk.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) struct SavedReservation {
+    /// Time of the instance's last request.
+    pub(super) last_request: LedgerTime,
+    /// Requests in a window.
+    pub(super) requests: u32,
+}
+
 /// Ledger of one organisation.
 #[derive(Debug, Default)]
 pub(super) struct OrganisationLedger {
     pub(super) limit: WindowLimit,
     /// Tokens by the time at which they leave the window.
-    pub(super) leaving: BTreeMap<LedgerTime, u32>,
+    pub(super) leaving: BTreeMap<LedgerTime, u64>,
     pub(super) total: i64,
     /// Programs that have started, by the time at which they leave the window.
     pub(super) started: VecDeque<(LedgerTime, u32)>,
     /// Tokens that entries hold and have not used, as far as they have reported.
     pub(super) outstanding: i64,
     /// Sum of the reservations for all entries.
-    pub(super) reserved: u32,
+    pub(super) reserved: u64,
+    /// Reservations for unresponsive instances that are on disk.
+    pub(super) saved_reservations: HashMap<InstanceTag, SavedReservation>,
     pub(super) accounts: HashMap<EntryIncarnation, EntryAccount>,
     /// Time until which the uses before an entry's first request may already be known from the disk.
     pub(super) restored_until: Option<LedgerTime>,
@@ -114,12 +126,12 @@
             if *first.key() > now {
                 return;
             }
-            self.total -= i64::from(first.remove());
+            self.total -= saturating_total(first.remove());
         }
     }
 
     fn count(&mut self, leaves: LedgerTime, count: u32) {
-        *self.leaving.entry(leaves).or_default() += count;
+        *self.leaving.entry(leaves).or_default() += u64::from(count);
         self.total += i64::from(count);
     }
 
@@ -153,8 +165,8 @@
             let Some(counted) = self.leaving.get_mut(&leaves) else {
                 continue;
             };
-            let released = released.min(i64::from(*counted));
-            *counted -= u32::try_from(released).unwrap_or(0);
+            let released = released.min(saturating_total(*counted));
+            *counted -= u64::try_from(released).unwrap_or(0);
             self.total -= released;
         }
     }
@@ -278,10 +290,78 @@
             .filter(|account| account.may_be_standalone(last_contacts, rule, now))
             .map(|account| {
                 let counted = account.charges.iter().filter(|(leaves, _)| *leaves > now);
-                let counted: u32 = counted.map(|(_, count)| *count).sum();
-                i64::from(account.reserved.saturating_sub(counted))
+                let counted: u64 = counted.map(|(_, count)| u64::from(*count)).sum();
+                saturating_total(account.reserved.saturating_sub(counted))
             })
-            .sum()
+            .fold(0, i64::saturating_add)
+    }
+
+    /// Returns the reservations for the instances that may be admitting requests on their own.
+    pub(super) fn current_reservations(
+        &self,
+        last_contacts: &HashMap<InstanceTag, LedgerTime>,
+        rule: &LimitRule,
+        now: LedgerTime,
+    ) -> HashMap<InstanceTag, SavedReservation> {
+        let mut reservations = HashMap::new();
+        for account in self.accounts.values() {
+            let standalone = account.may_be_standalone(last_contacts, rule, now);
+            if account.reserved == 0 || !standalone {
+                continue;
+            }
+            let requests = u32::try_from(account.reserved).unwrap_or(u32::MAX);
+            let reservation = reservations
+                .entry(account.instance)
+                .or_insert(SavedReservation {
+                    last_request: account.last_request,
+                    requests: 0,
+                });
+            reservation.last_request = reservation.last_request.max(account.last_request);
+            reservation.requests = reservation.requests.max(requests);
+        }
+        reservations
+    }
+
+    /// Replaces the reservations that are on disk; returns the changed ones, without requests where there is none any
+    /// more.
+    pub(super) fn replace_saved_reservations(
+        &mut self,
+        current: HashMap<InstanceTag, SavedReservation>,
+    ) -> Vec<(InstanceTag, SavedReservation)> {
+        let before = std::mem::take(&mut self.saved_reservations);
+        let removed = before
+            .iter()
+            .filter(|(instance, _)| !current.contains_key(instance))
+            .map(|(&instance, saved)| {
+                let removed = SavedReservation {
+                    requests: 0,
+                    ..*saved
+                };
+                (instance, removed)
+            });
+        let changed = current
+            .iter()
+            .filter(|(instance, saved)| before.get(instance) != Some(saved))
+            .map(|(&instance, &saved)| (instance, saved));
+        let changed = removed.chain(changed).collect();
+        self.saved_reservations = current;
+        changed
+    }
+
+    /// Restores a reservation from disk. The tokens in the window count with it, since an unresponsive instance reports
+    /// none.
+    pub(super) fn restore_reservation(&mut self, reservation: &LimitReservation) {
+        let account = self.accounts.entry(reservation.instance).or_default();
+        account.instance = reservation.instance;
+        account.last_request = account.last_request.max(reservation.last_request);
+        let requests = u64::from(reservation.requests);
+        self.reserved += requests.saturating_sub(account.reserved);
+        account.reserved = account.reserved.max(requests);
+        let saved = SavedReservation {
+            last_request: reservation.last_request,
+            requests: reservation.requests,
+        };
+        self.saved_reservations.insert(reservation.instance, saved);
     }
 
     pub(super) fn grant(
@@ -293,7 +373,7 @@
         window: Duration,
     ) -> AllowanceGrant {
         let limit = self.limit.requests;
-        let taken = self.total + uncounted_use;
+        let taken = self.total.saturating_add(uncounted_use);
         let near = taken >= part_of(limit, NEAR_SHARE);
         let bound = i64::from(limit);
         let started: u32 = self.started.iter().map(|(_, count)| count).sum();
@@ -357,10 +437,11 @@
             return 0;
         };
         let others = self.reserved - account.reserved;
-        let room = self.limit.requests.saturating_sub(others);
-        account.reserved = reservation_for(account.recent_use).min(room);
-        self.reserved = others + account.reserved;
-        account.reserved
+        let room = u64::from(self.limit.requests).saturating_sub(others);
+        let reserved = u64::from(reservation_for(account.recent_use)).min(room);
+        account.reserved = reserved;
+        self.reserved = others + reserved;
+        u32::try_from(reserved).unwrap_or(u32::MAX)
     }
 
     /// Returns the time until one more program may start.
@@ -372,7 +453,7 @@
     /// Returns the time until `count` tokens have left the window.
     fn room_after(&self, mut count: i64, now: LedgerTime) -> Duration {
         for (&leaves, &leaving) in &self.leaving {
-            count -= i64::from(leaving);
+            count -= saturating_total(leaving);
             if count <= 0 {
                 return leaves.saturating_sub(now);
             }
@@ -404,6 +485,10 @@
     recent_use + recent_use / 8 + 1
 }
 
+fn saturating_total(count: u64) -> i64 {
+    i64::try_from(count).unwrap_or(i64::MAX)
+}
+
 fn saturating_count(count: i64) -> u32 {
     u32::try_from(count).unwrap_or(0)
 }
--- a/crates/samphiregrade-gateway/tests/suite/keepers_model.rs
+++ b/crates/samphiregrade-gateway/tests/suite/keepers_model.rs
@@ -180,12 +180,16 @@
                         .iter()
                         .any(|known| known.turn == reservation.turn)
                 }
-                FactRecord::LimitUses { .. } => unreachable!("only homes write limit uses"),
+                FactRecord::LimitUses { .. } | FactRecord::LimitReservations { .. } => {
+                    unreachable!("only homes write limit uses")
+                }
             });
             let quorum = match &fact {
                 FactRecord::Turn(_) => self.placement.global_read_quorum(),
                 FactRecord::Reservation { .. } => self.placement.read_quorum(),
-                FactRecord::LimitUses { .. } => unreachable!("only homes write limit uses"),
+                FactRecord::LimitUses { .. } | FactRecord::LimitReservations { .. } => {
+                    unreachable!("only homes write limit uses")
+                }
             };
             if !known && complete >= quorum {
                 return false;
--- a/crates/samphiregrade-gateway/tests/suite/limits.rs
+++ b/crates/samphiregrade-gateway/tests/suite/limits.rs
@@ -209,6 +209,13 @@
         }
     }
 
+    fn advance_in_steps(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.advance(STEP);
+        }
+    }
+
     fn apply(&mut self, step: Step) {
         match step {
             Step::Requests { entry, count } => {
@@ -426,6 +433,63 @@
     }
 }
 
+/// Steps after which the home restarts about once in a window while some entries are cut off. The first input and the
+/// limit above the minimum are those of a failed run, the second input is the shrunk one of another run.
+fn steps_with_many_home_restarts() -> [Vec<Step>; 2] {
+    let requests = |entry, count| Step::Requests { entry, count };
+    let long = vec![
+        requests(1, 3),
+        Step::ReturnedToken { entry: 10 },
+        requests(2, 9),
+        requests(0, 8),
+        requests(3, 9),
+        requests(0, 7),
+        requests(0, 9),
+        Step::Pause { steps: 52 },
+        requests(8, 4),
+        Step::Cut {
+            entry: 11,
+            cut: false,
+        },
+        Step::HomeRestart,
+    ];
+    let short = vec![requests(8, 9), Step::HomeRestart, Step::Pause { steps: 39 }];
+    [long, short]
+}
+
+// Guards against reservations that grow with every restart of the home until their sum overflows.
+#[test]
+fn many_home_restarts_do_not_exceed_the_limit() {
+    for steps in steps_with_many_home_restarts() {
+        let mut deployment = Deployment::new(40);
+        for step in steps.iter().cycle().take(1500) {
+            deployment.apply(*step);
+        }
+        let most = deployment.max_in_window();
+        assert!(most <= bound(40), "{most}");
+    }
+}
+
+// Guards against callers that are refused because a restarted home counts a cut-off entry's reservation several times.
+#[test]
+fn home_restarts_do_not_multiply_the_reservations_of_cut_off_entries() {
+    let mut deployment = Deployment::new(120);
+    // Entry 0 uses a tenth of the limit, then it is cut off.
+    for _ in 0..100 {
+        assert!(deployment.request(0, false));
+        deployment.advance_in_steps(STEP * 20);
+    }
+    deployment.entries[0].cut = true;
+    for _ in 0..3 {
+        deployment.advance_in_steps(WINDOW);
+        deployment.apply(Step::HomeRestart);
+        deployment.advance(RESTART_TIME);
+    }
+    deployment.advance_in_steps(WINDOW);
+    let served = (0..120).filter(|_| deployment.request(1, false)).count();
+    assert!(served >= 90, "{served}");
+}
+
 /// Steps in which standalone uses were once counted as uses of older tokens: a kind of step, the entry, and a count.
 const UNCOUNTED_STEPS: &str = "g6.0 g3.0 r9.3 r1.6 r1.9 r10.4 r4.11 r6.0 r9.8 r3.6 r10.4 r0.1 r0.0 r6.2 r0.0 p0.5 r2.0 r1.5 \
     r3.3 c2.0 p0.1 r9.11 c1.1 r1.1 r0.8 c0.0 r9.3 r2.7 c3.0 c2.0 l3.0 r11.6 l11.0 l1.0 r6.9 r7.9 \
