Count what a cut-off entry may have admitted before it restarted

What callers saw: more requests than the limit of an organisation were let through. In the new test four entries are cut off, admit requests on their own, restart and are back in contact: 184 requests ran in one window of a limit of 120 (152 accepted).

Cause: an instance that is back in contact counts as reachable, so that its reservation no longer counts; its new process can't report what the earlier one admitted.

Change: the home keeps the last period without contact of each instance. When a new start reports for the first time, the part of the earlier reservation that can have been used in that period (entries pace it) counts for one more window.

Evidence: restarted_entries_do_not_hide_their_standalone_uses fails before (184) and passes now.

--- a/crates/samphiregrade-gateway/src/limits/ledger.rs
+++ b/crates/samphiregrade-gateway/src/limits/ledger.rs
@@ -3,8 +3,9 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use super::contacts::InstanceContacts;
 use super::message::{AllowanceGrant, AllowanceRequest, InstanceTag, LimitRule};
-use super::organisation::{OrganisationLedger, UNRESPONSIVE_AFTER, rounded_up};
+use super::organisation::{OrganisationLedger, rounded_up};
 use super::program_size::ProgramSize;
 use super::saved::{LimitReservation, LimitUse, TokenUse};
 use crate::model::OrganisationTag;
@@ -12,9 +13,6 @@
 /// Time on a home's own clock, which continues at its last value after a restart of the home.
 pub type LedgerTime = Duration;
 
-/// Time for which the last contact with an instance is kept.
-const CONTACT_MEMORY: Duration = Duration::from_mins(2);
-
 /// How often in a window changed reservations for unresponsive instances are written to disk.
 const RESERVATION_WRITES: u32 = 4;
 
@@ -26,8 +24,7 @@
 pub struct LimitLedger {
     rule: LimitRule,
     organisations: HashMap<OrganisationTag, OrganisationLedger>,
-    /// Time of the last contact with each instance.
-    last_contacts: HashMap<InstanceTag, LedgerTime>,
+    contacts: InstanceContacts,
     /// Uses that were not passed to the disk yet.
     unsaved: Vec<TokenUse>,
     programs: ProgramSize,
@@ -42,7 +39,7 @@
         Self {
             rule,
             organisations: HashMap::new(),
-            last_contacts: HashMap::new(),
+            contacts: InstanceContacts::default(),
             unsaved: Vec::new(),
             programs: ProgramSize::default(),
             next_reservation_write: LedgerTime::ZERO,
@@ -51,7 +48,7 @@
 
     /// Records a contact with an instance, which shows that the instance is reachable.
     pub fn record_contact(&mut self, instance: InstanceTag, now: LedgerTime) {
-        self.last_contacts.insert(instance, now);
+        self.contacts.record(instance, now);
     }
 
     /// Replies to an entry's request.
@@ -62,8 +59,9 @@
         if request.limit.version >= organisation.limit.version {
             organisation.limit = request.limit;
         }
-        organisation.apply_report(request, now, self.rule.window);
-        let uncounted_use = organisation.uncounted_use(&self.last_contacts, &self.rule, now);
+        let silence = self.contacts.last_silence(request.instance);
+        organisation.apply_report(request, silence, now, self.rule.window);
+        let uncounted_use = organisation.uncounted_use(&self.contacts, &self.rule, now);
         let fitting = self.programs.fitting(organisation.limit.requests);
         let grant = organisation.grant(request, uncounted_use, fitting, now, self.rule.window);
         let count = organisation.take_unsaved(request, &grant);
@@ -114,7 +112,7 @@
         }
         self.next_reservation_write = now + self.rule.window / RESERVATION_WRITES;
         for (&organisation, ledger) in &mut self.organisations {
-            let current = ledger.current_reservations(&self.last_contacts, &self.rule, now);
+            let current = ledger.current_reservations(&self.contacts, &self.rule, now);
             let changed = ledger.replace_saved_reservations(current);
             uses.extend(changed.into_iter().map(|(instance, saved)| {
                 LimitUse::Reservation(LimitReservation {
@@ -183,7 +181,7 @@
             if reservation.requests == 0 || end <= now {
                 continue;
             }
-            self.await_contact(reservation.instance, now);
+            self.contacts.mark_unresponsive(reservation.instance, now);
             let organisation = self
                 .organisations
                 .entry(reservation.organisation)
@@ -193,7 +191,7 @@
     }
 
     fn restore_tokens(&mut self, tokens: &TokenUse, now: LedgerTime) {
-        self.await_contact(tokens.instance, now);
+        self.contacts.mark_unresponsive(tokens.instance, now);
         let organisation = self.organisations.entry(tokens.organisation).or_default();
         organisation.restored_until = Some(now + self.rule.window);
         // All starts of an instance before the home's restart are combined into one account.
@@ -206,16 +204,9 @@
         organisation.reserved += u64::from(tokens.count);
     }
 
-    /// Lets an instance count as unresponsive until the first contact.
-    fn await_contact(&mut self, instance: InstanceTag, now: LedgerTime) {
-        self.last_contacts
-            .insert(instance, now.saturating_sub(UNRESPONSIVE_AFTER));
-    }
-
     /// Drops state that no longer counts.
     pub fn sweep(&mut self, now: LedgerTime) {
-        self.last_contacts
-            .retain(|_, contact| now.saturating_sub(*contact) < CONTACT_MEMORY);
+        self.contacts.sweep(now);
         self.organisations.retain(|_, organisation| {
             organisation.expire(now);
             organisation.drop_expired(&self.rule, now);
--- a/crates/samphiregrade-gateway/src/limits/mod.rs
+++ b/crates/samphiregrade-gateway/src/limits/mod.rs
@@ -13,6 +13,7 @@
 //!   reordered.
 
 mod allowance;
+mod contacts;
 mod ledger;
 mod message;
 mod organisation;
--- a/crates/samphiregrade-gateway/src/limits/organisation.rs
+++ b/crates/samphiregrade-gateway/src/limits/organisation.rs
@@ -3,6 +3,7 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::time::Duration;
 
+use super::contacts::{EndedSilence, InstanceContacts};
 use super::ledger::LedgerTime;
 use super::message::{
     AllowanceGrant, AllowanceRequest, EntryIncarnation, InstanceTag, LimitRule, WindowLimit,
@@ -23,10 +24,6 @@
 /// Share of the limit that all entries together may hold in advance.
 const SPARE_SHARE: f64 = 0.125;
 
-/// Time without contact after which an instance is assumed to continue without its home: entries check several times a
-/// second whether a keeper is reachable.
-pub(super) const UNRESPONSIVE_AFTER: Duration = Duration::from_millis(700);
-
 /// Number of the newest parts of an entry's window that a home which has just restarted can't know from its disk,
 /// because the home was down for about that time.
 const UNSAVED_PARTS: usize = 6;
@@ -67,18 +64,31 @@
     /// request.
     pub(super) fn may_be_standalone(
         &self,
-        last_contacts: &HashMap<InstanceTag, LedgerTime>,
+        contacts: &InstanceContacts,
         rule: &LimitRule,
         now: LedgerTime,
     ) -> bool {
-        let Some(last_contact) = last_contacts.get(&self.instance) else {
-            return false;
-        };
-        let unresponsive = now.saturating_sub(*last_contact) >= UNRESPONSIVE_AFTER;
+        let unresponsive = contacts.is_unresponsive(self.instance, now);
         // The last requests that the entry admits count for one more window.
         unresponsive && now < self.last_request + rule.standalone_period + rule.window
     }
 
+    /// Returns the part of the reservation that no token in the window uses up.
+    fn uncounted_reservation(&self, now: LedgerTime) -> u64 {
+        let counted = self.charges.iter().filter(|(leaves, _)| *leaves > now);
+        let counted: u64 = counted.map(|(_, count)| u64::from(*count)).sum();
+        self.reserved.saturating_sub(counted)
+    }
+
+    /// Returns the number of requests that the entry may have admitted on its own in a period without contact, without
+    /// ever reporting them: it spreads its reservation evenly over each window.
+    fn unreported_use(&self, silence: &EndedSilence, now: LedgerTime, window: Duration) -> u32 {
+        let reserved = u32::try_from(self.reserved).unwrap_or(u32::MAX);
+        let paced = part_of(reserved, silence.length.div_duration_f64(window));
+        let uncounted = saturating_total(self.uncounted_reservation(now));
+        saturating_count(paced.min(uncounted))
+    }
+
     fn outstanding(&self) -> i64 {
         i64::try_from(self.granted.saturating_sub(self.used)).unwrap_or(i64::MAX)
     }
@@ -196,12 +206,16 @@
     pub(super) fn apply_report(
         &mut self,
         request: &AllowanceRequest,
+        silence: Option<EndedSilence>,
         now: LedgerTime,
         window: Duration,
     ) {
         let is_new = !self.accounts.contains_key(&request.life);
         if is_new {
-            self.release_reservations(request.instance);
+            // An entry that has used tokens before is known to another home, or to this one before its restart.
+            let has_restarted = request.used == 0;
+            let silence = silence.filter(|silence| has_restarted && now < silence.ended + window);
+            self.release_reservations(request.instance, silence, now, window);
             self.accounts.insert(
                 request.life,
                 EntryAccount {
@@ -282,31 +296,27 @@
     /// Returns the number of uncounted requests that unresponsive instances may be admitting on their own.
     pub(super) fn uncounted_use(
         &self,
-        last_contacts: &HashMap<InstanceTag, LedgerTime>,
+        contacts: &InstanceContacts,
         rule: &LimitRule,
         now: LedgerTime,
     ) -> i64 {
         let accounts = self.accounts.values();
         accounts
-            .filter(|account| account.may_be_standalone(last_contacts, rule, now))
-            .map(|account| {
-                let counted = account.charges.iter().filter(|(leaves, _)| *leaves > now);
-                let counted: u64 = counted.map(|(_, count)| u64::from(*count)).sum();
-                saturating_total(account.reserved.saturating_sub(counted))
-            })
+            .filter(|account| account.may_be_standalone(contacts, rule, now))
+            .map(|account| saturating_total(account.uncounted_reservation(now)))
             .fold(0, i64::saturating_add)
     }
 
     /// Returns the reservations for the instances that may be admitting requests on their own.
     pub(super) fn current_reservations(
         &self,
-        last_contacts: &HashMap<InstanceTag, LedgerTime>,
+        contacts: &InstanceContacts,
         rule: &LimitRule,
         now: LedgerTime,
     ) -> HashMap<InstanceTag, SavedReservation> {
         let mut reservations = HashMap::new();
         for account in self.accounts.values() {
-            let standalone = account.may_be_standalone(last_contacts, rule, now);
+            let standalone = account.may_be_standalone(contacts, rule, now);
             if account.reserved == 0 || !standalone {
                 continue;
             }
@@ -446,13 +456,29 @@
     }
 
     /// Releases the reservations for an instance whose newest start reports for the first time, which ends its earlier
-    /// starts and the account that was restored from disk.
-    fn release_reservations(&mut self, instance: InstanceTag) {
-        for account in self.accounts.values_mut() {
-            if account.instance == instance {
-                self.reserved -= account.reserved;
-                account.reserved = 0;
+    /// starts and the account that was restored from disk. What earlier starts may have admitted in a period without
+    /// contact counts from the end of that period.
+    fn release_reservations(
+        &mut self,
+        instance: InstanceTag,
+        silence: Option<EndedSilence>,
+        now: LedgerTime,
+        window: Duration,
+    ) {
+        let mut unreported = Vec::new();
+        for (&incarnation, account) in &mut self.accounts {
+            if account.instance != instance || account.reserved == 0 {
+                continue;
+            }
+            if let Some(silence) = silence {
+                let count = account.unreported_use(&silence, now, window);
+                unreported.push((incarnation, silence.ended + window, count));
             }
+            self.reserved -= account.reserved;
+            account.reserved = 0;
+        }
+        for (incarnation, leaves, count) in unreported {
+            self.charge(incarnation, leaves, count);
         }
     }
 
--- a/crates/samphiregrade-gateway/tests/suite/limits.rs
+++ b/crates/samphiregrade-gateway/tests/suite/limits.rs
@@ -513,6 +513,55 @@
     assert!(served >= 90, "{served}");
 }
 
+// Guards against a home that forgets the uses of cut-off entries if it restarts more often than once in a window.
+#[test]
+fn frequent_home_restarts_do_not_forget_cut_off_entries() {
+    let mut deployment = Deployment::new(120);
+    // Four entries use most of the limit, then they are cut off and go on.
+    for round in 0..2000 {
+        for entry in &mut deployment.entries[..4] {
+            entry.cut = round > 600;
+        }
+        deployment.request(round % 4, false);
+        deployment.request(4 + round % 8, false);
+        if round > 600 && round % 40 == 0 {
+            deployment.home_started = Duration::ZERO;
+            deployment.apply(Step::HomeRestart);
+        }
+        deployment.advance(STEP);
+    }
+    let most = deployment.max_in_window();
+    assert!(most <= bound(120), "{most}");
+}
+
+// Guards against a home that forgets what entries admitted while they were cut off if they restart before they report it.
+#[test]
+fn restarted_entries_do_not_hide_their_standalone_uses() {
+    let mut deployment = Deployment::new(120);
+    for round in 0..1000 {
+        deployment.request(round % 4, false);
+        deployment.advance(STEP);
+    }
+    for entry in &mut deployment.entries[..4] {
+        entry.cut = true;
+    }
+    for round in 0..400 {
+        deployment.request(round % 4, false);
+        deployment.advance(STEP);
+    }
+    for entry in 0..4 {
+        deployment.apply(Step::EntryRestart { entry });
+        deployment.entries[entry].cut = false;
+    }
+    for round in 0..500 {
+        deployment.request(round % ENTRIES, false);
+        deployment.request((round + 5) % ENTRIES, false);
+        deployment.advance(STEP);
+    }
+    let most = deployment.max_in_window();
+    assert!(most <= bound(120), "{most}");
+}
+
 /// Steps in which standalone uses were once counted as uses of older tokens: a kind of step, the entry, and a count.
 const UNCOUNTED_STEPS: &str = "g6.0 g3.0 r9.3 r1.6 r1.9 r10.4 r4.11 r6.0 r9.8 r3.6 r10.4 r0.1 r0.0 r6.2 r0.0 p0.5 r2.0 r1.5 \
     r3.3 c2.0 p0.1 r9.11 c1.1 r1.1 r0.8 c0.0 r9.3 r2.7 c3.0 c2.0 l3.0 r11.6 l11.0 l1.0 r6.9 r7.9 \
