Treat a keeper with facts but no readable state as incomplete

What callers would see: a turn denied as absent (404) although it was answered. A complete keeper's word counts when a turn is absent; a keeper whose state file is damaged or lost doesn't know what it held.

Cause: a damaged state file was read as a missing one, and with `first-start` a missing one makes the keeper complete.

Change: `first-start` makes a keeper complete only if its folder was empty, without a state file and without facts. A damaged state is logged with the remedy.

Evidence: keeper_whose_state_is_lost_or_damaged_is_incomplete_even_at_a_first_start fails before and passes now. Not seen in a deployment: it takes a damaged file and a setting that is left on after the first start.

--- a/crates/samphiregrade-gateway/src/fact/disk.rs
+++ b/crates/samphiregrade-gateway/src/fact/disk.rs
@@ -81,6 +81,8 @@
     pub facts: usize,
     /// The state; `None` if the folder has no readable state file.
     pub state: Option<DiskState>,
+    /// Whether the folder was empty, without a state file and without facts.
+    pub is_fresh: bool,
     /// Total size of the segments in bytes.
     pub bytes: u64,
     /// Number of segments that ended in a damaged frame.
@@ -424,8 +426,16 @@
         let bytes = fs::read(&state)?;
         let payload = frame_payload(&bytes);
         recovered.state = payload.and_then(|payload| postcard::from_bytes(payload).ok());
+        if recovered.state.is_none() {
+            log::error!(
+                "{} is damaged: the keeper reads all facts of the other keepers again; check the disk",
+                state.display()
+            );
+        }
     }
-    for number in segment_numbers(folder)? {
+    let segments = segment_numbers(folder)?;
+    recovered.is_fresh = !state.exists() && segments.is_empty();
+    for number in segments {
         let bytes = fs::read(segment_path(folder, number))?;
         recovered.bytes += bytes.len() as u64;
         recover_segment(number, &bytes, &mut recovered, now);
--- a/crates/samphiregrade-gateway/src/fact/service.rs
+++ b/crates/samphiregrade-gateway/src/fact/service.rs
@@ -111,7 +111,7 @@
         let mut limits = LimitLedger::new(limit_rule);
         limits.restore(&recovered.limit_uses, recovered.limits_at);
         let fresh = DiskState {
-            complete: first_start,
+            complete: first_start && recovered.is_fresh,
             ..DiskState::default()
         };
         let disk_state = recovered.state.unwrap_or(fresh);
--- a/crates/samphiregrade-gateway/tests/suite/disk.rs
+++ b/crates/samphiregrade-gateway/tests/suite/disk.rs
@@ -4,7 +4,10 @@
 use std::path::{Path, PathBuf};
 use std::time::Instant;
 
-use samphiregrade_gateway::fact::{DiskState, FactDisk, FactRecord, RecoveredFacts, TurnContent};
+use samphiregrade_gateway::fact::{
+    DiskState, FactDisk, FactRecord, KeeperService, RecoveredFacts, TurnContent,
+};
+use samphiregrade_gateway::limits::LimitRule;
 use tempfile::TempDir;
 
 use crate::facts::turn;
@@ -130,3 +133,26 @@
     fs::create_dir_all(folder.path()).expect("a folder again");
     assert!(append(&disk, fact("b")).await);
 }
+
+// Guards against a keeper that reports turns as absent although it has lost the record of what it holds.
+#[tokio::test]
+async fn keeper_whose_state_is_lost_or_damaged_is_incomplete_even_at_a_first_start() {
+    let folder = TempDir::new().expect("a folder");
+    let restart = |first_start: bool| {
+        let (disk, recovered) = FactDisk::open(folder.path()).expect("a disk");
+        KeeperService::new(disk, recovered, first_start, LimitRule::default())
+    };
+    let service = restart(true);
+    assert!(service.is_complete());
+    assert!(service.set_complete(true).await);
+    assert!(restart(true).is_complete());
+    let state = folder.path().join("state");
+    let mut bytes = fs::read(&state).expect("a state");
+    bytes[14] ^= 1;
+    fs::write(&state, bytes).expect("a damaged state");
+    assert!(!restart(true).is_complete());
+    let (disk, _) = FactDisk::open(folder.path()).expect("a disk");
+    assert!(append(&disk, fact("a")).await);
+    fs::remove_file(&state).expect("a removed state");
+    assert!(!restart(true).is_complete());
+}
