Reject facts that can't be written as a frame

What callers would see: a turn that was answered as complete is gone after restarts, and with it every later fact of the same segment.

Cause: a fact that can't be encoded was left out, and one above the limit of a frame was written; both counted as durable. Reading stops at a frame above the limit.

Change: such a job gets the reply that it is not durable, and leaves nothing in its group; the log names the cause and the remedy. A state that can't be encoded no longer replaces the one on disk.

Evidence: fact_above_the_frame_limit_is_not_durable_and_harms_no_other_fact fails before and passes now. Not seen in a deployment: links carry messages of at most the same size, so that only a fact within a few hundred bytes of it could come.

--- a/crates/samphiregrade-gateway/src/fact/disk.rs
+++ b/crates/samphiregrade-gateway/src/fact/disk.rs
@@ -59,6 +59,17 @@
     },
 }
 
+/// Error of a value that can't be written as a frame.
+#[derive(Debug, Error)]
+enum FrameError {
+    /// The value can't be encoded.
+    #[error("it can't be encoded: {0}; report this bug with the log")]
+    Encoding(#[from] postcard::Error),
+    /// The value is longer than a frame may be.
+    #[error("its {0} bytes exceed the maximum of {FRAME_LIMIT}; lower the clients' body limit")]
+    TooLong(usize),
+}
+
 /// Persistent state of a keeper besides facts.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct DiskState {
@@ -217,11 +228,21 @@
 }
 
 impl AppendGroup {
+    /// Adds a job's facts; if one of them can't be written, the job is rejected as a whole.
     fn add(&mut self, facts: &[FactRecord], reply: Option<AppendReply>) {
+        let begin = self.bytes.len();
         let mut frames = Vec::with_capacity(facts.len());
         for fact in facts {
             let start = self.bytes.len();
-            encode_frame(fact, &mut self.bytes);
+            if let Err(error) = encode_frame(fact, &mut self.bytes) {
+                log::error!("a fact is not written: {error}");
+                self.bytes.truncate(begin);
+                if let Some(reply) = reply {
+                    // The receiver is gone if the caller has stopped waiting.
+                    let _ = reply.send(None);
+                }
+                return;
+            }
             frames.push(start..self.bytes.len());
         }
         if let Some(reply) = reply {
@@ -363,7 +384,7 @@
 
     fn write_state(&self, state: &DiskState) -> io::Result<()> {
         let mut bytes = Vec::new();
-        encode_frame(state, &mut bytes);
+        encode_frame(state, &mut bytes).map_err(io::Error::other)?;
         let draft = self.folder.join("state-draft");
         let mut file = File::create(&draft)?;
         file.write_all(&bytes)?;
@@ -385,21 +406,20 @@
     sum
 }
 
-fn encode_frame<Value>(value: &Value, output: &mut Vec<u8>)
+/// Appends a frame; an error leaves the output as it was.
+fn encode_frame<Value>(value: &Value, output: &mut Vec<u8>) -> Result<(), FrameError>
 where
     Value: Serialize,
 {
-    let payload = match postcard::to_stdvec(value) {
-        Ok(payload) => payload,
-        Err(error) => {
-            log::error!("a fact can't be encoded: {error}; report this bug with the log");
-            return;
-        }
-    };
+    let payload = postcard::to_stdvec(value)?;
     let length = u32::try_from(payload.len()).unwrap_or(u32::MAX);
+    if payload.len() > FRAME_LIMIT {
+        return Err(FrameError::TooLong(payload.len()));
+    }
     output.extend_from_slice(&length.to_le_bytes());
     output.extend_from_slice(&checksum(&payload));
     output.extend_from_slice(&payload);
+    Ok(())
 }
 
 /// Returns the payload of the frame at the front; `None` at the end of the data or if the frame is torn or damaged.
--- a/crates/samphiregrade-gateway/tests/suite/disk.rs
+++ b/crates/samphiregrade-gateway/tests/suite/disk.rs
@@ -134,6 +134,23 @@
     assert!(append(&disk, fact("b")).await);
 }
 
+// Guards against a fact that counts as durable although it can't be read back, and hides all facts behind it.
+#[tokio::test]
+async fn fact_above_the_frame_limit_is_not_durable_and_harms_no_other_fact() {
+    const FRAME_LIMIT: usize = 64 << 20;
+    let folder = TempDir::new().expect("a folder");
+    let (disk, _) = FactDisk::open(folder.path()).expect("a disk");
+    assert!(append(&disk, fact("a")).await);
+    let oversized = turn("b", None, &vec![b'x'; FRAME_LIMIT], b"output\n");
+    assert!(!append(&disk, oversized).await);
+    assert!(append(&disk, fact("c")).await);
+    let (disk, mut recovered) = FactDisk::open(folder.path()).expect("a disk");
+    assert_eq!(recovered.damaged, 0);
+    for id in ["a", "c"] {
+        assert!(is_readable(&disk, &mut recovered, id).await, "{id}");
+    }
+}
+
 // Guards against a keeper that reports turns as absent although it has lost the record of what it holds.
 #[tokio::test]
 async fn keeper_whose_state_is_lost_or_damaged_is_incomplete_even_at_a_first_start() {
