Keep the newer of two locations of a turn

What callers would see: a turn that one keeper can't read again until it restarts, so that one more lost keeper denies its program's next turn for the time being.

Cause: the reply to a write that came before a compaction may be handled after it, and pointed the index to a segment that was removed.

Change: a location in an older segment than the known one is ignored.

Evidence: location_in_an_older_segment_does_not_replace_a_newer_one fails before and passes now. The order was not seen in a deployment.

--- a/crates/samphiregrade-gateway/src/fact/book.rs
+++ b/crates/samphiregrade-gateway/src/fact/book.rs
@@ -160,12 +160,18 @@
         true
     }
 
-    /// Records a fact's location on disk and releases its content in memory.
+    /// Records a fact's location on disk and releases its content in memory. A location in an older segment than the known
+    /// one is ignored, since a compaction removes older segments.
     pub fn set_disk_location(&mut self, fact: &FactRecord, location: FrameLocation) {
         let FactRecord::Turn(turn) = fact else {
             return;
         };
-        if let Some(entry) = self.turns.get_mut(&turn.turn) {
+        let Some(entry) = self.turns.get_mut(&turn.turn) else {
+            return;
+        };
+        let is_outdated =
+            matches!(&entry.content, TurnContent::Disk(known) if known.segment > location.segment);
+        if !is_outdated {
             entry.content = TurnContent::Disk(location);
         }
     }
--- a/crates/samphiregrade-gateway/tests/suite/facts.rs
+++ b/crates/samphiregrade-gateway/tests/suite/facts.rs
@@ -227,3 +227,24 @@
     let expected = (0..40).filter(|index| placement.group(&format!("p{index}")).contains(&3));
     assert_eq!(of_slot, expected.count());
 }
+
+// Guards against a turn that stays unreadable because a late reply points it to a segment that a compaction removed.
+#[test]
+fn location_in_an_older_segment_does_not_replace_a_newer_one() {
+    let now = Instant::now();
+    let mut index = FactIndex::default();
+    let fact = turn("t", None, b"in", b"out");
+    index.insert(&fact, now);
+    let location = |segment| FrameLocation {
+        segment,
+        offset: 0,
+        length: 100,
+    };
+    index.set_disk_location(&fact, location(5));
+    index.set_disk_location(&fact, location(3));
+    let chain = index.chain(&"t".into(), now).expect("a chain");
+    assert_eq!(chain.turns, [TurnContent::Disk(location(5))]);
+    index.set_disk_location(&fact, location(6));
+    let chain = index.chain(&"t".into(), now).expect("a chain");
+    assert_eq!(chain.turns, [TurnContent::Disk(location(6))]);
+}
