Count a chain that is stored again once

What callers saw: more turns that read their history from keepers; the cache keeps less with each turn that is stored again, in the end nothing.

Cause: the length was added for each insertion and subtracted once, and the turn stood in the order of eviction several times.

Evidence: chain_that_is_stored_again_counts_once fails before (after 50 insertions of 40 bytes nothing else fits into 100) and passes now.

--- a/crates/samphiregrade-gateway/src/exchange/turn_cache.rs
+++ b/crates/samphiregrade-gateway/src/exchange/turn_cache.rs
@@ -34,8 +34,10 @@
     pub fn insert(&self, turn: &TurnId, chain: Bytes) {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         state.bytes += chain.len();
-        state.order.push_back(turn.clone());
-        state.chains.insert(turn.clone(), chain);
+        match state.chains.insert(turn.clone(), chain) {
+            Some(replaced) => state.bytes -= replaced.len(),
+            None => state.order.push_back(turn.clone()),
+        }
         while state.bytes > self.limit {
             let Some(oldest) = state.order.pop_front() else {
                 return;
--- a/crates/samphiregrade-gateway/tests/suite/main.rs
+++ b/crates/samphiregrade-gateway/tests/suite/main.rs
@@ -23,5 +23,6 @@
 mod service_times;
 mod settings;
 mod silence;
+mod turn_cache;
 mod upstreams;
 mod waiting;
