Wait before a keeper that has lost its slot takes over another one

What callers would see: turns refused or not durable while slots of keepers change hands without need: a keeper that has just lost its slot took over that of a keeper that had not replied for a moment, which then did the same.

Cause: a keeper probes the others only while it has no slot. The times of the last replies were kept from before it got its slot, so that after the loss each keeper counted as silent for all that time until its first reply.

Change: a keeper with a slot drops these times, so that silence is counted from the loss on. Times of keepers without a slot are dropped too.

--- a/crates/samphiregrade-gateway/src/role/member.rs
+++ b/crates/samphiregrade-gateway/src/role/member.rs
@@ -10,7 +10,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::authority::{KEEPER_PREFIX, PLACEMENT_KEY, REGISTRATION_PREFIX};
-use super::membership::{MembershipStep, MembershipView, next_step};
+use super::membership::{MembershipStep, MembershipView, SlotReplies, next_step};
 use crate::dialect::{Dialect, StoreItem, StoreRevision, StoreValue, StoreWrite};
 use crate::fact::{
     KeeperAnswer, KeeperEnvelope, KeeperPlacement, KeeperReply, KeeperRequest, KeeperService,
@@ -63,8 +63,7 @@
     placement_revision: StoreRevision,
     /// Whether the registrations and the placement have been read once.
     initialized: bool,
-    /// When each slot's keeper replied last.
-    last_replies: HashMap<SmolStr, Instant>,
+    replies: SlotReplies,
     retiring: Vec<SmolStr>,
     /// Retirement status that was reported last: whether the retirement is complete.
     reported_status: Option<bool>,
@@ -96,7 +95,7 @@
             registrations_changed: Instant::now(),
             placement_revision: 0,
             initialized: false,
-            last_replies: HashMap::new(),
+            replies: SlotReplies::default(),
             retiring: Vec::new(),
             reported_status: None,
             rebuild_task: None,
@@ -120,7 +119,7 @@
                 Some(event) = shared.recv() => self.apply_shared_keys(event).await,
                 Some(event) = retirements.recv() => self.apply_retirements(event),
                 Some(name) = replies.recv() => {
-                    self.last_replies.insert(name, Instant::now());
+                    self.replies.record(name, Instant::now());
                     continue;
                 }
                 () = tokio::time::sleep_until(next_check.into()) => {
@@ -252,15 +251,9 @@
         if exists {
             self.update_completeness(&placement).await;
         }
-        let now = Instant::now();
-        let silence: Vec<Duration> = placement
-            .slots
-            .iter()
-            .map(|slot| {
-                let last_reply = self.last_replies.entry(slot.name.clone()).or_insert(now);
-                now.saturating_duration_since(*last_reply)
-            })
-            .collect();
+        let silence = self
+            .replies
+            .silence(&placement, &self.own.name, Instant::now());
         let mut registered: Vec<KeeperSlot> = self.registered.values().cloned().collect();
         registered.sort_by(|left, right| left.name.cmp(&right.name));
         let tolerance = self.settings.tolerance;
--- a/crates/samphiregrade-gateway/src/role/membership.rs
+++ b/crates/samphiregrade-gateway/src/role/membership.rs
@@ -1,7 +1,8 @@
 //! Pure decision of a keeper's next membership step, so that every slot has a keeper.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use smol_str::SmolStr;
 
@@ -18,6 +19,42 @@
 /// within which the full number of copies must be restored.
 const FAILURE_TIMEOUT: Duration = Duration::from_millis(2500);
 
+/// When the keepers of the slots replied last to a keeper without a slot.
+#[derive(Debug, Default)]
+pub struct SlotReplies {
+    last: HashMap<SmolStr, Instant>,
+}
+
+impl SlotReplies {
+    /// Records a keeper's reply to a probe.
+    pub fn record(&mut self, keeper: SmolStr, now: Instant) {
+        self.last.insert(keeper, now);
+    }
+
+    /// Returns the time since each slot's keeper replied last, in slot order; a keeper that has not replied yet counts
+    /// from the first call. A keeper that has a slot itself doesn't probe the others, so earlier replies are dropped.
+    pub fn silence(
+        &mut self,
+        placement: &KeeperPlacement,
+        own: &str,
+        now: Instant,
+    ) -> Vec<Duration> {
+        if placement.slot_of(own).is_some() {
+            self.last.clear();
+            return vec![Duration::ZERO; placement.slots.len()];
+        }
+        self.last
+            .retain(|keeper, _| placement.slot_of(keeper).is_some());
+        let slots = placement.slots.iter();
+        slots
+            .map(|slot| {
+                let last_reply = self.last.entry(slot.name.clone()).or_insert(now);
+                now.saturating_duration_since(*last_reply)
+            })
+            .collect()
+    }
+}
+
 /// The state on which a keeper bases its decision.
 #[derive(Clone, Debug)]
 pub struct MembershipView<'view> {
--- a/crates/samphiregrade-gateway/src/role/mod.rs
+++ b/crates/samphiregrade-gateway/src/role/mod.rs
@@ -15,5 +15,5 @@
 
 pub use entry::run_entry;
 pub use keeper::run_keeper;
-pub use membership::{MembershipStep, MembershipView, next_step};
+pub use membership::{MembershipStep, MembershipView, SlotReplies, next_step};
 pub use signals::block_reload_signal;
--- a/crates/samphiregrade-gateway/tests/suite/membership.rs
+++ b/crates/samphiregrade-gateway/tests/suite/membership.rs
@@ -1,9 +1,9 @@
 //! Membership steps of a keeper: first placement, takeover of slots, and changed addresses.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use samphiregrade_gateway::fact::{KeeperPlacement, KeeperSlot};
-use samphiregrade_gateway::role::{MembershipStep, MembershipView, next_step};
+use samphiregrade_gateway::role::{MembershipStep, MembershipView, SlotReplies, next_step};
 use smol_str::SmolStr;
 
 const RESPONSIVE: Duration = Duration::ZERO;
@@ -169,3 +169,34 @@
         }
     }
 }
+
+// Guards against a keeper that has lost its slot and takes over another one at once, since it has not probed the others
+// while it had a slot.
+#[test]
+fn keeper_that_has_lost_its_slot_waits_before_it_takes_over_another_one() {
+    let start = Instant::now();
+    let mut replies = SlotReplies::default();
+    let before = KeeperPlacement::first(three(), 1);
+    let mut scenario = Scenario::of(slot("k3", "c", 3));
+    // A keeper with a slot doesn't probe, so no replies are recorded.
+    scenario.silence = replies.silence(&before, "k3", start);
+    assert_eq!(scenario.step(), MembershipStep::Stay);
+    let replaced = slot("k4", "c", 4);
+    let after = before.with_slot_holder(2, "k4", replaced.address);
+    scenario.placement = Some(after.clone());
+    let lost = start + Duration::from_mins(1);
+    // The others reply, but the keeper of the first slot needs a moment.
+    for reply_time in [0, 500, 1000, 2000] {
+        let now = lost + Duration::from_millis(reply_time);
+        scenario.silence = replies.silence(&after, "k3", now);
+        replies.record("k2".into(), now);
+        replies.record("k4".into(), now);
+        scenario.silence = replies.silence(&after, "k3", now);
+        assert_eq!(scenario.step(), MembershipStep::Stay, "{reply_time} ms");
+    }
+    let now = lost + Duration::from_millis(2600);
+    replies.record("k2".into(), now);
+    replies.record("k4".into(), now);
+    scenario.silence = replies.silence(&after, "k3", now);
+    assert_eq!(scenario.proposed().slots[0].name, "k3");
+}
