Refuse a request that times out while connecting as not run

What callers saw: 504 `late` ("may have run") for a request that was never sent, so that a call that may run once can't be repeated.

Cause: the deadline was applied to the attempt as a whole, and its end counted as a response that had not come in time.

Change: a request of which nothing was sent gets 503 `late-unsent` with a time to come back.

Evidence: request_that_times_out_while_connecting_is_refused_as_not_run (an upstream whose listener has no room, a deadline of 100 ms) got 504 before and gets 503 now. A request that an earlier upstream may have run still gets 504.

--- a/crates/samphiregrade-gateway/src/exchange/dispatch.rs
+++ b/crates/samphiregrade-gateway/src/exchange/dispatch.rs
@@ -46,12 +46,19 @@
         let upstream = chosen.upstream.clone();
         tried.push(upstream.clone());
         record.upstream = upstream.record.id.clone();
+        let sends_before = record.sends;
         let sending = attempt(context, request, &chosen, record);
         let Ok(outcome) = tokio::time::timeout_at(request.due.into(), sending).await else {
+            may_have_run |= record.sends > sends_before;
             record_failure(&upstream, false, "no response in time");
             context.metrics.count_send("late");
             record.add_detail("no response in time");
-            return Err(RefusalReason::Late.into());
+            let reason = if may_have_run {
+                RefusalReason::Late
+            } else {
+                RefusalReason::LateUnsent
+            };
+            return Err(reason.into());
         };
         match outcome {
             AttemptOutcome::Responded(response) => return Ok(response),
