Bound the table of prompt prefixes

What callers would see: time on the way of each request at an entry that serves many programs with prefixes of their own; its memory grows.

Cause: with 512 or more prefixes the counts were decayed at each request, but only those below a half were dropped, which takes eight seconds: the table had no bound and was gone through at each request.

Change: counts are decayed once a second; a new prefix that finds the table full drops the rarer half.

Evidence: number_of_counted_prefixes_is_bounded reaches 513 prefixes of 512 and goes on before; now it stays within, and the prefix of a fifth of the requests keeps its share.

--- a/crates/samphiregrade-gateway/src/upstream/homes.rs
+++ b/crates/samphiregrade-gateway/src/upstream/homes.rs
@@ -17,6 +17,9 @@
 /// Half-life of a counted request: a burst of one kind of prompt takes effect within seconds.
 const COUNT_HALF_LIFE: Duration = Duration::from_secs(8);
 
+/// Interval between two decays.
+const DECAY_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Lower bound for the number of homes of a prefix, as a multiple of the engines that its share of the requests
 /// corresponds to: headroom for uneven load.
 const MIN_SPREAD: f64 = 1.5;
@@ -57,19 +60,29 @@
     pub fn count(&self, prefix: u64, now: Instant) -> f64 {
         let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
         state.decay(now);
+        if state.counts.len() >= PREFIX_LIMIT && !state.counts.contains_key(&prefix) {
+            state.drop_rarest();
+        }
         state.total += 1.0;
         let count = state.counts.entry(prefix).or_default();
         *count += 1.0;
         *count / state.total
     }
+
+    /// Returns the number of counted prefixes.
+    #[must_use]
+    pub fn tracked(&self) -> usize {
+        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.counts.len()
+    }
 }
 
 impl PrefixCounts {
-    /// Decays the counts of earlier requests, once a second.
+    /// Decays the counts of earlier requests, once in each interval.
     fn decay(&mut self, now: Instant) {
         let since = *self.decayed_at.get_or_insert(now);
         let age = now.saturating_duration_since(since);
-        if age < Duration::from_secs(1) && self.counts.len() < PREFIX_LIMIT {
+        if age < DECAY_INTERVAL {
             return;
         }
         let factor = 0.5_f64.powf(age.as_secs_f64() / COUNT_HALF_LIFE.as_secs_f64());
@@ -80,6 +93,15 @@
         self.counts.retain(|_, count| *count >= 0.5);
         self.total *= factor;
     }
+
+    /// Drops the rarer half of the prefixes, and those that are as rare as the most frequent one among them.
+    fn drop_rarest(&mut self) {
+        let mut counts: Vec<f64> = self.counts.values().copied().collect();
+        let middle = counts.len() / 2;
+        let (_, bound, _) = counts.select_nth_unstable_by(middle, f64::total_cmp);
+        let bound = *bound;
+        self.counts.retain(|_, count| *count > bound);
+    }
 }
 
 /// Engines in the order in which they are homes of a prefix.
