Start a resumed stream over if its offset does not fit the text

What callers saw: a stream that was resumed with an offset beyond the text, or within a character, ended with [DONE] and no text. A caller that had read part of another text (the call was dispatched again meanwhile) took what it had for complete.

Cause: an offset that the text does not have counted as its end, for stored answers and for running calls.

--- a/src/instance/callers/respond.rs
+++ b/src/instance/callers/respond.rs
@@ -23,6 +23,9 @@
 /// Last event of a stream that continues on another instance: the caller has to send its request again.
 pub const MOVED_EVENT: Bytes = Bytes::from_static(b"event: moved\ndata: {}\n\n");
 
+/// Event after which the text starts over at offset 0.
+const RESTART_EVENT: Bytes = Bytes::from_static(b"event: restart\ndata: {}\n\n");
+
 /// Value of `Retry-After` for a call that outlasts the wait of its request.
 const LONG_ANSWER_RETRY: Duration = Duration::from_millis(200);
 
@@ -127,7 +130,7 @@
             }
             StreamRead::Restarted => {
                 offset = 0;
-                Bytes::from_static(b"event: restart\ndata: {}\n\n")
+                RESTART_EVENT
             }
             StreamRead::Finished(outcome) => {
                 // The stream ends here, whether or not the caller still reads it.
@@ -145,7 +148,8 @@
     }
 }
 
-/// Streams a stored outcome from an offset.
+/// Streams a stored outcome from an offset; from the start if the text has no such offset, since its reader has read
+/// another text.
 fn stream_outcome(
     outcome: &CallOutcome,
     program: &ProgramId,
@@ -156,7 +160,11 @@
         return outcome.response(program, sequence);
     };
     let mut body = Vec::new();
-    if let Some(rest) = text.get(offset..).filter(|rest| !rest.is_empty()) {
+    let rest = text.get(offset..).unwrap_or_else(|| {
+        body.extend_from_slice(&RESTART_EVENT);
+        text
+    });
+    if !rest.is_empty() {
         body.extend_from_slice(&text_event(rest, text.len()));
     }
     body.extend_from_slice(&last_event(outcome));
--- a/src/shard/stream.rs
+++ b/src/shard/stream.rs
@@ -31,7 +31,7 @@
 pub enum StreamRead {
     /// Text after the offset.
     Text(String),
-    /// The call was dispatched again; the text starts over.
+    /// The call was dispatched again, or the text has no such offset; the text starts over.
     Restarted,
     /// The complete text was read; contains the stored outcome.
     Finished(CallOutcome),
@@ -96,10 +96,10 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Waits for text after an offset in bytes, or for the end of the response.
+    /// Waits for text after an offset in bytes, or for the end of the response; `None` waits for the end only.
     ///
-    /// An offset within a character or beyond the stored text counts as the end of the text.
-    async fn read(&self, offset: usize, generation: &AtomicU32) -> StreamRead {
+    /// If the complete text has no such offset, the reader has read another text and has to start over.
+    async fn read(&self, offset: Option<usize>, generation: &AtomicU32) -> StreamRead {
         loop {
             let changed = self.changed.notified();
             {
@@ -108,10 +108,14 @@
                 if seen != state.generation {
                     return StreamRead::Restarted;
                 }
-                if let Some(more) = state.text.get(offset..).filter(|more| !more.is_empty()) {
+                let rest = offset.map(|offset| state.text.get(offset..));
+                if let Some(Some(more)) = rest.filter(|rest| *rest != Some("")) {
                     return StreamRead::Text(more.to_owned());
                 }
                 if let Some(outcome) = &state.outcome {
+                    if rest == Some(None) {
+                        return StreamRead::Restarted;
+                    }
                     return StreamRead::Finished(outcome.clone());
                 }
                 if state.closed {
@@ -133,15 +137,15 @@
 impl StreamReader {
     /// Waits for text after an offset in bytes, or for the end of the response.
     ///
-    /// An offset within a character or beyond the stored text counts as the end of the text.
+    /// If the complete text has no such offset, the reader has read another text and has to start over.
     pub async fn read(&self, offset: usize) -> StreamRead {
-        self.buffer.read(offset, &self.generation).await
+        self.buffer.read(Some(offset), &self.generation).await
     }
 
     /// Waits for the outcome; returns `None` if the response will not be completed in this buffer.
     pub async fn outcome(&self) -> Option<CallOutcome> {
         loop {
-            match self.read(usize::MAX).await {
+            match self.buffer.read(None, &self.generation).await {
                 StreamRead::Finished(outcome) => return Some(outcome),
                 StreamRead::Closed => return None,
                 StreamRead::Text(_) | StreamRead::Restarted => {}
--- a/tests/testsuite/callers.rs
+++ b/tests/testsuite/callers.rs
@@ -187,3 +187,30 @@
         assert_eq!(last["ran"], "no");
     });
 }
+
+// Guards against a resumed stream that ends as if it were complete although text is missing.
+#[test]
+fn resumed_stream_starts_over_if_its_offset_does_not_fit_the_text() {
+    with_cluster(small_settings(), |cluster| async move {
+        let pool = cluster.pool.clone();
+        let program =
+            begin_program(&cluster, ENTRY, &json!({"key": "k", "class": "dossier"})).await;
+        let call = format!("/v1/programs/{program}/calls/1");
+        let response = send(&pool, caller_post(&cluster, ENTRY, &call, &prompt("one"))).await;
+        assert_eq!(response.status, 200, "{}", response.text());
+        let text = expected(&[("user", "one")], 40);
+        let end = format!("{call}?offset={}", text.len());
+        let resumed = send(&pool, caller_get(&cluster, ENTRY, &end)).await;
+        assert!(!resumed.text().contains("event: restart"));
+        assert_eq!(stream_text(&resumed.text()), "");
+        let beyond = format!("{call}?offset={}", text.len() + 1);
+        let resumed = send(&pool, caller_get(&cluster, ENTRY, &beyond)).await;
+        assert!(
+            resumed.text().contains("event: restart"),
+            "{}",
+            resumed.text()
+        );
+        assert_eq!(stream_text(&resumed.text()), text);
+        assert!(resumed.text().contains("[DONE]"));
+    });
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -10,5 +10,6 @@
 mod process;
 mod records;
 mod stopping;
+mod streams;
 mod support;
 mod upstreams;
