Count calls that expire without any text as failures of their engine

What callers saw: an engine that takes calls and never answers was sent calls for ever; each waited there until its program's deadline.

Cause: the end of a call that expired or was cancelled counted as a success at the circuit breaker, which also closed an open one.

Change: ends have three kinds. A call that expires after at least 2 s without any text is a failure; one that is cancelled, or that had less time, says nothing about the engine and allows another trial.

Evidence: engines_that_never_answer_are_avoided (24 programs with 4 s each at engines behind a path that delivers nothing) finds no open breaker before, and one or more now.

--- a/src/scheduler/mod.rs
+++ b/src/scheduler/mod.rs
@@ -16,5 +16,5 @@
 pub use baseline::{LeastLoadedPolicy, RoundRobinPolicy, StickyPolicy};
 pub use learn::{ClassHistory, ClassLearner};
 pub use policy::{ProgramPolicy, SchedulingPolicy, make_policy};
-pub use queue::{CallQueue, ChosenJob, QueueDump, UpstreamDump, wanted_model};
+pub use queue::{CallEnd, CallQueue, ChosenJob, QueueDump, UpstreamDump, wanted_model};
 pub use view::{EngineView, JobView, OrderKey, PlacementChoice};
--- a/src/scheduler/queue.rs
+++ b/src/scheduler/queue.rs
@@ -83,6 +83,17 @@
     pub resident_tokens: TokenCount,
 }
 
+/// How a call ended at its upstream.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CallEnd {
+    /// The upstream answered.
+    Answered,
+    /// The upstream failed, or has sent nothing for too long.
+    Failed,
+    /// The call ended before the upstream could answer, which tells nothing about the upstream.
+    Withdrawn,
+}
+
 /// The waiting calls of an instance.
 pub struct CallQueue {
     domain: DomainId,
@@ -228,16 +239,16 @@
     }
 
     /// Records the end of a call without an engine response: a call to a service, or one that was refused, cancelled or
-    /// failed. Unless `failed` is set, the circuit breaker counts it as a success.
-    pub fn record_end(&self, upstream: &UpstreamName, failed: bool) {
+    /// failed.
+    pub fn record_end(&self, upstream: &UpstreamName, end: CallEnd) {
         let now = Instant::now();
         let mut state = self.state();
         let entry = state.upstreams.entry(upstream.clone()).or_default();
         entry.in_flight = entry.in_flight.saturating_sub(1);
-        if failed {
-            entry.breaker.record_failure(now);
-        } else {
-            entry.breaker.record_success();
+        match end {
+            CallEnd::Answered => entry.breaker.record_success(),
+            CallEnd::Failed => entry.breaker.record_failure(now),
+            CallEnd::Withdrawn => entry.breaker.record_withdrawal(),
         }
     }
 
--- a/src/shard/stream.rs
+++ b/src/shard/stream.rs
@@ -44,6 +44,12 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Returns whether no text has arrived.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.state().text.is_empty()
+    }
+
     /// Appends text that an engine has sent.
     pub fn push(&self, text: &str) {
         self.state().text.push_str(text);
--- a/src/upstream/breaker.rs
+++ b/src/upstream/breaker.rs
@@ -79,6 +79,11 @@
         self.failures = 0;
     }
 
+    /// Records a request that ended without a result, so that another trial request may be sent.
+    pub fn record_withdrawal(&mut self) {
+        self.trial = None;
+    }
+
     /// Records a failure, which may open the circuit or keep it open for longer.
     pub fn record_failure(&mut self, now: Instant) {
         self.failures += 1;
--- a/src/upstream/runner.rs
+++ b/src/upstream/runner.rs
@@ -19,7 +19,7 @@
 use crate::ids::{ClassName, ProgramId, ShardId, TokenCount, UpstreamName};
 use crate::program::CallOutcome;
 use crate::record::{ConfigView, UpstreamKind};
-use crate::scheduler::{CallQueue, ChosenJob};
+use crate::scheduler::{CallEnd, CallQueue, ChosenJob};
 use crate::shard::{DispatchJob, DispatchResult, DispatchSink, ShardCommand};
 
 /// Longest time between two passes over the queue while calls are waiting.
@@ -37,6 +37,10 @@
 /// Timeout of a request to hold or release a prefix.
 const CACHE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time without any text after which a call whose deadline passes counts as a failure of its upstream. With less time, the
+/// upstream may just have been busy.
+const SILENCE_LIMIT: Duration = Duration::from_secs(2);
+
 /// Amount that each call with a response adds to the retry budget.
 const RETRY_SHARE: f64 = 0.2;
 
@@ -193,9 +197,11 @@
         };
         tokio::select! {
             () = work => {}
-            () = cancel.cancelled() => self.inner.queue.record_end(&upstream, false),
+            () = cancel.cancelled() => self.inner.queue.record_end(&upstream, CallEnd::Withdrawn),
             () = tokio::time::sleep(left), if idempotent => {
-                self.inner.queue.record_end(&upstream, false);
+                let silent = left >= SILENCE_LIMIT && job.stream.is_empty();
+                let end = if silent { CallEnd::Failed } else { CallEnd::Withdrawn };
+                self.inner.queue.record_end(&upstream, end);
                 let detail = "the deadline passed while the call ran";
                 let refusal = Refusal::unknown(RefusalKind::DeadlinePassed, detail);
                 let reserved = job.intent.reserved;
@@ -220,7 +226,7 @@
         match response {
             Ok(response) => self.accept_response(job, upstream, response),
             Err(EngineFailure::Rejected(status, detail)) => {
-                self.inner.queue.record_end(&upstream, false);
+                self.inner.queue.record_end(&upstream, CallEnd::Answered);
                 let kind = if status == 413 {
                     RefusalKind::BudgetExhausted
                 } else {
@@ -231,7 +237,7 @@
             }
             Err(EngineFailure::Failed(detail)) => {
                 log::debug!("engine failed the call upstream={upstream} error={detail}");
-                self.inner.queue.record_end(&upstream, true);
+                self.inner.queue.record_end(&upstream, CallEnd::Failed);
                 self.retry(job, upstream).await;
             }
         }
@@ -316,13 +322,12 @@
         } else {
             invoke(&self.inner.pool, &spec, call, &job).await
         };
-        let failed = matches!(
-            outcome,
-            ServiceOutcome::NotRun(_) | ServiceOutcome::Unknown(_)
-        );
-        self.inner
-            .queue
-            .record_end(&upstream, failed && !job.resolve_only);
+        let end = match &outcome {
+            _ if job.resolve_only => CallEnd::Withdrawn,
+            ServiceOutcome::NotRun(_) | ServiceOutcome::Unknown(_) => CallEnd::Failed,
+            ServiceOutcome::Reply(..) | ServiceOutcome::Fenced => CallEnd::Answered,
+        };
+        self.inner.queue.record_end(&upstream, end);
         match outcome {
             ServiceOutcome::Reply(status, body) => {
                 self.earn_retry();
--- a/tests/testsuite/upstreams.rs
+++ b/tests/testsuite/upstreams.rs
@@ -82,3 +82,39 @@
         assert!([200, 424].contains(&response.status), "{}", response.text());
     });
 }
+
+// Guards against engines that take calls and never answer, and are sent calls for ever because expired calls counted as
+// successes.
+#[test]
+fn engines_that_never_answer_are_avoided() {
+    with_cluster(small_settings(), |cluster| async move {
+        let silent = LinkFaults {
+            half_open: true,
+            ..LinkFaults::default()
+        };
+        let names = cluster
+            .engines
+            .keys()
+            .map(|name| format!("upstream/{name}"));
+        let names: Vec<String> = names.collect();
+        let engines = |link: &str| names.iter().any(|name| name == link);
+        cluster.proxy.set_faults(&silent, engines);
+        let pool = cluster.pool.clone();
+        let call = async |number: usize| {
+            let begin =
+                json!({"key": format!("k{number}"), "class": "dossier", "deadline-ms": 4000});
+            let program = begin_program(&cluster, ENTRY, &begin).await;
+            let body = json!({"messages": [{"role": "user", "content": "one"}], "max_tokens": 40});
+            let path = format!("/v1/programs/{program}/calls/1");
+            send(&pool, caller_post(&cluster, ENTRY, &path, &body)).await
+        };
+        let responses = futures_util::future::join_all((0..24).map(call)).await;
+        assert!(responses.iter().all(|response| response.status != 200));
+        let mut open = 0;
+        for instance in cluster.instances.keys() {
+            let dump = cluster.dump(instance).await.expect("a dump");
+            open += dump.to_string().matches("\"breaker-open\":true").count();
+        }
+        assert!(open > 0, "no circuit breaker is open");
+    });
+}
