Fail an oversized message alone

What callers would see: turns refused or not durable because a message of another request on the same link was too long: the receiver closed the link, all requests on it failed, and each repetition did so again. A session's history of more than 64 MiB is enough.

Cause: only the receiver checked the limit of a message, and could only close the link.

Change: the sender checks it. A request that is too long fails with the size and the remedy; a reply that is too long, or can't be encoded, is logged and replaced by an empty message, which fails its request at once.

Evidence: oversized_messages_fail_alone fails before ("the connection failed before the reply arrived" for a request beside it) and passes now.

--- a/crates/samphiregrade-gateway/src/link.rs
+++ b/crates/samphiregrade-gateway/src/link.rs
@@ -81,6 +81,9 @@
     /// A message can't be encoded or decoded.
     #[error("the message can't be encoded or decoded: {0}; run the same version on all instances")]
     Unreadable(String),
+    /// A message is longer than links allow.
+    #[error("the message has {0} bytes of at most {MESSAGE_LIMIT}; lower the clients' body limit")]
+    TooLong(usize),
 }
 
 fn closed<Source>(error: Source) -> LinkFailure
@@ -171,7 +174,7 @@
     where
         Request: Serialize,
     {
-        let message = postcard::to_stdvec(request).map_err(unreadable)?;
+        let message = encode_message(request)?;
         let (reply, receiver) = oneshot::channel();
         let job = LinkJob { message, reply };
         self.peer(address).try_send(job).map_err(closed)?;
@@ -438,6 +441,17 @@
     }
 }
 
+fn encode_message<Message>(message: &Message) -> Result<Vec<u8>, LinkFailure>
+where
+    Message: Serialize,
+{
+    let bytes = postcard::to_stdvec(message).map_err(unreadable)?;
+    if bytes.len() > MESSAGE_LIMIT {
+        return Err(LinkFailure::TooLong(bytes.len()));
+    }
+    Ok(bytes)
+}
+
 fn append_frame(output: &mut BytesMut, number: u64, message: &[u8]) {
     output.reserve(FRAME_HEADER + message.len());
     output.put_u64(number);
@@ -501,11 +515,13 @@
                     let replies = replies.clone();
                     tokio::spawn(async move {
                         let reply = handler(request).await;
-                        match postcard::to_stdvec(&reply) {
-                            // The link may have ended in the meantime.
-                            Ok(bytes) => drop(replies.send((number, bytes)).await),
-                            Err(error) => log::error!("a reply can't be encoded: {error}; report this bug"),
-                        }
+                        let message = encode_message(&reply).unwrap_or_else(|error| {
+                            log::error!("a reply is not sent: {error}");
+                            // The peer can't decode an empty message, so its request fails at once.
+                            Vec::new()
+                        });
+                        // The link may have ended in the meantime.
+                        drop(replies.send((number, message)).await);
                     });
                 }
             }
--- a/crates/samphiregrade-gateway/tests/suite/link.rs
+++ b/crates/samphiregrade-gateway/tests/suite/link.rs
@@ -5,6 +5,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
+use bytes::Bytes;
 use samphiregrade_gateway::identity::{make_authority, make_identity};
 use samphiregrade_gateway::link::LinkEndpoint;
 use tokio::net::{TcpListener, TcpStream};
@@ -203,3 +204,39 @@
     ended.expect("a peer that ends").expect("an ended task");
     assert!(request.await.expect("an ended task").is_err());
 }
+
+// Guards against a reply above the size limit that closes the link and fails all other requests on it.
+#[tokio::test]
+async fn oversized_messages_fail_alone() {
+    const OVERSIZED: usize = (64 << 20) + 1;
+    let authority = make_authority().expect("an authority");
+    let address = free_address().await;
+    let release = Arc::new(Semaphore::new(0));
+    let (server, waiting) = (endpoint(&authority, "server"), release.clone());
+    tokio::spawn(async move {
+        let handler = move |request: Bytes| {
+            let release = waiting.clone();
+            async move {
+                if request.is_empty() {
+                    return Bytes::from(vec![0; OVERSIZED]);
+                }
+                release.acquire().await.expect("a permit").forget();
+                request
+            }
+        };
+        server.serve(address, handler).await.expect("a served port");
+    });
+    let client = endpoint(&authority, "client");
+    let request =
+        async |message: Bytes| client.request::<_, Bytes>(address, &message, TIMEOUT).await;
+    release.add_permits(1);
+    while request(Bytes::from_static(b"x")).await.is_err() {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    let (small, ()) = tokio::join!(request(Bytes::from_static(b"x")), async {
+        assert!(request(Bytes::new()).await.is_err());
+        assert!(request(vec![1; OVERSIZED].into()).await.is_err());
+        release.add_permits(1);
+    });
+    assert_eq!(small.expect("a reply"), "x");
+}
