Hide sub-agents from other organisations

What callers saw: an organisation that knows the id of another one's program learned whether that has a sub-agent of a given key and body, and got its number of tokens with status 200; each later call was refused as unknown.

Cause: the id of a sub-agent follows from its parent's id and the key. A begin of a known id was compared by the body's digest only.

Change: for another organisation the parent does not exist, as docs/design/security.md says.

--- a/src/program/decide.rs
+++ b/src/program/decide.rs
@@ -30,6 +30,10 @@
 #[must_use]
 pub fn decide_begin(table: &ProgramTable, mut begin: ProgramBegin) -> BeginDecision {
     if let Some(known) = table.program(&begin.program) {
+        // The id of a sub-agent follows from its parent's id, which another organisation may know.
+        if known.begin.organisation != begin.organisation {
+            return BeginDecision::Refuse(no_such_parent());
+        }
         if known.begin.digest != begin.digest {
             let refusal = Refusal::not_run(RefusalKind::KeyReused, "the key began another program");
             return BeginDecision::Refuse(refusal);
@@ -54,7 +58,7 @@
 ) -> Result<(), Refusal> {
     let refuse = |kind, detail: &str| Err(Refusal::not_run(kind, detail));
     let Some(parent) = visible_program(table, parent, &begin.organisation) else {
-        return refuse(RefusalKind::UnknownProgram, "no such parent program");
+        return Err(no_such_parent());
     };
     if !parent.is_running() {
         return refuse(RefusalKind::ProgramEnded, "the parent program has ended");
@@ -85,6 +89,10 @@
     Ok(())
 }
 
+fn no_such_parent() -> Refusal {
+    Refusal::not_run(RefusalKind::UnknownProgram, "no such parent program")
+}
+
 /// Returns a program if it belongs to the organisation.
 fn visible_program<'table>(
     table: &'table ProgramTable,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod key_value;
 mod orders;
 mod process;
+mod programs;
 mod records;
 mod stopping;
 mod streams;
