Refuse an interval of zero between readings of load reports

What operators would see: the setting upstreams.poll-interval-ms = 0 was accepted, and the task that reads the engines' load reports ended with a panic.

--- a/src/settings.rs
+++ b/src/settings.rs
@@ -366,6 +366,9 @@
                 "has to be above 0, and call-burst at least 1",
             );
         }
+        if self.upstreams.poll_interval_ms == 0 {
+            return bad_value("upstreams.poll-interval-ms", "has to be at least 1");
+        }
         let membership = &self.membership;
         if membership.probe_interval_ms == 0
             || membership.suspect_after_ms < membership.probe_interval_ms * 2
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod process;
 mod programs;
 mod records;
+mod settings;
 mod stopping;
 mod streams;
 mod support;
