--- a/tests/testsuite/programs.rs
+++ b/tests/testsuite/programs.rs
@@ -17,7 +17,7 @@
         limits: ProgramLimits::default(),
         wishes_tokens: false,
         began: SystemTime::UNIX_EPOCH,
-        deadline: SystemTime::UNIX_EPOCH + Duration::from_secs(60),
+        deadline: SystemTime::UNIX_EPOCH + Duration::from_mins(1),
         parent: parent.map(ProgramId::from),
         depth: 0,
     }
