--- a/crates/samphiregrade-gateway/tests/suite/limit_records.rs
+++ b/crates/samphiregrade-gateway/tests/suite/limit_records.rs
@@ -93,8 +93,7 @@
     assert_eq!(request_tokens(&home, 3, 1).await, 16);
 }
 
-// Guards against callers that are refused because a home counts its uses twice after a compaction that was interrupted
-// before it removed the older segments.
+// Guards against callers that are refused because a home counts its uses twice after an interrupted compaction.
 #[tokio::test]
 async fn uses_are_counted_once_after_an_interrupted_compaction() {
     let folder = TempDir::new().expect("a folder");
--- a/crates/samphiregrade-gateway/tests/suite/limits.rs
+++ b/crates/samphiregrade-gateway/tests/suite/limits.rs
@@ -433,8 +433,7 @@
     }
 }
 
-/// Steps after which the home restarts about once in a window while some entries are cut off. The first input and the
-/// limit above the minimum are those of a failed run, the second input is the shrunk one of another run.
+/// Two series of steps with a restart of the home in about every window.
 fn steps_with_many_home_restarts() -> [Vec<Step>; 2] {
     let requests = |entry, count| Step::Requests { entry, count };
     let long = vec![
--- a/crates/samphiregrade-gateway/tests/suite/membership.rs
+++ b/crates/samphiregrade-gateway/tests/suite/membership.rs
@@ -170,8 +170,7 @@
     }
 }
 
-// Guards against a keeper that has lost its slot and takes over another one at once, since it has not probed the others
-// while it had a slot.
+// Guards against a keeper that takes the time in which it had a slot, and did not probe the others, for their silence.
 #[test]
 fn keeper_that_has_lost_its_slot_waits_before_it_takes_over_another_one() {
     let start = Instant::now();
--- a/tests/testsuite/upstreams.rs
+++ b/tests/testsuite/upstreams.rs
@@ -83,8 +83,7 @@
     });
 }
 
-// Guards against engines that take calls and never answer, and are sent calls for ever because expired calls counted as
-// successes.
+// Guards against engines that never answer and are sent calls for ever, because expired calls counted as successes.
 #[test]
 fn engines_that_never_answer_are_avoided() {
     with_cluster(small_settings(), |cluster| async move {
