--- a/src/shard/stream.rs
+++ b/src/shard/stream.rs
@@ -114,14 +114,15 @@
                 if seen != state.generation {
                     return StreamRead::Restarted;
                 }
-                let rest = offset.map(|offset| state.text.get(offset..));
-                if let Some(Some(more)) = rest.filter(|rest| *rest != Some("")) {
-                    return StreamRead::Text(more.to_owned());
+                match offset.map(|offset| state.text.get(offset..)) {
+                    Some(Some(more)) if !more.is_empty() => {
+                        return StreamRead::Text(more.to_owned());
+                    }
+                    // The complete text has no such offset.
+                    Some(None) if state.outcome.is_some() => return StreamRead::Restarted,
+                    _ => {}
                 }
                 if let Some(outcome) = &state.outcome {
-                    if rest == Some(None) {
-                        return StreamRead::Restarted;
-                    }
                     return StreamRead::Finished(outcome.clone());
                 }
                 if state.closed {
