Record what entries used while a limit's home was down

Cause: a home counted the uses of an entry's first report after its start, but took them for recorded and wrote none to disk; its next start counts only the newest 3 s of a report and forgot uses that were 3 to 5 s old.

Change: a grant tells how many uses are recorded, a request how many came since; the home writes exactly these. Ruled out: writing all reported uses, which an earlier start may have written.

--- a/crates/samphiregrade-gateway/src/limits/allowance.rs
+++ b/crates/samphiregrade-gateway/src/limits/allowance.rs
@@ -42,6 +42,8 @@
     used: u64,
     programs_started: u64,
     granted: u64,
+    /// Used tokens that a home has recorded.
+    recorded: u64,
     valid_until: BootTime,
     sequence: u64,
     recent: RecentUse,
@@ -214,6 +216,7 @@
             used: self.used,
             begun: self.programs_started,
             alone: self.standalone_total,
+            unrecorded: u32::try_from(self.used.saturating_sub(self.recorded)).unwrap_or(u32::MAX),
             waiting: self.waiting,
             spare: if source.prefetch { spare } else { 0 },
             begins,
@@ -231,6 +234,7 @@
             self.granted = grant.granted;
             self.valid_until = sent.after(grant.lasts);
         }
+        self.recorded = self.recorded.max(grant.recorded);
         self.near_limit = grant.near;
         self.last_reply = Some(now);
         self.standalone_since_reply = 0;
--- a/crates/samphiregrade-gateway/src/limits/ledger.rs
+++ b/crates/samphiregrade-gateway/src/limits/ledger.rs
@@ -60,15 +60,19 @@
             organisation.limit = request.limit;
         }
         let silence = self.contacts.last_silence(request.instance);
-        organisation.apply_report(request, silence, now, self.rule.window);
+        let unrecorded = organisation.apply_report(request, silence, now, self.rule.window);
         let uncounted_use = organisation.uncounted_use(&self.contacts, &self.rule, now);
         let fitting = self.programs.fitting(organisation.limit.requests);
-        let grant = organisation.grant(request, uncounted_use, fitting, now, self.rule.window);
+        let mut grant = organisation.grant(request, uncounted_use, fitting, now, self.rule.window);
         let count = organisation.take_unsaved(request, &grant);
+        grant.recorded = organisation.recorded_uses(request.life);
         let started = organisation.record_started_programs(request, &grant, now + self.rule.window);
         // A refused request belongs to a program as well.
         let refused = !request.begins && grant.granted < request.used + u64::from(request.waiting);
         self.programs.record(count + u32::from(refused), started);
+        for (leaves, count) in unrecorded {
+            self.record_unsaved(request, leaves, count);
+        }
         self.record_unsaved(request, now + self.rule.window, count);
         grant
     }
--- a/crates/samphiregrade-gateway/src/limits/message.rs
+++ b/crates/samphiregrade-gateway/src/limits/message.rs
@@ -71,6 +71,8 @@
     pub alone: u64,
     /// Tokens since the entry's start that were used for starting a program.
     pub begun: u64,
+    /// Tokens used since the last ones that a home has reported as recorded; no home keeps these over a restart.
+    pub unrecorded: u32,
     /// Requests that wait for a token.
     pub waiting: u32,
     /// Tokens to hold in advance, in addition to those for waiting requests.
@@ -99,6 +101,9 @@
 pub struct AllowanceGrant {
     /// Total number of tokens that the entry may use since its start.
     pub granted: u64,
+    /// Tokens used since the entry's start that the home has recorded, or does not have to record because another home
+    /// has.
+    pub recorded: u64,
     /// Time after the request until which the remaining tokens are valid.
     pub lasts: Duration,
     /// Whether the organisation is near its limit.
--- a/crates/samphiregrade-gateway/src/limits/organisation.rs
+++ b/crates/samphiregrade-gateway/src/limits/organisation.rs
@@ -202,14 +202,16 @@
         count
     }
 
-    /// Applies an entry's report of its uses, and reclaims tokens that have lapsed unused.
+    /// Applies an entry's report of its uses, and reclaims tokens that have lapsed unused. Returns the uses that no home
+    /// has recorded, with the times at which they leave the window.
     pub(super) fn apply_report(
         &mut self,
         request: &AllowanceRequest,
         silence: Option<EndedSilence>,
         now: LedgerTime,
         window: Duration,
-    ) {
+    ) -> Vec<(LedgerTime, u32)> {
+        let mut unrecorded = Vec::new();
         let is_new = !self.accounts.contains_key(&request.life);
         if is_new {
             // An entry that has used tokens before is known to another home, or to this one before its restart.
@@ -228,13 +230,13 @@
                     ..EntryAccount::default()
                 },
             );
-            self.charge_recent(request, now, window);
+            unrecorded = self.charge_recent(request, now, window);
         }
         let Some(account) = self.accounts.get_mut(&request.life) else {
-            return;
+            return unrecorded;
         };
         if request.sequence < account.sequence {
-            return;
+            return unrecorded;
         }
         account.sequence = request.sequence;
         account.last_request = now;
@@ -259,22 +261,39 @@
         if has_lapsed {
             self.release(request.life, unused);
         }
+        unrecorded
     }
 
-    /// Counts the tokens that an entry had used before its first request to this home.
-    fn charge_recent(&mut self, request: &AllowanceRequest, now: LedgerTime, window: Duration) {
+    /// Counts the tokens that an entry had used before its first request to this home. Returns those that no home has
+    /// recorded, with the times at which they leave the window.
+    fn charge_recent(
+        &mut self,
+        request: &AllowanceRequest,
+        now: LedgerTime,
+        window: Duration,
+    ) -> Vec<(LedgerTime, u32)> {
         let part = window / u32::try_from(RECENT_PARTS).unwrap_or(1);
         let restored = self.restored_until.is_some_and(|until| now < until);
-        let unknown = if restored {
+        let unknown_parts = if restored {
             UNSAVED_PARTS
         } else {
             RECENT_PARTS
         };
+        let mut unrecorded = Vec::new();
+        let mut remaining = request.unrecorded;
         let mut leaves = now + window;
-        for &count in request.recent.iter().take(unknown) {
-            self.charge(request.life, leaves, count);
+        for (index, &count) in request.recent.iter().enumerate() {
+            let unrecorded_count = count.min(remaining);
+            remaining -= unrecorded_count;
+            let is_unknown = index < unknown_parts;
+            let charged = if is_unknown { count } else { unrecorded_count };
+            self.charge(request.life, leaves, charged);
+            if unrecorded_count > 0 {
+                unrecorded.push((leaves, unrecorded_count));
+            }
             leaves = leaves.saturating_sub(part);
         }
+        unrecorded
     }
 
     /// Returns the number of tokens that the entry has used or is about to use and that were not passed to the disk
@@ -293,6 +312,13 @@
         u32::try_from(count).unwrap_or(u32::MAX)
     }
 
+    /// Returns the number of tokens that the entry has used or is about to use and that are recorded.
+    pub(super) fn recorded_uses(&self, incarnation: EntryIncarnation) -> u64 {
+        self.accounts
+            .get(&incarnation)
+            .map_or(0, |account| account.saved)
+    }
+
     /// Returns the number of uncounted requests that unresponsive instances may be admitting on their own.
     pub(super) fn uncounted_use(
         &self,
@@ -424,6 +450,7 @@
         let steady = self.reserve(request.life);
         AllowanceGrant {
             granted: total,
+            recorded: 0,
             lasts: TOKEN_LIFE,
             near,
             steady,
--- a/crates/samphiregrade-gateway/tests/suite/limit_records.rs
+++ b/crates/samphiregrade-gateway/tests/suite/limit_records.rs
@@ -38,6 +38,7 @@
         used: 0,
         begun: 0,
         alone: 0,
+        unrecorded: 0,
         waiting,
         spare: 0,
         begins: false,
--- a/crates/samphiregrade-gateway/tests/suite/limits.rs
+++ b/crates/samphiregrade-gateway/tests/suite/limits.rs
@@ -274,6 +274,22 @@
         }
         deployment.max_in_window() <= bound(limit)
     }
+
+    // Guards against uses that a home knows only until its next restart, where it restarts several times in a window.
+    fn no_interleaving_with_frequent_home_restarts_exceeds_the_limit(steps: Vec<Step>, requests: u8) -> bool {
+        let limit = 40 + u32::from(requests);
+        let mut deployment = Deployment::new(limit);
+        let steps: Vec<Step> = steps.into_iter().chain([Step::HomeRestart]).collect();
+        for step in steps.iter().cycle().take(1500) {
+            if matches!(step, Step::HomeRestart) && !deployment.home_available.is_zero() {
+                deployment.advance(STEP);
+                continue;
+            }
+            deployment.home_started = Duration::ZERO;
+            deployment.apply(*step);
+        }
+        deployment.max_in_window() <= bound(limit)
+    }
 }
 
 #[test]
