Fail readiness checks when a partition is suspected

Cause: in a partitioned domain clients are sent elsewhere only when every instance has failed two checks in a row.

Change: an instance also fails a check when the keepers that replied within 0.32 s can serve less than half of the programs. A false suspicion costs one failed check, and two in a row are needed. Not measured yet.

--- a/crates/samphiregrade-gateway/src/exchange/context.rs
+++ b/crates/samphiregrade-gateway/src/exchange/context.rs
@@ -116,7 +116,8 @@
     /// An instance that is cut off from the keepers can't serve turns, so clients should use another one.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        let serves = self.routes.load().is_some() && self.cut_off_for().is_zero();
+        let reaches_keepers = self.cut_off_for().is_zero() && !self.is_cut_off_suspected();
+        let serves = self.routes.load().is_some() && reaches_keepers;
         serves && self.has_fresh_keys() && !self.is_stopping()
     }
 
@@ -143,6 +144,15 @@
             .map_or(Duration::ZERO, |keepers| keepers.cut_off_for())
     }
 
+    /// Returns whether the instance may be cut off from the keepers.
+    #[must_use]
+    pub fn is_cut_off_suspected(&self) -> bool {
+        let keepers = self.keepers.load();
+        keepers
+            .as_ref()
+            .is_some_and(|keepers| keepers.is_cut_off_suspected())
+    }
+
     /// Returns whether clients should reconnect for their next request, so that it goes to an instance that is ready.
     #[must_use]
     pub fn closes_connections(&self) -> bool {
--- a/crates/samphiregrade-gateway/src/fact/health.rs
+++ b/crates/samphiregrade-gateway/src/fact/health.rs
@@ -22,6 +22,10 @@
 /// second to spare, because keepers reply to probes without disk access.
 const UNREACHABLE_AFTER: Duration = Duration::from_millis(450);
 
+/// Time without a reply after which a keeper counts as possibly unreachable: a probe is sent within `PROBE_AFTER` and one
+/// check interval, and answered within a few round trips.
+const SUSPECTED_AFTER: Duration = Duration::from_millis(320);
+
 /// Time without a reply from any keeper of a failure domain after which the path to the domain is checked: a probe sent
 /// after `PROBE_AFTER` should have been answered by then.
 const DOMAIN_CHECK_AFTER: Duration = Duration::from_millis(230);
@@ -107,11 +111,27 @@
     /// Returns whether a keeper is reachable, directly or through a helper.
     #[must_use]
     pub fn is_reachable(&self, name: &SmolStr, now: Instant) -> bool {
-        if self.is_directly_reachable(name, now) {
+        self.replied_within(name, UNREACHABLE_AFTER, now)
+    }
+
+    /// Returns whether a reply of a keeper was received within a time, by this instance or by a helper.
+    fn replied_within(&self, name: &SmolStr, time: Duration, now: Instant) -> bool {
+        if self.silence(name, now) < time {
             return true;
         }
         let last = lock_ignoring_poison(&self.indirect).get(name).copied();
-        last.is_some_and(|last| now.saturating_duration_since(last) < UNREACHABLE_AFTER)
+        last.is_some_and(|last| now.saturating_duration_since(last) < time)
+    }
+
+    /// Returns whether the instance may be cut off: the keepers that have just replied can serve too few programs.
+    ///
+    /// A suspicion is right more often than not, and costs nothing otherwise: a load balancer takes an instance out of
+    /// rotation after two failed readiness checks. In a partitioned domain it sends clients elsewhere only once all
+    /// instances are out, so that the last one to detect the partition delays all clients.
+    #[must_use]
+    pub fn is_cut_off_suspected(&self, placement: &KeeperPlacement, now: Instant) -> bool {
+        let replied = |slot: &KeeperSlot| self.replied_within(&slot.name, SUSPECTED_AFTER, now);
+        self.served_share(placement, replied) < MIN_SERVED_SHARE
     }
 
     /// Returns how many of the keepers are reachable.
--- a/crates/samphiregrade-gateway/src/fact/reach.rs
+++ b/crates/samphiregrade-gateway/src/fact/reach.rs
@@ -30,6 +30,13 @@
         self.health.cut_off_for(Instant::now())
     }
 
+    /// Returns whether this instance may be cut off.
+    #[must_use]
+    pub fn is_cut_off_suspected(&self) -> bool {
+        self.health
+            .is_cut_off_suspected(&self.placement.load(), Instant::now())
+    }
+
     /// Returns the failure domains none of whose keepers has replied for a while.
     #[must_use]
     pub fn silent_domains(&self) -> Vec<DomainId> {
--- a/crates/samphiregrade-gateway/src/role/entry.rs
+++ b/crates/samphiregrade-gateway/src/role/entry.rs
@@ -54,6 +54,7 @@
     proof_age_ms: Option<u128>,
     /// How long the instance has been unable to reach the keepers, in milliseconds.
     cut_off_ms: u128,
+    cut_off_suspected: bool,
 }
 
 #[derive(Serialize)]
@@ -176,6 +177,7 @@
             configured: context.routes.load().is_some(),
             proof_age_ms: proof_age.map(|age| age.as_millis()),
             cut_off_ms: context.cut_off_for().as_millis(),
+            cut_off_suspected: context.is_cut_off_suspected(),
         };
         Logbook::global().record("readiness", &line);
     }
--- a/crates/samphiregrade-gateway/tests/suite/health.rs
+++ b/crates/samphiregrade-gateway/tests/suite/health.rs
@@ -55,6 +55,32 @@
     assert_eq!(health.cut_off_for(start + 2 * AFTER), Duration::ZERO);
 }
 
+// Guards against a partitioned domain that stays in rotation because one of its instances received the last replies just
+// before the partition, and detects it only after a readiness check of the load balancer.
+#[test]
+fn partition_is_suspected_before_the_instance_counts_as_cut_off() {
+    let start = Instant::now();
+    let placement = placement();
+    let health = health_after(&placement, &["a", "b", "c", "d"], start);
+    let last_reply = start + AFTER;
+    let reply_from = |domains: &[&str], at: Instant| {
+        for slot in &placement.slots {
+            if domains.contains(&slot.domain.as_str()) {
+                health.record_reply(&slot.name, at);
+            }
+        }
+    };
+    let usual_silence = last_reply + Duration::from_millis(300);
+    assert!(!health.is_cut_off_suspected(&placement, usual_silence));
+    let checked = last_reply + Duration::from_millis(350);
+    reply_from(&["d"], checked);
+    assert!(health.is_cut_off_suspected(&placement, checked));
+    health.update_cut_off(&placement, checked);
+    assert_eq!(health.cut_off_for(checked), Duration::ZERO);
+    reply_from(&["a", "b", "c"], checked);
+    assert!(!health.is_cut_off_suspected(&placement, checked));
+}
+
 #[test]
 fn instance_that_reaches_one_of_three_copies_is_cut_off() {
     let slots = ["a", "b", "c"].map(|domain| KeeperSlot {
