--- a/crates/samphiregrade-gateway/tests/suite/upstreams.rs
+++ b/crates/samphiregrade-gateway/tests/suite/upstreams.rs
@@ -102,6 +102,7 @@
         running: 5,
         waiting: 0,
         slots: 8,
+        ..ReportedLoad::default()
     };
     upstream.note_load(load, now);
     assert!((upstream.load(now) - 5.0).abs() < 0.01);
@@ -153,6 +154,7 @@
         running: 5,
         waiting: 2,
         slots: 8,
+        ..ReportedLoad::default()
     };
     before.note_load(load, now);
     let restarted = UpstreamRecord {
