Choose upstreams by expected completion

Costs took all upstreams of a service to be equally fast, so a quarter of slow engines got about a sixth of the turns while fast ones had free slots. Costs now include the upstream's slowdown and the contention of its machine, weighted by its age; the learned slowdown is 1.0 until it is reported by keepers. Where contention is reported, an upstream is drawn among those of similar cost, since old views otherwise send the turns of all entries to the same upstreams.

At equal speeds and without contention, costs and choices are the same bit for bit.

--- a/crates/samphiregrade-gateway/src/exchange/dispatch.rs
+++ b/crates/samphiregrade-gateway/src/exchange/dispatch.rs
@@ -9,8 +9,10 @@
 use super::refusal::{Refusal, RefusalReason};
 use super::request::RoutedRequest;
 use super::survey::PlacementView;
+use crate::model::UpstreamTag;
 use crate::upstream::{
-    Candidate, LoadView, Outcome, Upstream, WorkEstimate, choose_upstream, estimate_loads,
+    Candidate, ContentionEstimate, ContentionView, LoadView, Outcome, SLOW_UPSTREAM, Upstream,
+    WorkEstimate, choose_upstream, estimate_loads, mean_excess,
 };
 
 /// Number of failed connections after which a request is refused: each costs no more than a round trip.
@@ -141,11 +143,17 @@
     if let Some(probed) = select_probe(context, request, &eligible, now) {
         return Some(probed);
     }
+    // The mean is over all upstreams: accounts are known of only a few.
+    let mean_excess = mean_excess(&contention_views(request, &eligible, now));
     let eligible = with_accounts(eligible, &request.view);
-    let candidates = candidates(context, request, &eligible, now);
+    let contentions = contentions(request, &eligible, mean_excess, now);
+    let candidates = candidates(context, request, &eligible, &contentions, now);
     let index = choose_upstream(&candidates, &work_estimate(request), rand::random())?;
     record.load = candidates[index].load;
     record.uncached = candidates[index].uncached_tokens;
+    record.slowdown = candidates[index].slowdown * candidates[index].contention.factor;
+    record.contention = candidates[index].contention.factor;
+    context.metrics.count_placement(speed_name(record.slowdown));
     Some(ChosenUpstream {
         upstream: eligible[index].clone(),
         is_probe: false,
@@ -175,11 +183,55 @@
     }
 }
 
+/// Returns how much longer the upstream takes for the same work than the median upstream of its service, as learned from
+/// responses; 1.0 if unknown.
+pub(super) fn learned_slowdown(_context: &EntryContext, _tag: UpstreamTag, _now: Instant) -> f64 {
+    1.0
+}
+
+/// Returns the name of an expected slowdown's range, for the metrics.
+fn speed_name(slowdown: f64) -> &'static str {
+    if slowdown > SLOW_UPSTREAM {
+        "slow"
+    } else {
+        "usual"
+    }
+}
+
+/// Returns what is known of the contention at the upstreams in the middle of the request: contention of a short time
+/// matters less to a long request.
+fn contention_views(
+    request: &RoutedRequest,
+    eligible: &[&Arc<Upstream>],
+    now: Instant,
+) -> Vec<ContentionView> {
+    let middle = now + request.times.slot_time() / 2;
+    let views = eligible
+        .iter()
+        .map(|upstream| upstream.contention_view(middle));
+    views.collect()
+}
+
+/// Returns the contention that is expected at the upstreams.
+fn contentions(
+    request: &RoutedRequest,
+    eligible: &[&Arc<Upstream>],
+    mean_excess: f64,
+    now: Instant,
+) -> Vec<ContentionEstimate> {
+    let views = contention_views(request, eligible, now);
+    views
+        .iter()
+        .map(|view| view.estimate(mean_excess))
+        .collect()
+}
+
 /// Describes upstreams as candidates for the request.
 fn candidates(
     context: &EntryContext,
     request: &RoutedRequest,
     eligible: &[&Arc<Upstream>],
+    contentions: &[ContentionEstimate],
     now: Instant,
 ) -> Vec<Candidate> {
     let explores = rand::random_bool(EXPLORATION_SHARE);
@@ -193,6 +245,9 @@
         candidate.connected |= explores;
         candidates.push(candidate);
     }
+    for (candidate, contention) in candidates.iter_mut().zip(contentions) {
+        candidate.contention = *contention;
+    }
     candidates
 }
 
@@ -219,6 +274,7 @@
         .outcomes
         .penalty(upstream.start_tag, repeatable, now);
     candidate.penalty += doubt;
+    candidate.slowdown = learned_slowdown(context, upstream.start_tag, now);
     candidate
 }
 
--- a/crates/samphiregrade-gateway/src/exchange/outcome.rs
+++ b/crates/samphiregrade-gateway/src/exchange/outcome.rs
@@ -63,6 +63,10 @@
     pub load: f64,
     /// Estimated prompt tokens that the chosen upstream did not have in its cache.
     pub uncached: u32,
+    /// Expected time of work at the chosen upstream, as a multiple of the time at the median upstream of its service.
+    pub slowdown: f64,
+    /// The part of `slowdown` that is due to contention on the upstream's machine.
+    pub contention: f64,
     /// Survey of the keepers before the request was placed; `None` if there was none.
     pub survey: Option<SurveyRecord>,
     /// Rank of the request at the engine; `None` if it was not sent to an engine.
@@ -106,6 +110,8 @@
     sends: u32,
     load: f64,
     uncached: u32,
+    slowdown: f64,
+    contention: f64,
     #[serde(skip_serializing_if = "Option::is_none")]
     accounts: Option<usize>,
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -149,6 +155,8 @@
             sends: 0,
             load: 0.0,
             uncached: 0,
+            slowdown: 1.0,
+            contention: 1.0,
             survey: None,
             rank: None,
             program_left: None,
@@ -195,6 +203,8 @@
             sends: self.sends,
             load: (self.load * 10.0).round() / 10.0,
             uncached: self.uncached,
+            slowdown: (self.slowdown * 100.0).round() / 100.0,
+            contention: (self.contention * 100.0).round() / 100.0,
             accounts: self.survey.map(|survey| survey.accounts),
             survey_ms: self.survey.map(|survey| milliseconds(survey.duration)),
             rank: self.rank,
--- a/crates/samphiregrade-gateway/src/observe/metrics.rs
+++ b/crates/samphiregrade-gateway/src/observe/metrics.rs
@@ -35,6 +35,7 @@
     latency: Histogram<f64>,
     before_send: Histogram<f64>,
     sends: Counter<u64>,
+    placements: Counter<u64>,
     store_calls: Counter<u64>,
     keeper_calls: Counter<u64>,
 }
@@ -71,6 +72,10 @@
                 .u64_counter("samphiregrade_upstream_sends")
                 .with_description("Requests sent to upstreams, by result")
                 .build(),
+            placements: meter
+                .u64_counter("samphiregrade_upstream_placements")
+                .with_description("Choices of an upstream, by its expected speed")
+                .build(),
             store_calls: meter
                 .u64_counter("samphiregrade_store_calls")
                 .with_description("Calls of the key-value service, by result")
@@ -104,6 +109,11 @@
         self.sends.add(1, &[KeyValue::new("result", result)]);
     }
 
+    /// Counts the choice of an upstream.
+    pub fn count_placement(&self, speed: &'static str) {
+        self.placements.add(1, &[KeyValue::new("speed", speed)]);
+    }
+
     /// Counts a call to the key-value service.
     pub fn count_store_call(&self, result: &'static str) {
         self.store_calls.add(1, &[KeyValue::new("result", result)]);
--- a/crates/samphiregrade-gateway/src/upstream/balance.rs
+++ b/crates/samphiregrade-gateway/src/upstream/balance.rs
@@ -43,8 +43,26 @@
 /// cached fill up before another engine processes it.
 const HOME_PREFILL_SHARE: f64 = 0.15;
 
+/// Slowdown above which an upstream counts as slow.
+pub const SLOW_UPSTREAM: f64 = 1.4;
+
+/// Weight of contention in costs. Contention lasts for about as long as a turn takes: at its full weight, turns that
+/// avoid contended engines at high load queue elsewhere for longer than the contention lasts. In
+/// tests/suite/placement.rs at twice the mean load with current loads, a turn takes 0.42 s at the full weight and 0.37 s
+/// at this one; at the mean load, it takes 0.29 s at both.
+const CONTENTION_WEIGHT: f64 = 0.25;
+
+/// Part of a request's own time by which costs may exceed the least one for a random draw, per unit of the contention
+/// that is assumed but not reported. Entries whose views are old would otherwise all select the upstream that looked
+/// best at the same past moment.
+const DRAW_SHARE: f64 = 0.15;
+
+/// Part of the queueing time at the cheapest upstream that is added to the range of the draw: the longer the queues,
+/// the more they have changed since they were reported.
+const QUEUE_DRAW_SHARE: f64 = 0.5;
+
 /// An upstream that may be selected for a request, with what the selection depends on.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Candidate {
     /// Estimated number of requests that run or wait at the upstream.
     pub load: f64,
@@ -58,6 +76,26 @@
     pub connected: bool,
     /// Expected extra time while the upstream warms up or is suspected of failing.
     pub penalty: Duration,
+    /// Time that the upstream takes for the same work without contention, relative to the median upstream of its
+    /// service.
+    pub slowdown: f64,
+    /// Expected contention on the upstream's machine while the request runs.
+    pub contention: ContentionEstimate,
+}
+
+impl Default for Candidate {
+    fn default() -> Self {
+        Self {
+            load: 0.0,
+            slots: 0.0,
+            uncached_tokens: 0,
+            in_other_domain: false,
+            connected: false,
+            penalty: Duration::ZERO,
+            slowdown: 1.0,
+            contention: ContentionEstimate::default(),
+        }
+    }
 }
 
 /// An instance's own view of an upstream's load.
@@ -87,6 +125,54 @@
     views.iter().map(load).collect()
 }
 
+/// An instance's own view of the contention on an upstream's machine.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ContentionView {
+    /// Additional time that work took there according to the upstream's last response, as a multiple of the usual time.
+    pub excess: f64,
+    /// Weight of `excess`, from 0 (outdated) to 1 (current).
+    pub freshness: f64,
+}
+
+/// Expected contention on an upstream's machine.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ContentionEstimate {
+    /// Time that work takes, as a multiple of the usual time.
+    pub factor: f64,
+    /// Part of the factor that is assumed from other upstreams.
+    pub assumed: f64,
+}
+
+impl Default for ContentionEstimate {
+    fn default() -> Self {
+        Self {
+            factor: 1.0,
+            assumed: 0.0,
+        }
+    }
+}
+
+impl ContentionView {
+    /// Returns the expected contention: the outdated share of the view is replaced by the mean excess over the service's
+    /// upstreams.
+    #[must_use]
+    pub fn estimate(&self, mean_excess: f64) -> ContentionEstimate {
+        let assumed = mean_excess * (1.0 - self.freshness);
+        ContentionEstimate {
+            factor: 1.0 + self.excess * self.freshness + assumed,
+            assumed,
+        }
+    }
+}
+
+/// Returns the mean excess over the upstreams of one service, weighted by freshness.
+#[must_use]
+pub fn mean_excess(views: &[ContentionView]) -> f64 {
+    let known: f64 = views.iter().map(|view| view.freshness).sum();
+    let excess: f64 = views.iter().map(|view| view.excess * view.freshness).sum();
+    excess / known.max(MIN_FRESHNESS)
+}
+
 /// Expected resource use of a request, known before it runs.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct WorkEstimate {
@@ -122,17 +208,30 @@
         };
     }
 
+    /// Returns the factor by which costs account for the upstream's speed and contention.
+    fn cost_factor(&self) -> f64 {
+        self.slowdown * (1.0 + CONTENTION_WEIGHT * (self.contention.factor - 1.0))
+    }
+
+    /// Returns the time for which the request waits for a slot, in milliseconds, at the median speed.
+    fn queueing(&self, work: &WorkEstimate) -> f64 {
+        let slots = self.slots.max(1.0);
+        let ahead = (self.load + 1.0 - slots).max(0.0);
+        ahead * work.slot_milliseconds / slots
+    }
+
     /// Returns the cost of the request at this upstream, in milliseconds: the request's own expected time and, on an
     /// engine, the delay that it causes for the requests that already run there.
     ///
     /// An engine processes a prompt between the steps of its batch, so every running request waits meanwhile. A cache
     /// miss is therefore most expensive on engines that are nearly full.
+    ///
+    /// All work takes longer on a slow upstream. Of the request's own time only the difference to the median upstream
+    /// is charged, since the rest is the same everywhere.
     #[must_use]
     pub fn cost(&self, work: &WorkEstimate) -> f64 {
         let slots = self.slots.max(1.0);
         let running = self.load.min(slots);
-        let ahead = (self.load + 1.0 - slots).max(0.0);
-        let queue = ahead * work.slot_milliseconds / slots;
         let domain_latency = if self.in_other_domain {
             OTHER_DOMAIN_MILLISECONDS
         } else {
@@ -149,7 +248,10 @@
         } else {
             PLAIN_CONTENTION * work.slot_milliseconds * running / slots
         };
-        execution + queue + domain_latency + connection + self.penalty.as_secs_f64() * 1000.0
+        let factor = self.cost_factor();
+        let own_extra = work.slot_milliseconds * (factor - 1.0);
+        let upstream_time = (execution + self.queueing(work)) * factor + own_extra;
+        upstream_time + domain_latency + connection + self.penalty.as_secs_f64() * 1000.0
     }
 }
 
@@ -159,7 +261,8 @@
     (f64::from(tokens) * (1.0 - HOME_PREFILL_SHARE)) as u32
 }
 
-/// Returns the index of the candidate with the least cost; `draw`, from 0 to 1, selects among candidates of equal cost.
+/// Returns the index of the candidate with the least cost; `draw`, from 0 to 1, selects among candidates of equal cost,
+/// or of similar cost if the contention on the cheapest one is assumed.
 #[must_use]
 pub fn choose_upstream(candidates: &[Candidate], work: &WorkEstimate, draw: f64) -> Option<usize> {
     let costs: Vec<f64> = candidates
@@ -167,6 +270,10 @@
         .map(|candidate| candidate.cost(work))
         .collect();
     let least = costs.iter().copied().fold(f64::INFINITY, f64::min);
+    let width = draw_width(candidates, &costs, work);
+    if width > 0.0 {
+        return draw_in_proportion(&costs, least, width + INDIFFERENCE_MILLISECONDS, draw);
+    }
     let cheapest: Vec<usize> = (0..costs.len())
         .filter(|&index| costs[index] <= least + INDIFFERENCE_MILLISECONDS)
         .collect();
@@ -180,3 +287,33 @@
         .get(position.min(cheapest.len().saturating_sub(1)))
         .copied()
 }
+
+/// Returns by how many milliseconds a cost may exceed the least one because the contention on the cheapest candidate is
+/// assumed; 0 if no upstream reports contention.
+fn draw_width(candidates: &[Candidate], costs: &[f64], work: &WorkEstimate) -> f64 {
+    let cheapest = (0..costs.len()).min_by(|&one, &other| costs[one].total_cmp(&costs[other]));
+    let Some(candidate) = cheapest.map(|index| &candidates[index]) else {
+        return 0.0;
+    };
+    let assumed = candidate.contention.assumed;
+    if assumed <= 0.0 {
+        return 0.0;
+    }
+    DRAW_SHARE * work.slot_milliseconds * assumed + QUEUE_DRAW_SHARE * candidate.queueing(work)
+}
+
+/// Draws an index with a probability that decreases linearly from the least cost to none at `width` above it.
+fn draw_in_proportion(costs: &[f64], least: f64, width: f64, draw: f64) -> Option<usize> {
+    let weights: Vec<f64> = costs
+        .iter()
+        .map(|cost| (1.0 - (cost - least) / width).max(0.0))
+        .collect();
+    let mut rest = draw * weights.iter().sum::<f64>();
+    for (index, weight) in weights.iter().enumerate() {
+        rest -= weight;
+        if rest < 0.0 {
+            return Some(index);
+        }
+    }
+    weights.iter().rposition(|&weight| weight > 0.0)
+}
--- a/crates/samphiregrade-gateway/src/upstream/mod.rs
+++ b/crates/samphiregrade-gateway/src/upstream/mod.rs
@@ -13,7 +13,10 @@
 mod service_times;
 mod silence;
 
-pub use balance::{Candidate, LoadView, WorkEstimate, choose_upstream, estimate_loads};
+pub use balance::{
+    Candidate, ContentionEstimate, ContentionView, LoadView, SLOW_UPSTREAM, WorkEstimate,
+    choose_upstream, estimate_loads, mean_excess,
+};
 pub use breaker::{BreakerState, UpstreamBreaker};
 pub use cache::PrefixCache;
 pub use directory::{DepartureRule, REREGISTRATION_TIME, UpstreamDirectory, UpstreamRegistry};
--- a/crates/samphiregrade-gateway/src/upstream/peer.rs
+++ b/crates/samphiregrade-gateway/src/upstream/peer.rs
@@ -1,13 +1,14 @@
 //! State of one upstream: connections, load, circuit breaker and cache estimate.
 
 use std::io;
+use std::ops::RangeInclusive;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use samphiregrade_http::wire::{SocketLimits, WireSocket};
 
-use super::balance::{Candidate, LoadView};
+use super::balance::{Candidate, ContentionView, LoadView};
 use super::breaker::{BreakerState, UpstreamBreaker};
 use super::cache::PrefixCache;
 use super::outcome_board::OutcomeTracker;
@@ -19,6 +20,13 @@
 /// Half-life of a reported load: requests last some hundreds of milliseconds.
 const LOAD_HALF_LIFE: Duration = Duration::from_millis(250);
 
+/// Half-life of a reported contention: contention of shared machines changes about every 600 ms.
+const CONTENTION_HALF_LIFE: Duration = Duration::from_millis(300);
+
+/// Bounds of a reported contention, in per cent: an absurd report would otherwise dominate the mean of its service for
+/// seconds.
+const CONTENTION_BOUNDS: RangeInclusive<u32> = 25..=800;
+
 /// Longest time for which an idle connection is kept, even if the upstream allows more.
 const MAX_IDLE: Duration = Duration::from_secs(8);
 
@@ -162,6 +170,7 @@
             in_other_domain: self.record.domain != *domain,
             connected: self.has_idle(now),
             penalty,
+            ..Candidate::default()
         }
     }
 
@@ -199,6 +208,22 @@
         }
     }
 
+    /// Returns what is known of the contention on the upstream's machine at a time, according to the upstream's last
+    /// response.
+    #[must_use]
+    pub fn contention_view(&self, at: Instant) -> ContentionView {
+        let Some(report) = *lock_ignoring_poison(&self.report) else {
+            return ContentionView::default();
+        };
+        let (lower, upper) = CONTENTION_BOUNDS.into_inner();
+        let percent = report.load.contention_percent.clamp(lower, upper);
+        let age = at.saturating_duration_since(report.at).as_secs_f64();
+        ContentionView {
+            excess: f64::from(percent) / 100.0 - 1.0,
+            freshness: 0.5_f64.powf(age / CONTENTION_HALF_LIFE.as_secs_f64()),
+        }
+    }
+
     /// Counts a request as in flight at the upstream until the guard is dropped.
     #[must_use]
     pub fn begin(self: &Arc<Self>) -> InFlightGuard {
--- a/crates/samphiregrade-gateway/tests/suite/upstreams.rs
+++ b/crates/samphiregrade-gateway/tests/suite/upstreams.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use samphiregrade_gateway::model::{PromptPart, ReportedLoad, UpstreamRecord, UpstreamState};
-use samphiregrade_gateway::upstream::{DepartureRule, Upstream, UpstreamRegistry};
+use samphiregrade_gateway::upstream::{ContentionView, DepartureRule, Upstream, UpstreamRegistry};
 
 const DRAIN: Duration = Duration::from_secs(2);
 
@@ -111,6 +111,27 @@
     assert!((upstream.load(now) - 4.0).abs() < 0.01);
 }
 
+#[test]
+fn reported_contention_is_bounded_and_decays() {
+    let now = Instant::now();
+    let domain_monitor = std::sync::Arc::default();
+    let upstream = Upstream::new(record("i-1", UpstreamState::Ready), domain_monitor, now);
+    assert_eq!(upstream.contention_view(now), ContentionView::default());
+    for (contention_percent, excess) in [(250, 1.5), (100, 0.0), (4_000_000, 7.0)] {
+        let load = ReportedLoad {
+            contention_percent,
+            ..ReportedLoad::default()
+        };
+        upstream.note_load(load, now);
+        let view = upstream.contention_view(now + Duration::from_millis(300));
+        let expected = ContentionView {
+            excess,
+            freshness: 0.5,
+        };
+        assert_eq!(view, expected);
+    }
+}
+
 #[test]
 fn unresponsive_failure_domain_adds_a_penalty_to_all_its_upstreams() {
     let now = Instant::now();
