Rank slow engines last as homes of shared prefixes

A home on a slow engine keeps a shared prefix cached where turns should not run. Engines with a learned slowdown above 1.4 now follow all others and are homes only if there are fewer than two others. Without slow engines the ranking is unchanged.

--- a/crates/samphiregrade-gateway/src/exchange/survey.rs
+++ b/crates/samphiregrade-gateway/src/exchange/survey.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use super::context::EntryContext;
+use super::dispatch::learned_slowdown;
 use super::request::RoutedRequest;
 use crate::fact::KeeperClient;
 use crate::model::UpstreamTag;
@@ -86,7 +87,9 @@
         .filter(|upstream| upstream.takes_requests())
         .collect();
     let engines: Vec<u64> = eligible.iter().map(|upstream| upstream.tag).collect();
-    let ranking = rank_homes(first, &engines);
+    let now = Instant::now();
+    let slowdown = |index: usize| learned_slowdown(context, eligible[index].start_tag, now);
+    let ranking = rank_homes(first, &engines).with_slow_last(slowdown);
     let homes = ranking
         .homes()
         .iter()
--- a/crates/samphiregrade-gateway/src/upstream/homes.rs
+++ b/crates/samphiregrade-gateway/src/upstream/homes.rs
@@ -12,6 +12,7 @@
 use rand::Rng;
 use rand::seq::SliceRandom;
 
+use super::balance::SLOW_UPSTREAM;
 use crate::mix::hash_pair;
 
 /// Half-life of a counted request: a burst of one kind of prompt takes effect within seconds.
@@ -120,6 +121,20 @@
         &self.order[..self.count]
     }
 
+    /// Ranks slow engines after all others; they are homes only if there are too few others for the minimum number.
+    /// `slowdown` returns an engine's slowdown by its index.
+    #[must_use]
+    pub fn with_slow_last<Slowdown>(mut self, slowdown: Slowdown) -> Self
+    where
+        Slowdown: Fn(usize) -> f64,
+    {
+        let is_slow = |index: &usize| slowdown(*index) > SLOW_UPSTREAM;
+        self.order.sort_by_key(is_slow);
+        let others = self.order.partition_point(|index| !is_slow(index));
+        self.count = self.count.min(others.max(MIN_HOMES));
+        self
+    }
+
     /// Returns up to `spares` engines that follow the homes in the order, and up to `homes` randomly selected homes.
     pub fn sample<Source>(mut self, homes: usize, spares: usize, source: &mut Source) -> Vec<usize>
     where
--- a/crates/samphiregrade-gateway/tests/suite/balance.rs
+++ b/crates/samphiregrade-gateway/tests/suite/balance.rs
@@ -228,6 +228,27 @@
     assert_eq!(homes.clone().sample(99, 99, &mut random).len(), 40);
 }
 
+#[test]
+fn slow_engines_are_the_last_homes() {
+    let engines: Vec<u64> = (0..40).collect();
+    let part = SharedPrefix {
+        tag: 7,
+        tokens: 10_000,
+        share: 0.5,
+        capacity: 50_000,
+    };
+    let ranking = rank_homes(&part, &engines);
+    assert_eq!(ranking.clone().with_slow_last(|_| 1.4), ranking);
+    let is_slow = |index: usize| index.is_multiple_of(4);
+    let slowdown = |index| if is_slow(index) { 2.2 } else { 1.0 };
+    let by_speed = ranking.clone().with_slow_last(slowdown);
+    assert_eq!((ranking.count, by_speed.count), (30, 30));
+    assert!(!by_speed.homes().iter().any(|&index| is_slow(index)));
+    let fast = ranking.order.iter().filter(|&&index| !is_slow(index));
+    assert!(fast.eq(by_speed.homes()), "the order of the others stays");
+    assert_eq!(ranking.with_slow_last(|_| 2.2).count, 2);
+}
+
 #[test]
 fn homes_scale_with_the_share_and_stay_when_an_engine_is_removed() {
     let engines: Vec<u64> = (0..40_u64)
