Select additional upstreams of a keeper's reply by expected completion

Keepers added the least loaded upstreams to a reply, which are the slow ones when turns avoid these. The order is now the expected completion, by a slowdown that the caller passes; with equal slowdowns it is the number of runs as before.

--- a/crates/samphiregrade-gateway/src/fact/service.rs
+++ b/crates/samphiregrade-gateway/src/fact/service.rs
@@ -219,7 +219,7 @@
                 KeeperReply::Noted
             }
             KeeperRequest::Accounts(question) => KeeperReply::Accounts {
-                accounts: self.with(|state| state.runs.answer(&question, now)),
+                accounts: self.with(|state| state.runs.answer(&question, now, |_| 1.0)),
                 suspects: self.suspects(),
                 helper: self.with(|state| state.followers.next(None, now)),
             },
--- a/crates/samphiregrade-gateway/src/upstream/run_table.rs
+++ b/crates/samphiregrade-gateway/src/upstream/run_table.rs
@@ -20,6 +20,10 @@
 /// Number of additional upstreams in a reply, the least loaded ones: a turn uses them if its home engines are full.
 const EXTRA_UPSTREAMS: usize = 3;
 
+/// Number of concurrent requests that engines are assumed to run: keepers don't know it. An idle slow upstream precedes
+/// a fast one only if the latter has more requests than it runs concurrently.
+const ASSUMED_SLOTS: u32 = 8;
+
 /// Time without a request after which an upstream isn't added to replies: it may have left.
 const EXTRA_ACTIVITY_TIME: Duration = Duration::from_secs(5);
 
@@ -152,13 +156,22 @@
         }
     }
 
-    /// Returns the accounts of the queried upstreams, and of the least loaded others of the service.
-    pub fn answer(&mut self, query: &AccountQuery, now: Instant) -> Vec<UpstreamAccount> {
+    /// Returns the accounts of the queried upstreams, and of the others of the service at which a request is expected to
+    /// complete first. `slowdown` returns an upstream's slowdown.
+    pub fn answer<Slowdown>(
+        &mut self,
+        query: &AccountQuery,
+        now: Instant,
+        slowdown: Slowdown,
+    ) -> Vec<UpstreamAccount>
+    where
+        Slowdown: Fn(UpstreamTag) -> f64,
+    {
         let mut accounts = Vec::with_capacity(query.upstreams.len() + EXTRA_UPSTREAMS);
         for &tag in &query.upstreams {
             accounts.push(self.account(tag, &query.prompt, now));
         }
-        for tag in self.least_loaded_others(query, now) {
+        for tag in self.fastest_others(query, now, slowdown) {
             accounts.push(self.account(tag, &query.prompt, now));
         }
         accounts
@@ -190,18 +203,31 @@
         }
     }
 
-    fn least_loaded_others(&mut self, query: &AccountQuery, now: Instant) -> Vec<UpstreamTag> {
+    fn fastest_others<Slowdown>(
+        &mut self,
+        query: &AccountQuery,
+        now: Instant,
+        slowdown: Slowdown,
+    ) -> Vec<UpstreamTag>
+    where
+        Slowdown: Fn(UpstreamTag) -> f64,
+    {
         let mut others = Vec::new();
         for (&tag, runs) in &mut self.upstreams {
             let active = now.saturating_duration_since(runs.last_start) < EXTRA_ACTIVITY_TIME;
             if !active || runs.service != query.service || query.upstreams.contains(&tag) {
                 continue;
             }
-            others.push((runs.running(now), tag));
+            let running = runs.running(now);
+            let completion = expected_completion(running, slowdown(tag));
+            others.push((completion, running, tag));
         }
-        others.sort_unstable();
+        others.sort_unstable_by(|one, other| {
+            let by_load = (one.1, one.2).cmp(&(other.1, other.2));
+            one.0.total_cmp(&other.0).then(by_load)
+        });
         others.truncate(EXTRA_UPSTREAMS);
-        others.into_iter().map(|(_, tag)| tag).collect()
+        others.into_iter().map(|(_, _, tag)| tag).collect()
     }
 
     fn drop_unused(&mut self, now: Instant) {
@@ -209,3 +235,9 @@
             .retain(|_, runs| now.saturating_duration_since(runs.last_start) < DROP_AFTER);
     }
 }
+
+/// Returns the expected completion of another request at an upstream, in units of the time for which a request occupies
+/// a slot, divided by the assumed slots.
+fn expected_completion(running: u32, slowdown: f64) -> f64 {
+    slowdown * f64::from(running.saturating_add(1).max(ASSUMED_SLOTS))
+}
--- a/crates/samphiregrade-gateway/tests/suite/run_table.rs
+++ b/crates/samphiregrade-gateway/tests/suite/run_table.rs
@@ -44,13 +44,13 @@
     let prompt = [part(1, 12_000), part(2, 800)];
     table.begin(start(7, 1, &prompt), now);
     table.begin(start(7, 2, &prompt), now);
-    let accounts = table.answer(&query(&[7], &prompt), now);
+    let accounts = table.answer(&query(&[7], &prompt), now, |_| 1.0);
     assert_eq!((accounts[0].running, accounts[0].uncached), (2, 0));
     table.end(RunEnd {
         upstream: 7,
         run: 1,
     });
-    let accounts = table.answer(&query(&[7], &[part(1, 12_000), part(3, 500)]), now);
+    let accounts = table.answer(&query(&[7], &[part(1, 12_000), part(3, 500)]), now, |_| 1.0);
     assert_eq!((accounts[0].running, accounts[0].uncached), (1, 500));
 }
 
@@ -60,7 +60,10 @@
     let mut table = RunTable::new(now);
     table.begin(start(7, 1, &[]), now);
     let later = now + Duration::from_millis(2001);
-    assert_eq!(table.answer(&query(&[7], &[]), later)[0].running, 0);
+    assert_eq!(
+        table.answer(&query(&[7], &[]), later, |_| 1.0)[0].running,
+        0
+    );
 }
 
 #[test]
@@ -71,14 +74,14 @@
     for (upstream, run) in [(7, 9), (8, 1)] {
         table.end(RunEnd { upstream, run });
     }
-    assert_eq!(table.answer(&query(&[7], &[]), now)[0].running, 1);
+    assert_eq!(table.answer(&query(&[7], &[]), now, |_| 1.0)[0].running, 1);
     for _ in 0..2 {
         table.end(RunEnd {
             upstream: 7,
             run: 1,
         });
     }
-    assert_eq!(table.answer(&query(&[7], &[]), now)[0].running, 0);
+    assert_eq!(table.answer(&query(&[7], &[]), now, |_| 1.0)[0].running, 0);
 }
 
 #[test]
@@ -86,7 +89,7 @@
     let now = Instant::now();
     let mut table = RunTable::new(now);
     let later = now + Duration::from_secs(4);
-    let accounts = table.answer(&query(&[7], &[part(1, 900)]), later);
+    let accounts = table.answer(&query(&[7], &[part(1, 900)]), later, |_| 1.0);
     assert_eq!((accounts[0].running, accounts[0].uncached), (0, 900));
     assert_eq!(accounts[0].informed, Duration::from_secs(4));
 }
@@ -105,11 +108,11 @@
         ..start(99, 1, &[])
     };
     table.begin(other_service, now);
-    let accounts = table.answer(&query(&[19], &[]), now);
+    let accounts = table.answer(&query(&[19], &[]), now, |_| 1.0);
     let tags: Vec<u64> = accounts.iter().map(|account| account.upstream).collect();
     assert_eq!(tags, [19, 0, 1, 2]);
     let later = now + Duration::from_secs(30);
-    let accounts = table.answer(&query(&[19], &[]), later);
+    let accounts = table.answer(&query(&[19], &[]), later, |_| 1.0);
     assert_eq!(
         accounts.len(),
         1,
@@ -117,6 +120,25 @@
     );
 }
 
+// Guards against idle slow upstreams in replies while fast ones have room, and against full fast ones otherwise.
+#[test]
+fn reply_includes_slow_upstreams_only_if_the_others_are_full() {
+    let now = Instant::now();
+    let slowdown = |tag| if tag < 4 { 2.2 } else { 1.0 };
+    for (runs, expected) in [(7, [4, 5, 6]), (20, [0, 1, 2])] {
+        let mut table = RunTable::new(now);
+        for upstream in 0..8 {
+            let runs = if upstream < 4 { 1 } else { runs };
+            for run in 0..runs {
+                table.begin(start(upstream, run, &[]), now);
+            }
+        }
+        let accounts = table.answer(&query(&[], &[]), now, slowdown);
+        let tags: Vec<u64> = accounts.iter().map(|account| account.upstream).collect();
+        assert_eq!(tags, expected);
+    }
+}
+
 #[test]
 fn keeper_account_replaces_an_older_view() {
     let account = UpstreamAccount {
@@ -266,7 +288,7 @@
         for index in homes.sample(5, 2, &mut self.random) {
             let engine = self.engines[index];
             let slot = self.placement.account_slots(engine)[0];
-            accounts.extend(self.tables[slot].answer(&query(&[engine], prompt), now));
+            accounts.extend(self.tables[slot].answer(&query(&[engine], prompt), now, |_| 1.0));
         }
         let candidates: Vec<Candidate> = accounts
             .iter()
