Use slow upstreams while the others have long queues

A slow upstream gets few requests, so entries rarely have its load and took it for the mean. The cost of that load times the slowdown is always above that of the others, and slow upstreams stayed idle behind long queues. An outdated view of a slow upstream now tends to the load at which requests complete as soon as elsewhere, and the draw by queueing time also applies where only speeds differ.

--- a/crates/samphiregrade-gateway/src/exchange/dispatch.rs
+++ b/crates/samphiregrade-gateway/src/exchange/dispatch.rs
@@ -240,7 +240,8 @@
         .map(|upstream| upstream.load_view(now))
         .collect();
     let mut candidates = Vec::with_capacity(eligible.len());
-    for (upstream, load) in eligible.iter().zip(estimate_loads(&views)) {
+    let slowdown = |index: usize| learned_slowdown(context, eligible[index].start_tag, now);
+    for (upstream, load) in eligible.iter().zip(estimate_loads(&views, slowdown)) {
         let mut candidate = candidate(context, request, upstream, load, now);
         candidate.connected |= explores;
         candidates.push(candidate);
--- a/crates/samphiregrade-gateway/src/upstream/balance.rs
+++ b/crates/samphiregrade-gateway/src/upstream/balance.rs
@@ -57,8 +57,8 @@
 /// best at the same past moment.
 const DRAW_SHARE: f64 = 0.15;
 
-/// Part of the queueing time at the cheapest upstream that is added to the range of the draw: the longer the queues,
-/// the more they have changed since they were reported.
+/// Part of the queueing time at the cheapest upstream that is added to the range of the draw where speeds or contention
+/// differ: the longer the queues, the more they have changed since they were reported.
 const QUEUE_DRAW_SHARE: f64 = 0.5;
 
 /// An upstream that may be selected for a request, with what the selection depends on.
@@ -113,16 +113,25 @@
 ///
 /// The outdated share of a view is replaced by the mean over the other upstreams: an upstream without a recent response
 /// does not count as idle, and is not preferred to one that has just responded.
+///
+/// `slowdown` returns an upstream's slowdown by its index. The more outdated the view of a slow upstream is, the more it
+/// is assumed to have the load at which a request completes as soon as at the mean load elsewhere: it gets few requests
+/// and reports its load rarely, so with the mean load assumed it would stay unused while the others have long queues.
 #[must_use]
-pub fn estimate_loads(views: &[LoadView]) -> Vec<f64> {
+pub fn estimate_loads<Slowdown>(views: &[LoadView], slowdown: Slowdown) -> Vec<f64>
+where
+    Slowdown: Fn(usize) -> f64,
+{
     let known: f64 = views.iter().map(|view| view.freshness).sum();
     let others: f64 = views.iter().map(|view| view.others * view.freshness).sum();
     let mean = others / known.max(MIN_FRESHNESS);
-    let load = |view: &LoadView| {
+    let load = |(index, view): (usize, &LoadView)| {
         let outdated = 1.0 - view.freshness;
-        view.own + view.others * view.freshness + mean * outdated
+        let difference = (mean + 1.0) * (1.0 / slowdown(index) - 1.0);
+        let assumed = (mean + difference * outdated).max(0.0);
+        view.own + view.others * view.freshness + assumed * outdated
     };
-    views.iter().map(load).collect()
+    views.iter().enumerate().map(load).collect()
 }
 
 /// An instance's own view of the contention on an upstream's machine.
@@ -262,7 +271,7 @@
 }
 
 /// Returns the index of the candidate with the least cost; `draw`, from 0 to 1, selects among candidates of equal cost,
-/// or of similar cost if the contention on the cheapest one is assumed.
+/// or of similar cost if upstreams differ in speed or contention.
 #[must_use]
 pub fn choose_upstream(candidates: &[Candidate], work: &WorkEstimate, draw: f64) -> Option<usize> {
     let costs: Vec<f64> = candidates
@@ -288,17 +297,19 @@
         .copied()
 }
 
-/// Returns by how many milliseconds a cost may exceed the least one because the contention on the cheapest candidate is
-/// assumed; 0 if no upstream reports contention.
+/// Returns by how many milliseconds a cost may exceed the least one because the load or the contention of the cheapest
+/// candidate may have changed; 0 if all upstreams are equally fast and report no contention.
 fn draw_width(candidates: &[Candidate], costs: &[f64], work: &WorkEstimate) -> f64 {
+    let is_usual = |candidate: &Candidate| {
+        candidate.slowdown.total_cmp(&1.0).is_eq()
+            && candidate.contention == ContentionEstimate::default()
+    };
     let cheapest = (0..costs.len()).min_by(|&one, &other| costs[one].total_cmp(&costs[other]));
-    let Some(candidate) = cheapest.map(|index| &candidates[index]) else {
+    let Some(index) = cheapest.filter(|_| !candidates.iter().all(is_usual)) else {
         return 0.0;
     };
-    let assumed = candidate.contention.assumed;
-    if assumed <= 0.0 {
-        return 0.0;
-    }
+    let candidate = &candidates[index];
+    let assumed = candidate.contention.assumed.max(0.0);
     DRAW_SHARE * work.slot_milliseconds * assumed + QUEUE_DRAW_SHARE * candidate.queueing(work)
 }
 
--- a/crates/samphiregrade-gateway/tests/suite/balance.rs
+++ b/crates/samphiregrade-gateway/tests/suite/balance.rs
@@ -129,10 +129,40 @@
         ..LoadView::default()
     };
     let unknown = LoadView::default();
-    let loads = estimate_loads(&[fresh, faded, unknown]);
+    let loads = estimate_loads(&[fresh, faded, unknown], |_| 1.0);
     assert_eq!(loads, [4.0, 3.0, 3.0]);
     // Without any known load, only the own requests count.
-    assert_eq!(estimate_loads(&[unknown, faded]), [0.0, 0.0]);
+    assert_eq!(estimate_loads(&[unknown, faded], |_| 1.0), [0.0, 0.0]);
+}
+
+// Guards against a slow upstream that stays idle, and therefore unreported, while the others have long queues.
+#[test]
+fn slow_upstream_without_recent_response_is_used_if_the_others_have_queues() {
+    let report = |others| LoadView {
+        own: 0.0,
+        others,
+        freshness: 1.0,
+    };
+    let views = [
+        report(31.0),
+        report(33.0),
+        report(35.0),
+        LoadView::default(),
+    ];
+    let slowdown = |index| if index == 3 { 2.2 } else { 1.0 };
+    let loads = estimate_loads(&views, slowdown);
+    assert!((loads[3] - (34.0 / 2.2 - 1.0)).abs() < 1e-9, "{loads:?}");
+    let candidates: Vec<Candidate> = (0..4)
+        .map(|index| Candidate {
+            slowdown: slowdown(index),
+            ..candidate(loads[index], 0)
+        })
+        .collect();
+    let chosen = (0..100).map(|draw| choose_upstream(&candidates, &TURN, f64::from(draw) / 100.0));
+    let slow = chosen.filter(|choice| *choice == Some(3)).count();
+    assert!((15..35).contains(&slow), "{slow} of 100");
+    let idle = estimate_loads(&[report(0.5), LoadView::default()], |_| 2.2);
+    assert!(idle.iter().all(|&load| load >= 0.0), "{idle:?}");
 }
 
 #[test]
--- a/crates/samphiregrade-gateway/tests/suite/placement.rs
+++ b/crates/samphiregrade-gateway/tests/suite/placement.rs
@@ -128,7 +128,11 @@
         .collect();
     let mean = mean_excess(&views);
     let mut candidates = Vec::new();
-    for ((engine, view), load) in engines.iter().zip(&views).zip(estimate_loads(&loads)) {
+    for ((engine, view), load) in engines
+        .iter()
+        .zip(&views)
+        .zip(estimate_loads(&loads, |index| engines[index].speed))
+    {
         candidates.push(Candidate {
             load,
             slots: number(SLOTS),
