--- a/crates/samphiregrade-gateway/tests/suite/balance.rs
+++ b/crates/samphiregrade-gateway/tests/suite/balance.rs
@@ -129,10 +129,40 @@
         ..LoadView::default()
     };
     let unknown = LoadView::default();
-    let loads = estimate_loads(&[fresh, faded, unknown]);
+    let loads = estimate_loads(&[fresh, faded, unknown], |_| 1.0);
     assert_eq!(loads, [4.0, 3.0, 3.0]);
     // Without any known load, only the own requests count.
-    assert_eq!(estimate_loads(&[unknown, faded]), [0.0, 0.0]);
+    assert_eq!(estimate_loads(&[unknown, faded], |_| 1.0), [0.0, 0.0]);
+}
+
+// Guards against a slow upstream that stays idle, and therefore unreported, while the others have long queues.
+#[test]
+fn slow_upstream_without_recent_response_is_used_if_the_others_have_queues() {
+    let report = |others| LoadView {
+        own: 0.0,
+        others,
+        freshness: 1.0,
+    };
+    let views = [
+        report(31.0),
+        report(33.0),
+        report(35.0),
+        LoadView::default(),
+    ];
+    let slowdown = |index| if index == 3 { 2.2 } else { 1.0 };
+    let loads = estimate_loads(&views, slowdown);
+    assert!((loads[3] - (34.0 / 2.2 - 1.0)).abs() < 1e-9, "{loads:?}");
+    let candidates: Vec<Candidate> = (0..4)
+        .map(|index| Candidate {
+            slowdown: slowdown(index),
+            ..candidate(loads[index], 0)
+        })
+        .collect();
+    let chosen = (0..100).map(|draw| choose_upstream(&candidates, &TURN, f64::from(draw) / 100.0));
+    let slow = chosen.filter(|choice| *choice == Some(3)).count();
+    assert!((15..35).contains(&slow), "{slow} of 100");
+    let idle = estimate_loads(&[report(0.5), LoadView::default()], |_| 2.2);
+    assert!(idle.iter().all(|&load| load >= 0.0), "{idle:?}");
 }
 
 #[test]
@@ -228,6 +258,27 @@
     assert_eq!(homes.clone().sample(99, 99, &mut random).len(), 40);
 }
 
+#[test]
+fn slow_engines_are_the_last_homes() {
+    let engines: Vec<u64> = (0..40).collect();
+    let part = SharedPrefix {
+        tag: 7,
+        tokens: 10_000,
+        share: 0.5,
+        capacity: 50_000,
+    };
+    let ranking = rank_homes(&part, &engines);
+    assert_eq!(ranking.clone().with_slow_last(|_| 1.4), ranking);
+    let is_slow = |index: usize| index.is_multiple_of(4);
+    let slowdown = |index| if is_slow(index) { 2.2 } else { 1.0 };
+    let by_speed = ranking.clone().with_slow_last(slowdown);
+    assert_eq!((ranking.count, by_speed.count), (30, 30));
+    assert!(!by_speed.homes().iter().any(|&index| is_slow(index)));
+    let fast = ranking.order.iter().filter(|&&index| !is_slow(index));
+    assert!(fast.eq(by_speed.homes()), "the order of the others stays");
+    assert_eq!(ranking.with_slow_last(|_| 2.2).count, 2);
+}
+
 #[test]
 fn homes_scale_with_the_share_and_stay_when_an_engine_is_removed() {
     let engines: Vec<u64> = (0..40_u64)
