--- a/crates/samphiregrade-gateway/src/role/entry.rs
+++ b/crates/samphiregrade-gateway/src/role/entry.rs
@@ -54,7 +54,8 @@
     proof_age_ms: Option<u128>,
     /// How long the instance has been unable to reach the keepers, in milliseconds.
     cut_off_ms: u128,
-    cut_off_suspected: bool,
+    /// Whether enough keepers reply.
+    keepers: &'static str,
 }
 
 #[derive(Serialize)]
@@ -177,13 +178,22 @@
             configured: context.routes.load().is_some(),
             proof_age_ms: proof_age.map(|age| age.as_millis()),
             cut_off_ms: context.cut_off_for().as_millis(),
-            cut_off_suspected: context.is_cut_off_suspected(),
+            keepers: keeper_reach(context),
         };
         Logbook::global().record("readiness", &line);
     }
     ready
 }
 
+/// Returns the name of the instance's connection state to the keepers, for the log.
+fn keeper_reach(context: &EntryContext) -> &'static str {
+    match () {
+        () if !context.cut_off_for().is_zero() => "cut-off",
+        () if context.is_cut_off_suspected() => "suspected",
+        () => "reached",
+    }
+}
+
 fn answer_status_request(context: &EntryContext, name: &str, path: &str) -> ProbeResponse {
     if path == "/dump" {
         let body = serde_json::to_vec(&dump(context, name)).unwrap_or_default();
