Upstream speeds: samples, the keepers' estimates and the entries' values

Cause: with uneven upstreams, an entry sends each upstream one request every one to two seconds and cannot measure its speed.

Change: entries queue the times of responses; keepers compare each upstream with the median upstream of its service, per kind of work and with the effect of the load subtracted, and report those that differ by more than a fifth and by 3.5 standard errors.

--- a/crates/samphiregrade-gateway/src/upstream/mod.rs
+++ b/crates/samphiregrade-gateway/src/upstream/mod.rs
@@ -12,6 +12,9 @@
 mod run_table;
 mod service_times;
 mod silence;
+mod speed;
+mod speed_board;
+mod speed_estimate;
 
 pub use balance::{Candidate, LoadView, WorkEstimate, choose_upstream, estimate_loads};
 pub use breaker::{BreakerState, UpstreamBreaker};
@@ -25,3 +28,5 @@
 pub use run_table::{AccountQuery, RunEnd, RunNumber, RunStart, RunTable, UpstreamAccount};
 pub use service_times::{AnsweredRequest, RunningMedian, ServiceTimes};
 pub use silence::{ResponseMonitor, WaitNumber};
+pub use speed::{KnownSpeed, SampleSource, SpeedReport, SpeedSample, SpeedTable, UpstreamSpeed};
+pub use speed_board::SpeedBoard;
--- a/crates/samphiregrade-gateway/tests/suite/main.rs
+++ b/crates/samphiregrade-gateway/tests/suite/main.rs
@@ -24,6 +24,7 @@
 mod service_times;
 mod settings;
 mod silence;
+mod speed;
 mod turn_cache;
 mod upstreams;
 mod waiting;
