Upstream speeds: exchanged with keepers, sampled from complete responses

Cause: the estimates need the responses of all entries.

Change: requests to keepers carry samples beside outcomes, and replies carry the differing upstreams if the entry asks for them (at most five times a second, which bounds the bytes). A sample's time ends with the response's last part, before the commit. The wire format changes: instances of this and earlier builds cannot talk to each other. Tests of keepers construct the new fields; their checks are unchanged.

--- a/crates/samphiregrade-gateway/src/exchange/attempt.rs
+++ b/crates/samphiregrade-gateway/src/exchange/attempt.rs
@@ -13,7 +13,7 @@
 use super::request::RoutedRequest;
 use super::survey::RunGuard;
 use crate::access::CallerIdentity;
-use crate::model::{DispatchHeaders, ResponseMetadata};
+use crate::model::{DispatchHeaders, ReportedLoad, ResponseMetadata};
 use crate::upstream::{Outcome, Upstream};
 
 /// Maximum size of a response head, in bytes.
@@ -49,6 +49,8 @@
     pub sent_at: Instant,
     /// Time from sending the request to receiving the head of the response.
     pub time_to_head: Duration,
+    /// Load of the upstream, as the head reports it.
+    pub load: Option<ReportedLoad>,
 }
 
 /// The upstream chosen for an attempt.
@@ -258,6 +260,7 @@
             is_probe: self.is_probe,
             sent_at,
             time_to_head: now.saturating_duration_since(sent_at),
+            load: metadata.load,
             framing,
             guard: self.guard,
         }))
--- a/crates/samphiregrade-gateway/src/exchange/relay.rs
+++ b/crates/samphiregrade-gateway/src/exchange/relay.rs
@@ -16,7 +16,7 @@
 use super::request::RoutedRequest;
 use super::turn::TurnPlan;
 use crate::model::UpstreamRecord;
-use crate::upstream::{AnsweredRequest, Outcome};
+use crate::upstream::{AnsweredRequest, Outcome, SampleSource, SpeedSample};
 
 /// Time without data after which a response is abandoned if the network path to its upstream was found to be broken: a
 /// lost packet is resent within this time, and callers wait about two seconds before they disconnect.
@@ -92,6 +92,8 @@
     parser: EventParser,
     framing: ClientFraming,
     started: bool,
+    /// When the last part of the response arrived; what follows depends on the keepers and the client only.
+    body_ended: Option<Instant>,
 }
 
 /// Relays a response to the client.
@@ -123,6 +125,7 @@
         parser: EventParser::new(retained),
         framing,
         started: false,
+        body_ended: None,
     };
     let result = relay.run(&mut response, retained).await;
     if let Some(outcome) = upstream_outcome(&result, &response) {
@@ -138,6 +141,9 @@
             total: response.sent_at.elapsed(),
         };
         context.record_times(&request.service, &answered);
+        if let Some(sample) = relay.speed_sample(&response, spent) {
+            context.speeds.note(sample, Instant::now());
+        }
     }
     let end = match result {
         Ok(()) => {
@@ -159,11 +165,35 @@
         self.parser.started_events().saturating_mul(per_event)
     }
 
+    /// Returns what the complete response says about the speed of its upstream.
+    fn speed_sample(&self, response: &LiveResponse, tokens: u32) -> Option<SpeedSample> {
+        let service = &self.request.service;
+        let total = self.body_ended?.saturating_duration_since(response.sent_at);
+        let source = SampleSource {
+            upstream: response.guard.upstream().start_tag,
+            service: &service.name,
+            // Requests that wait at an engine don't slow down the running ones.
+            load: response.load.map_or(0, |load| match service.engine {
+                Some(_) => load.running,
+                None => load.running.saturating_add(load.waiting),
+            }),
+            contention: 1.0,
+        };
+        if service.engine.is_some() {
+            let generation = total.saturating_sub(response.time_to_head);
+            return SpeedSample::of_engine(&source, generation, tokens);
+        }
+        SpeedSample::of_plain(&source, &self.request.route.name, total)
+    }
+
     async fn run(&mut self, response: &mut LiveResponse, retained: bool) -> Result<(), RelayStop> {
         let mut output = BytesMut::with_capacity(1024);
         self.write_head(&response.head, &mut output);
         loop {
             let ended = self.transfer_body(response, &mut output)?;
+            if ended {
+                self.body_ended = Some(Instant::now());
+            }
             if ended && retained {
                 self.flush(&mut output).await?;
                 self.commit(&response.guard.upstream().record).await?;
--- a/crates/samphiregrade-gateway/src/fact/client.rs
+++ b/crates/samphiregrade-gateway/src/fact/client.rs
@@ -19,7 +19,7 @@
 use crate::link::LinkEndpoint;
 use crate::model::{ProgramId, TurnId, name_tag};
 use crate::observe::GatewayMetrics;
-use crate::upstream::OutcomeTracker;
+use crate::upstream::{OutcomeTracker, SpeedBoard};
 
 /// Timeout of a request to one keeper: dozens of round trips and syncs, and short compared with a client's deadline.
 pub(super) const REQUEST_TIMEOUT: Duration = Duration::from_millis(400);
@@ -71,6 +71,7 @@
     pub(super) own: HelperAddress,
     pub(super) health: Arc<KeeperHealth>,
     outcomes: Arc<OutcomeTracker>,
+    speeds: Arc<SpeedBoard>,
     /// Random seed of this client, by which it orders keepers.
     pub(super) seed: u64,
     /// Entries that forward requests to keepers which don't reply directly.
@@ -82,8 +83,8 @@
 }
 
 impl KeeperClient {
-    /// Creates a client that follows a placement; its requests also exchange request outcomes at upstreams with the
-    /// keepers.
+    /// Creates a client that follows a placement; its requests also exchange request outcomes and speeds of upstreams
+    /// with the keepers.
     #[must_use]
     pub fn new(
         links: LinkEndpoint,
@@ -91,6 +92,7 @@
         metrics: Arc<GatewayMetrics>,
         own: HelperAddress,
         outcomes: Arc<OutcomeTracker>,
+        speeds: Arc<SpeedBoard>,
     ) -> Self {
         Self {
             links,
@@ -100,6 +102,7 @@
             own,
             health: Arc::default(),
             outcomes,
+            speeds,
             seed: rand::random(),
             lag: Arc::default(),
             helpers: Arc::default(),
--- a/crates/samphiregrade-gateway/src/fact/client/asking.rs
+++ b/crates/samphiregrade-gateway/src/fact/client/asking.rs
@@ -8,6 +8,7 @@
 use super::{KeeperClient, REQUEST_TIMEOUT};
 use crate::fact::message::{KeeperAnswer, KeeperEnvelope, KeeperReply, KeeperRequest};
 use crate::fact::placement::{KeeperPlacement, KeeperSlot, PlacementGeneration};
+use crate::upstream::{UpstreamSpeed, UpstreamSuspect};
 
 /// Timeout of one attempt of a background request.
 const BACKGROUND_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -83,17 +84,24 @@
         None
     }
 
-    /// Wraps a request for a keeper, together with the upstream outcomes that have not been reported to the keeper yet.
+    /// Wraps a request for a keeper, together with the outcomes and response times at upstreams that have not been
+    /// reported to the keeper yet.
     pub(in crate::fact) fn envelope(
         &self,
         slot: &KeeperSlot,
         placement: &KeeperPlacement,
         request: KeeperRequest,
     ) -> KeeperEnvelope {
+        let may_request = matches!(
+            request,
+            KeeperRequest::Reserve(_) | KeeperRequest::Probe | KeeperRequest::Accounts(_)
+        );
+        let speeds = &self.speeds;
         KeeperEnvelope {
             generation: placement.generation,
             sender: self.tag,
             outcomes: self.outcomes.take_unreported(&slot.name),
+            speeds: speeds.take_report(&slot.name, may_request, Instant::now()),
             request,
         }
     }
@@ -207,13 +215,19 @@
                 self.adopt(newer);
                 return None;
             }
-            KeeperReply::Reserved { suspects, .. } | KeeperReply::Alive { suspects, .. } => {
-                self.outcomes.merge_suspects(suspects, Instant::now());
+            KeeperReply::Reserved {
+                suspects, speeds, ..
             }
+            | KeeperReply::Alive {
+                suspects, speeds, ..
+            } => self.merge_upstreams(suspects, speeds),
             KeeperReply::Accounts {
-                suspects, helper, ..
+                suspects,
+                speeds,
+                helper,
+                ..
             } => {
-                self.outcomes.merge_suspects(suspects, Instant::now());
+                self.merge_upstreams(suspects, speeds);
                 if let Some(helper) = helper {
                     self.record_helper(helper.clone());
                 }
@@ -226,4 +240,10 @@
         }
         Some(reply)
     }
+    /// Merges what a keeper reports about upstreams.
+    fn merge_upstreams(&self, suspects: &[UpstreamSuspect], speeds: &[UpstreamSpeed]) {
+        let now = Instant::now();
+        self.outcomes.merge_suspects(suspects, now);
+        self.speeds.merge_speeds(speeds, now);
+    }
 }
--- a/crates/samphiregrade-gateway/src/fact/message.rs
+++ b/crates/samphiregrade-gateway/src/fact/message.rs
@@ -14,7 +14,8 @@
 use crate::model::{ProgramId, SessionId, TurnId, UpstreamId, UpstreamStart};
 use crate::store::{ConfigurationProof, StreamReply, StreamRequest};
 use crate::upstream::{
-    AccountQuery, OutcomeDelta, ProgramProgress, RunEnd, RunStart, UpstreamAccount, UpstreamSuspect,
+    AccountQuery, OutcomeDelta, ProgramProgress, RunEnd, RunStart, SpeedReport, UpstreamAccount,
+    UpstreamSpeed, UpstreamSuspect,
 };
 
 /// A completed turn; never changes once it is written.
@@ -265,18 +266,21 @@
     pub sender: InstanceTag,
     /// Outcomes of requests at upstreams since the sender's last report to the keeper.
     pub outcomes: Vec<OutcomeDelta>,
+    /// Times of responses since the sender's last report to the keeper.
+    pub speeds: SpeedReport,
     /// The request.
     pub request: KeeperRequest,
 }
 
 impl KeeperEnvelope {
-    /// Returns the envelope of a request between keepers, which reports no outcomes.
+    /// Returns the envelope of a request between keepers, which reports no outcomes and no speeds.
     #[must_use]
     pub fn between_keepers(generation: PlacementGeneration, request: KeeperRequest) -> Self {
         Self {
             generation,
             sender: 0,
             outcomes: Vec::new(),
+            speeds: SpeedReport::default(),
             request,
         }
     }
@@ -320,6 +324,8 @@
         complete: bool,
         /// Upstreams that fail according to the outcomes reported by all entries.
         suspects: Vec<UpstreamSuspect>,
+        /// Upstreams whose speed differs from that of their service's median, if the request asks for them.
+        speeds: Vec<UpstreamSpeed>,
     },
     /// The fact is stored.
     Stored,
@@ -338,6 +344,8 @@
         complete: bool,
         /// Upstreams that fail according to the outcomes reported by all entries.
         suspects: Vec<UpstreamSuspect>,
+        /// Upstreams whose speed differs from that of their service's median, if the request asks for them.
+        speeds: Vec<UpstreamSpeed>,
     },
     /// Accounts of upstreams.
     Accounts {
@@ -345,6 +353,8 @@
         accounts: Vec<UpstreamAccount>,
         /// Upstreams that fail according to the outcomes reported by all entries.
         suspects: Vec<UpstreamSuspect>,
+        /// Upstreams whose speed differs from that of their service's median, if the request asks for them.
+        speeds: Vec<UpstreamSpeed>,
         /// An entry that may forward requests.
         helper: Option<HelperAddress>,
     },
--- a/crates/samphiregrade-gateway/src/fact/service.rs
+++ b/crates/samphiregrade-gateway/src/fact/service.rs
@@ -19,7 +19,7 @@
 use crate::model::TurnId;
 use crate::observe::Logbook;
 use crate::store::{ProofCache, StoreMirror};
-use crate::upstream::{OutcomeTable, RunTable, UpstreamSuspect};
+use crate::upstream::{OutcomeTable, RunTable, SpeedTable, UpstreamSpeed, UpstreamSuspect};
 
 /// Number of bytes by which the segments may exceed twice the live data before they are compacted.
 const COMPACTION_SLACK: u64 = 24 << 20;
@@ -56,6 +56,8 @@
     /// Outcomes of requests at upstreams that entries report; in memory only, because they lose relevance within
     /// seconds.
     outcomes: OutcomeTable,
+    /// Speeds of upstreams, from the response times that entries report; in memory only, too.
+    speeds: SpeedTable,
     /// Requests that run at the upstreams whose accounts the keeper holds; in memory only, too.
     runs: RunTable,
     /// Entries that follow this keeper.
@@ -121,6 +123,7 @@
             written_bytes: recovered.bytes,
             unwritten: false,
             outcomes: OutcomeTable::default(),
+            speeds: SpeedTable::default(),
             runs: RunTable::new(Instant::now()),
             followers: FollowerTable::default(),
             limits,
@@ -167,6 +170,7 @@
         let now = Instant::now();
         self.with(|state| {
             state.outcomes.take(&envelope.outcomes, now);
+            state.speeds.take(&envelope.speeds.samples, now);
             if envelope.sender != 0 {
                 let contacted_at = state.limit_clock.now();
                 state.limits.record_contact(envelope.sender, contacted_at);
@@ -178,6 +182,7 @@
         if let Some(newer) = self.newer_placement(envelope.generation) {
             return KeeperReply::NewerPlacement(newer);
         }
+        let wants_speeds = envelope.speeds.wants_speeds;
         match envelope.request {
             KeeperRequest::Reserve(fact) => {
                 let Some(ledger) = self.store(fact, now).await else {
@@ -187,6 +192,7 @@
                     ledger,
                     complete: self.is_complete(),
                     suspects: self.suspects(),
+                    speeds: self.speeds(wants_speeds),
                 }
             }
             KeeperRequest::Store(fact) => match self.store(fact, now).await {
@@ -209,6 +215,7 @@
             KeeperRequest::Probe => KeeperReply::Alive {
                 complete: self.is_complete(),
                 suspects: self.suspects(),
+                speeds: self.speeds(wants_speeds),
             },
             KeeperRequest::RunBegan(start) => {
                 self.with(|state| state.runs.begin(start, now));
@@ -221,6 +228,7 @@
             KeeperRequest::Accounts(question) => KeeperReply::Accounts {
                 accounts: self.with(|state| state.runs.answer(&question, now)),
                 suspects: self.suspects(),
+                speeds: self.speeds(wants_speeds),
                 helper: self.with(|state| state.followers.next(None, now)),
             },
             KeeperRequest::Confirm => KeeperReply::Confirmed(self.proofs.answer().await),
@@ -249,6 +257,13 @@
         })
     }
 
+    fn speeds(&self, wanted: bool) -> Vec<UpstreamSpeed> {
+        if !wanted {
+            return Vec::new();
+        }
+        self.with(|state| state.speeds.reports())
+    }
+
     /// Returns the keeper's placement if the sender's is older.
     ///
     /// An instance that takes over a slot must read all facts that were acknowledged under the previous placement: its
--- a/crates/samphiregrade-gateway/src/observe/metrics.rs
+++ b/crates/samphiregrade-gateway/src/observe/metrics.rs
@@ -1,9 +1,9 @@
-//! Counters and latency histograms, exported in the Prometheus text format.
+//! Counters, gauges and latency histograms, exported in the Prometheus text format.
 
 use std::time::Duration;
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
@@ -37,6 +37,7 @@
     sends: Counter<u64>,
     store_calls: Counter<u64>,
     keeper_calls: Counter<u64>,
+    slow_upstreams: Gauge<u64>,
 }
 
 impl GatewayMetrics {
@@ -79,6 +80,10 @@
                 .u64_counter("samphiregrade_keeper_calls")
                 .with_description("Calls of keeper instances, by result")
                 .build(),
+            slow_upstreams: meter
+                .u64_gauge("samphiregrade_slow_upstreams")
+                .with_description("Upstreams slower than their service's median by a fifth")
+                .build(),
             registry,
             _provider: provider,
         })
@@ -114,6 +119,12 @@
         self.keeper_calls.add(1, &[KeyValue::new("result", result)]);
     }
 
+    /// Records the number of upstreams that are slower than their service's median.
+    pub fn record_slow_upstreams(&self, count: usize) {
+        let count = u64::try_from(count).unwrap_or(u64::MAX);
+        self.slow_upstreams.record(count, &[]);
+    }
+
     /// Renders all instruments in the Prometheus text format.
     ///
     /// # Errors
--- a/crates/samphiregrade-gateway/src/role/beliefs.rs
+++ b/crates/samphiregrade-gateway/src/role/beliefs.rs
@@ -300,6 +300,7 @@
             domain: settings.instance.failure_domain.clone(),
         },
         context.outcomes.clone(),
+        context.speeds.clone(),
     );
     tokio::spawn(keepers.clone().watch_health(ended.clone()));
     relays.spawn(forward_requests(
--- a/crates/samphiregrade-gateway/src/role/entry.rs
+++ b/crates/samphiregrade-gateway/src/role/entry.rs
@@ -248,5 +248,9 @@
         let known: HashSet<UpstreamTag> =
             directory.all().map(|upstream| upstream.start_tag).collect();
         context.outcomes.keep_only(|tag| known.contains(&tag));
+        context.speeds.keep_only(|tag| known.contains(&tag), now);
+        context
+            .metrics
+            .record_slow_upstreams(context.speeds.slow_count(now));
     }
 }
--- a/crates/samphiregrade-gateway/tests/suite/helpers.rs
+++ b/crates/samphiregrade-gateway/tests/suite/helpers.rs
@@ -35,6 +35,7 @@
         Arc::new(GatewayMetrics::new().expect("metrics")),
         own,
         Arc::default(),
+        Arc::default(),
     );
     tokio::spawn(client.clone().watch_health(CancellationToken::new()));
     client
--- a/crates/samphiregrade-gateway/tests/suite/keepers.rs
+++ b/crates/samphiregrade-gateway/tests/suite/keepers.rs
@@ -17,7 +17,7 @@
 use samphiregrade_gateway::link::LinkEndpoint;
 use samphiregrade_gateway::observe::GatewayMetrics;
 use samphiregrade_gateway::store::FollowEvent;
-use samphiregrade_gateway::upstream::{AccountQuery, RunEnd, RunStart};
+use samphiregrade_gateway::upstream::{AccountQuery, RunEnd, RunStart, SpeedReport};
 use tempfile::TempDir;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
@@ -69,6 +69,7 @@
             Arc::new(GatewayMetrics::new().expect("metrics")),
             own_address(domain),
             Arc::default(),
+            Arc::default(),
         )
     }
 
@@ -79,6 +80,7 @@
                 .service
                 .answer(KeeperEnvelope {
                     outcomes: Vec::new(),
+                    speeds: SpeedReport::default(),
                     sender: 0,
                     generation: self.placement.generation,
                     request: KeeperRequest::Store(fact.clone()),
@@ -285,6 +287,7 @@
     for keeper in &deployment.keepers {
         let envelope = KeeperEnvelope {
             outcomes: Vec::new(),
+            speeds: SpeedReport::default(),
             sender: 0,
             generation: deployment.placement.generation,
             request: KeeperRequest::Store(fact.clone()),
@@ -466,6 +469,7 @@
         metrics.clone(),
         own_address("a"),
         Arc::default(),
+        Arc::default(),
     );
     let fact = turn("t1", None, b"in", b"out");
     let stored = client.store(&"p".into(), fact).await;
--- a/crates/samphiregrade-gateway/tests/suite/limit_records.rs
+++ b/crates/samphiregrade-gateway/tests/suite/limit_records.rs
@@ -8,6 +8,7 @@
     FactDisk, KeeperEnvelope, KeeperReply, KeeperRequest, KeeperService,
 };
 use samphiregrade_gateway::limits::{AllowanceRequest, LimitRule, RECENT_PARTS, WindowLimit};
+use samphiregrade_gateway::upstream::SpeedReport;
 use tempfile::TempDir;
 
 /// A window that no test outlasts.
@@ -45,6 +46,7 @@
     };
     let envelope = KeeperEnvelope {
         outcomes: Vec::new(),
+        speeds: SpeedReport::default(),
         sender: 0,
         generation: 0,
         request: KeeperRequest::Allowance(request),
