Connect learned speeds with the placement

The entries' learned slowdowns decide the cost of an upstream and the homes of shared prefixes, the keepers' own estimates the additional upstreams of a reply. Contention that a response reports is divided out of its speed sample.

--- a/crates/samphiregrade-gateway/src/exchange/dispatch.rs
+++ b/crates/samphiregrade-gateway/src/exchange/dispatch.rs
@@ -185,8 +185,8 @@
 
 /// Returns how much longer the upstream takes for the same work than the median upstream of its service, as learned from
 /// responses; 1.0 if unknown.
-pub(super) fn learned_slowdown(_context: &EntryContext, _tag: UpstreamTag, _now: Instant) -> f64 {
-    1.0
+pub(super) fn learned_slowdown(context: &EntryContext, tag: UpstreamTag, now: Instant) -> f64 {
+    context.speeds.slowdown(tag, now)
 }
 
 /// Returns the name of an expected slowdown's range, for the metrics.
--- a/crates/samphiregrade-gateway/src/model/upstream.rs
+++ b/crates/samphiregrade-gateway/src/model/upstream.rs
@@ -77,6 +77,12 @@
 impl ReportedLoad {
     /// Contention of a machine on which work takes its usual time, in per cent.
     pub const USUAL_CONTENTION: u32 = 100;
+
+    /// Returns the time that work currently takes, as a multiple of the usual time.
+    #[must_use]
+    pub fn contention(&self) -> f64 {
+        f64::from(self.contention_percent) / f64::from(Self::USUAL_CONTENTION)
+    }
 }
 
 impl Default for ReportedLoad {
--- a/crates/samphiregrade-gateway/src/upstream/mod.rs
+++ b/crates/samphiregrade-gateway/src/upstream/mod.rs
@@ -12,6 +12,9 @@
 mod run_table;
 mod service_times;
 mod silence;
+mod speed;
+mod speed_board;
+mod speed_estimate;
 
 pub use balance::{
     Candidate, ContentionEstimate, ContentionView, LoadView, SLOW_UPSTREAM, WorkEstimate,
@@ -28,3 +31,5 @@
 pub use run_table::{AccountQuery, RunEnd, RunNumber, RunStart, RunTable, UpstreamAccount};
 pub use service_times::{AnsweredRequest, RunningMedian, ServiceTimes};
 pub use silence::{ResponseMonitor, WaitNumber};
+pub use speed::{KnownSpeed, SampleSource, SpeedReport, SpeedSample, SpeedTable, UpstreamSpeed};
+pub use speed_board::SpeedBoard;
