Rank new programs of an organisation above its fair share last in a contended service

While engines have less room than demand, an organisation at many times its usual rate delays the programs of all others: new programs are ordered only by a hash. Run starts now name the organisation with an estimate of the work, run ends settle it, and keepers reply with the organisation's part of the work done against the max-min share. Entries average the replies and put first turns of an organisation above 1.5 times its share into the last rank of their class. Programs that have begun keep their rank; without organisations nothing is sent or changed.

--- a/crates/samphiregrade-gateway/src/exchange/attempt.rs
+++ b/crates/samphiregrade-gateway/src/exchange/attempt.rs
@@ -100,7 +100,7 @@
     record: &mut RequestRecord,
 ) -> AttemptOutcome {
     let upstream = &chosen.upstream;
-    let guard = RunGuard::begin(context, request, upstream);
+    let guard = RunGuard::begin(context, request, upstream, record.uncached);
     let _waiting = request
         .expects_early_head()
         .then(|| upstream.await_head(context.outcomes.clone(), Instant::now()));
--- a/crates/samphiregrade-gateway/src/exchange/connection.rs
+++ b/crates/samphiregrade-gateway/src/exchange/connection.rs
@@ -337,10 +337,23 @@
             accounts: request.view.accounts.len(),
             duration: started.elapsed(),
         });
+        note_share(context, request);
     }
     dispatch(context, request, record).await
 }
 
+/// Records the share of the caller's organisation for the log and the metrics.
+fn note_share(context: &EntryContext, request: &RoutedRequest) {
+    let organisation = request.caller.organisation();
+    if let Some((organisation, share)) = organisation.zip(request.view.share.as_ref()) {
+        let now = Instant::now();
+        context.shares.note(&organisation.name, share, now);
+    }
+    if request.yields_to_others() {
+        context.metrics.count_yielding_turn();
+    }
+}
+
 /// Prepares a turn; resolves to `None` if the request is not a turn.
 async fn prepare_turn(
     context: &EntryContext,
--- a/crates/samphiregrade-gateway/src/exchange/context.rs
+++ b/crates/samphiregrade-gateway/src/exchange/context.rs
@@ -18,7 +18,7 @@
 use crate::routing::RouteTable;
 use crate::settings::OrganisationSection;
 use crate::upstream::{
-    AnsweredRequest, OutcomeTracker, PrefixShares, ServiceTimes, UpstreamDirectory,
+    AnsweredRequest, OutcomeTracker, PrefixShares, ServiceTimes, ShareBoard, UpstreamDirectory,
 };
 
 /// Times of a shutdown.
@@ -45,6 +45,8 @@
     pub turns: TurnCache,
     /// Outcomes of requests, by upstream.
     pub outcomes: Arc<OutcomeTracker>,
+    /// Organisations above their fair share of an engine service.
+    pub shares: ShareBoard,
     /// Measured request times, by service.
     times: Mutex<HashMap<ServiceName, ServiceTimes>>,
     /// Local allowances of the organisations' limits.
@@ -82,6 +84,7 @@
             prefix_shares: PrefixShares::default(),
             turns,
             outcomes: Arc::default(),
+            shares: ShareBoard::default(),
             times: Mutex::default(),
             limits: EntryLimiter::new(instance, organisations),
             freshness: KeyFreshness::new(organisations.freshness_rule()),
--- a/crates/samphiregrade-gateway/src/exchange/relay.rs
+++ b/crates/samphiregrade-gateway/src/exchange/relay.rs
@@ -16,7 +16,7 @@
 use super::request::RoutedRequest;
 use super::turn::TurnPlan;
 use crate::model::UpstreamRecord;
-use crate::upstream::{AnsweredRequest, Outcome};
+use crate::upstream::{AnsweredRequest, Outcome, run_work};
 
 /// Time without data after which a response is abandoned if the network path to its upstream was found to be broken: a
 /// lost packet is resent within this time, and callers wait about two seconds before they disconnect.
@@ -130,6 +130,14 @@
         context.outcomes.note(upstream, outcome, Instant::now());
     }
     let spent = relay.spent();
+    if status == 200 && (result.is_ok() || spent > 0) {
+        // Without a plan, the tokens of a response are not counted.
+        let usage = request.metadata.usage;
+        let expected = usage.map_or(0, |usage| usage.most_output);
+        let generated = turn.map_or(expected, |_| spent);
+        let work = run_work(&request.times, uncached, generated);
+        response.guard.settle(work);
+    }
     if result.is_ok() && status == 200 {
         let answered = AnsweredRequest {
             uncached,
--- a/crates/samphiregrade-gateway/src/exchange/request.rs
+++ b/crates/samphiregrade-gateway/src/exchange/request.rs
@@ -99,9 +99,17 @@
         self.route.may_repeat() || (self.may_resend() && !self.progress().has_begun())
     }
 
+    /// Returns whether the request goes behind others because its organisation is above its fair share.
+    #[must_use]
+    pub fn yields_to_others(&self) -> bool {
+        let progress = self.progress();
+        progress.over_share && !progress.has_begun()
+    }
+
     fn progress(&self) -> ProgramProgress {
         let mut progress = self.program_state.progress;
         progress.time_left = self.metadata.program_deadline;
+        progress.over_share = self.view.share.is_some_and(|share| share.is_over());
         if let Some(program) = &self.metadata.program {
             progress.tag = blake3::hash(program.as_bytes()).as_bytes()[0];
         }
--- a/crates/samphiregrade-gateway/src/exchange/survey.rs
+++ b/crates/samphiregrade-gateway/src/exchange/survey.rs
@@ -5,11 +5,11 @@
 
 use super::context::EntryContext;
 use super::request::RoutedRequest;
-use crate::fact::KeeperClient;
+use crate::fact::{AccountReplies, KeeperClient};
 use crate::model::UpstreamTag;
 use crate::upstream::{
-    AccountQuery, InFlightGuard, RunEnd, RunStart, SharedPrefix, Upstream, UpstreamAccount,
-    rank_homes,
+    AccountQuery, InFlightGuard, OrganisationShare, RunEnd, RunStart, SharedPrefix, Upstream,
+    UpstreamAccount, WorkClaim, rank_homes, run_work,
 };
 
 /// Timeout of the queries for accounts: several round trips within a region. A keeper that has just become unreachable
@@ -30,6 +30,8 @@
     pub homes: Vec<UpstreamTag>,
     /// Accounts of the relevant upstreams.
     pub accounts: Vec<UpstreamAccount>,
+    /// Mean share of the caller's organisation over the keepers that replied; `None` if no keeper knows it.
+    pub share: Option<OrganisationShare>,
 }
 
 impl PlacementView {
@@ -60,12 +62,17 @@
         service: request.service.name.clone(),
         upstreams,
         prompt: prompt.clone(),
+        organisation: request.caller.organisation().map(|caller| caller.tag),
     };
-    let accounts = match context.keepers.load_full() {
+    let replies = match context.keepers.load_full() {
         Some(keepers) => keepers.query_accounts(&query, SURVEY_TIMEOUT).await,
-        None => Vec::new(),
+        None => AccountReplies::default(),
     };
-    PlacementView { homes, accounts }
+    PlacementView {
+        homes,
+        accounts: replies.accounts,
+        share: OrganisationShare::average(&replies.shares),
+    }
 }
 
 /// The engines of a survey.
@@ -110,20 +117,29 @@
 /// Guard of a request that counts as running at an upstream, both here and in the accounts of the keepers.
 pub struct RunGuard {
     in_flight: InFlightGuard,
-    _reported: Option<ReportedRun>,
+    reported: Option<ReportedRun>,
 }
 
 impl RunGuard {
-    /// Counts a request as running at an upstream until the guard is dropped.
+    /// Counts a request as running at an upstream until the guard is dropped; `uncached` is the estimated number of
+    /// prompt tokens that the upstream has to process.
     #[must_use]
     pub fn begin(
         context: &EntryContext,
         request: &RoutedRequest,
         upstream: &Arc<Upstream>,
+        uncached: u32,
     ) -> Self {
         Self {
             in_flight: upstream.begin(),
-            _reported: ReportedRun::begin(context, request, upstream),
+            reported: ReportedRun::begin(context, request, upstream, uncached),
+        }
+    }
+
+    /// Sets the work that the upstream has done, in slot time, to be reported at the end.
+    pub fn settle(&mut self, work: Duration) {
+        if let Some(reported) = &mut self.reported {
+            reported.end.work = work;
         }
     }
 
@@ -142,13 +158,25 @@
 
 impl ReportedRun {
     /// Reports to the keepers of an engine that a request is about to be sent there. Plain services have no accounts.
-    fn begin(context: &EntryContext, request: &RoutedRequest, upstream: &Upstream) -> Option<Self> {
+    fn begin(
+        context: &EntryContext,
+        request: &RoutedRequest,
+        upstream: &Upstream,
+        uncached: u32,
+    ) -> Option<Self> {
         let engine = request.service.engine.as_ref()?;
         let keepers = context.keepers.load_full()?;
         let end = RunEnd {
             upstream: upstream.start_tag,
             run: rand::random(),
+            work: Duration::ZERO,
         };
+        let most_output = request.metadata.usage.map_or(0, |usage| usage.most_output);
+        let claim = request.caller.organisation().map(|caller| WorkClaim {
+            organisation: caller.tag,
+            work: run_work(&request.times, uncached, most_output),
+            slots: upstream.record.slots,
+        });
         keepers.report_run_start(RunStart {
             upstream: end.upstream,
             run: end.run,
@@ -156,6 +184,7 @@
             prompt: request.metadata.prompt.clone(),
             capacity: engine.cache_tokens,
             lasts: request.time_left(Instant::now()),
+            claim,
         });
         Some(Self { keepers, end })
     }
--- a/crates/samphiregrade-gateway/src/fact/accounts.rs
+++ b/crates/samphiregrade-gateway/src/fact/accounts.rs
@@ -8,7 +8,7 @@
 use super::message::{KeeperReply, KeeperRequest};
 use super::placement::{KeeperPlacement, KeeperSlot};
 use crate::model::UpstreamTag;
-use crate::upstream::{AccountQuery, RunEnd, RunStart, UpstreamAccount};
+use crate::upstream::{AccountQuery, OrganisationShare, RunEnd, RunStart, UpstreamAccount};
 
 /// A keeper and the upstreams whose accounts are requested from it.
 struct KeeperQuery {
@@ -16,6 +16,15 @@
     upstreams: Vec<UpstreamTag>,
 }
 
+/// What keepers have replied to a query for accounts.
+#[derive(Clone, Debug, Default)]
+pub struct AccountReplies {
+    /// Accounts of upstreams, each of them once.
+    pub accounts: Vec<UpstreamAccount>,
+    /// Shares of the querying organisation, one for each keeper that knows it.
+    pub shares: Vec<OrganisationShare>,
+}
+
 impl KeeperClient {
     /// Reports to an upstream's keepers that a request is about to be sent to the upstream.
     pub fn report_run_start(&self, start: RunStart) {
@@ -27,12 +36,8 @@
         self.send_to_account_keepers(end.upstream, &KeeperRequest::RunEnded(end));
     }
 
-    /// Requests the accounts of upstreams; resolves after `wait` at the latest, with the accounts received by then.
-    pub async fn query_accounts(
-        &self,
-        query: &AccountQuery,
-        wait: Duration,
-    ) -> Vec<UpstreamAccount> {
+    /// Requests the accounts of upstreams; resolves after `wait` at the latest, with the replies received by then.
+    pub async fn query_accounts(&self, query: &AccountQuery, wait: Duration) -> AccountReplies {
         let placement = self.placement.load_full();
         let keeper_queries = self.assign_to_keepers(&placement, &query.upstreams);
         let (sender, mut replies) = mpsc::channel(keeper_queries.len().max(1));
@@ -44,6 +49,7 @@
                 service: query.service.clone(),
                 upstreams: keeper_query.upstreams,
                 prompt: query.prompt.clone(),
+                organisation: query.organisation,
             });
             tokio::spawn(async move {
                 let reply = client
@@ -54,18 +60,23 @@
             });
         }
         drop(sender);
-        let mut received: Vec<UpstreamAccount> = Vec::new();
+        let mut received = AccountReplies::default();
         let deadline = Instant::now() + wait;
         while let Ok(Some(reply)) = tokio::time::timeout_at(deadline.into(), replies.recv()).await {
-            let Some(KeeperReply::Accounts { accounts, .. }) = reply else {
+            let Some(KeeperReply::Accounts {
+                accounts, share, ..
+            }) = reply
+            else {
                 continue;
             };
+            received.shares.extend(share);
             for account in accounts {
                 if received
+                    .accounts
                     .iter()
                     .all(|other| other.upstream != account.upstream)
                 {
-                    received.push(account);
+                    received.accounts.push(account);
                 }
             }
         }
--- a/crates/samphiregrade-gateway/src/fact/message.rs
+++ b/crates/samphiregrade-gateway/src/fact/message.rs
@@ -14,7 +14,8 @@
 use crate::model::{ProgramId, SessionId, TurnId, UpstreamId, UpstreamStart};
 use crate::store::{ConfigurationProof, StreamReply, StreamRequest};
 use crate::upstream::{
-    AccountQuery, OutcomeDelta, ProgramProgress, RunEnd, RunStart, UpstreamAccount, UpstreamSuspect,
+    AccountQuery, OrganisationShare, OutcomeDelta, ProgramProgress, RunEnd, RunStart,
+    UpstreamAccount, UpstreamSuspect,
 };
 
 /// A completed turn; never changes once it is written.
@@ -343,6 +344,8 @@
     Accounts {
         /// Accounts of the queried upstreams, and of the least loaded others of the service.
         accounts: Vec<UpstreamAccount>,
+        /// Share of the querying organisation; `None` if the keeper doesn't know it.
+        share: Option<OrganisationShare>,
         /// Upstreams that fail according to the outcomes reported by all entries.
         suspects: Vec<UpstreamSuspect>,
         /// An entry that may forward requests.
--- a/crates/samphiregrade-gateway/src/fact/mod.rs
+++ b/crates/samphiregrade-gateway/src/fact/mod.rs
@@ -22,6 +22,7 @@
 mod service;
 mod stream;
 
+pub use accounts::AccountReplies;
 pub use book::{FactIndex, FactPart, FrameLocation, KnownChain, TurnContent};
 pub use client::{ChainLookup, FactFailure, KeeperClient, ReserveOutcome};
 pub use disk::{DiskState, FactDisk, FactDiskError, RecoveredFacts};
--- a/crates/samphiregrade-gateway/src/fact/service.rs
+++ b/crates/samphiregrade-gateway/src/fact/service.rs
@@ -215,11 +215,12 @@
                 KeeperReply::Noted
             }
             KeeperRequest::RunEnded(end) => {
-                self.with(|state| state.runs.end(end));
+                self.with(|state| state.runs.end(end, now));
                 KeeperReply::Noted
             }
             KeeperRequest::Accounts(question) => KeeperReply::Accounts {
                 accounts: self.with(|state| state.runs.answer(&question, now)),
+                share: self.with(|state| state.runs.share(&question, now)),
                 suspects: self.suspects(),
                 helper: self.with(|state| state.followers.next(None, now)),
             },
--- a/crates/samphiregrade-gateway/src/observe/metrics.rs
+++ b/crates/samphiregrade-gateway/src/observe/metrics.rs
@@ -37,6 +37,7 @@
     sends: Counter<u64>,
     store_calls: Counter<u64>,
     keeper_calls: Counter<u64>,
+    yielding_turns: Counter<u64>,
 }
 
 impl GatewayMetrics {
@@ -79,6 +80,10 @@
                 .u64_counter("samphiregrade_keeper_calls")
                 .with_description("Calls of keeper instances, by result")
                 .build(),
+            yielding_turns: meter
+                .u64_counter("samphiregrade_turns_over_share")
+                .with_description("First turns ranked last because of their organisation's share")
+                .build(),
             registry,
             _provider: provider,
         })
@@ -114,6 +119,11 @@
         self.keeper_calls.add(1, &[KeyValue::new("result", result)]);
     }
 
+    /// Counts a first turn that is ranked last because its organisation is above its fair share.
+    pub fn count_yielding_turn(&self) {
+        self.yielding_turns.add(1, &[]);
+    }
+
     /// Renders all instruments in the Prometheus text format.
     ///
     /// # Errors
--- a/crates/samphiregrade-gateway/src/upstream/mod.rs
+++ b/crates/samphiregrade-gateway/src/upstream/mod.rs
@@ -4,6 +4,7 @@
 mod breaker;
 mod cache;
 mod directory;
+mod fair_share;
 mod homes;
 mod outcome_board;
 mod outcomes;
@@ -11,12 +12,16 @@
 mod rank;
 mod run_table;
 mod service_times;
+mod share_board;
 mod silence;
 
 pub use balance::{Candidate, LoadView, WorkEstimate, choose_upstream, estimate_loads};
 pub use breaker::{BreakerState, UpstreamBreaker};
 pub use cache::PrefixCache;
 pub use directory::{DepartureRule, REREGISTRATION_TIME, UpstreamDirectory, UpstreamRegistry};
+pub use fair_share::{
+    OrganisationShare, ShareLevel, SlotUse, WorkClaim, WorkTable, max_min_share, run_work,
+};
 pub use homes::{HomeRanking, PrefixShares, SharedPrefix, rank_homes};
 pub use outcome_board::OutcomeTracker;
 pub use outcomes::{Outcome, OutcomeCounts, OutcomeDelta, OutcomeTable, UpstreamSuspect};
@@ -24,4 +29,5 @@
 pub use rank::{ProgramProgress, TurnPace, UrgencyClass, turn_rank};
 pub use run_table::{AccountQuery, RunEnd, RunNumber, RunStart, RunTable, UpstreamAccount};
 pub use service_times::{AnsweredRequest, RunningMedian, ServiceTimes};
+pub use share_board::ShareBoard;
 pub use silence::{ResponseMonitor, WaitNumber};
--- a/crates/samphiregrade-gateway/src/upstream/rank.rs
+++ b/crates/samphiregrade-gateway/src/upstream/rank.rs
@@ -7,7 +7,9 @@
 //! * programs that have started go before new ones; of those that have started, the ones that can still finish in time
 //!   go first;
 //! * new programs are ordered by a hash of the program, which is the same on every entry and for every attempt;
-//! * new programs that have waited too long at their first turn go last of their class: they use what capacity remains.
+//! * new programs that have waited too long at their first turn go last of their class: they use what capacity remains;
+//! * so do new programs of an organisation above its fair share of a contended service. In a service with more than two
+//!   priorities, all new programs of a class have the same rank, so that shares have no effect there.
 //!
 //! The operators' priorities take precedence over these rules. Results of the paired runs, also for the rejected
 //! alternatives, are in docs/design/urgency.md.
@@ -83,6 +85,8 @@
     pub initial_time_left: Option<Duration>,
     /// Time before the program's deadline now, if the caller states one.
     pub time_left: Option<Duration>,
+    /// Whether the program's organisation is above its fair share of a contended service.
+    pub over_share: bool,
 }
 
 impl ProgramProgress {
@@ -132,8 +136,8 @@
     let position = match (progress.has_begun(), late) {
         (true, false) => 0,
         (true, true) => 1,
-        (false, false) => 2 + progress.group(),
-        (false, true) => CLASS_RANKS - 1,
+        (false, false) if !progress.over_share => 2 + progress.group(),
+        (false, _) => CLASS_RANKS - 1,
     };
     first + position.min(width - 1)
 }
--- a/crates/samphiregrade-gateway/src/upstream/run_table.rs
+++ b/crates/samphiregrade-gateway/src/upstream/run_table.rs
@@ -12,7 +12,10 @@
 use serde::{Deserialize, Serialize};
 
 use super::cache::PrefixCache;
-use crate::model::{PromptPart, ServiceName, UpstreamTag};
+use super::fair_share::{
+    OrganisationShare, SHARE_OBSERVATION_TIME, ShareLevel, SlotUse, WorkClaim, WorkTable,
+};
+use crate::model::{OrganisationTag, PromptPart, ServiceName, UpstreamTag};
 
 /// Largest share of an engine's memory that cached parts are assumed to fill: running requests need the rest.
 const CACHE_SHARE: f64 = 0.8;
@@ -32,6 +35,10 @@
 /// Longest time for which a run counts if its end is never reported: its entry may have crashed.
 const MAX_RUN_TIME: Duration = Duration::from_secs(30);
 
+/// Time for which a service's fair share is used before it is computed again: with 1,024 organisations the computation
+/// takes tens of microseconds, and a keeper answers hundreds of queries a second.
+const LEVEL_LIFETIME: Duration = Duration::from_millis(50);
+
 /// Random number of one run, assigned by the entry that sends the request.
 pub type RunNumber = u64;
 
@@ -50,6 +57,8 @@
     pub capacity: u64,
     /// Longest time that the run takes.
     pub lasts: Duration,
+    /// The work that the run is expected to cause; `None` if the caller has no organisation.
+    pub claim: Option<WorkClaim>,
 }
 
 /// Report that a request has ended at an upstream.
@@ -59,6 +68,8 @@
     pub upstream: UpstreamTag,
     /// Number of the run.
     pub run: RunNumber,
+    /// Work that was done, in slot time; zero if the run had no result.
+    pub work: Duration,
 }
 
 /// Query that an entry sends before it selects an upstream for a request.
@@ -70,6 +81,8 @@
     pub upstreams: Vec<UpstreamTag>,
     /// The prompt.
     pub prompt: Vec<PromptPart>,
+    /// The caller's organisation, whose share is requested.
+    pub organisation: Option<OrganisationTag>,
 }
 
 /// Load and cache of an upstream, over all entries.
@@ -87,11 +100,26 @@
     pub informed: Duration,
 }
 
+#[derive(Debug)]
+struct TrackedRun {
+    begun: Instant,
+    latest_end: Instant,
+    claim: Option<WorkClaim>,
+}
+
+/// Work of a service by organisation, and the fair share computed from it.
+#[derive(Debug, Default)]
+struct ServiceWork {
+    table: WorkTable,
+    level: Option<(Instant, ShareLevel)>,
+}
+
 #[derive(Debug)]
 struct UpstreamRuns {
     service: ServiceName,
-    /// Latest end of each run.
-    runs: HashMap<RunNumber, Instant>,
+    runs: HashMap<RunNumber, TrackedRun>,
+    /// Requests that the upstream runs concurrently; 0 if no run had a claim.
+    slots: u32,
     cache: PrefixCache,
     last_start: Instant,
 }
@@ -101,6 +129,7 @@
         Self {
             service,
             runs: HashMap::new(),
+            slots: 0,
             cache: PrefixCache::with_share(CACHE_SHARE),
             last_start: now,
         }
@@ -108,7 +137,7 @@
 
     /// Returns the number of requests that run or wait.
     fn running(&mut self, now: Instant) -> u32 {
-        self.runs.retain(|_, latest_end| now < *latest_end);
+        self.runs.retain(|_, run| now < run.latest_end);
         u32::try_from(self.runs.len()).unwrap_or(u32::MAX)
     }
 }
@@ -117,6 +146,7 @@
 #[derive(Debug)]
 pub struct RunTable {
     upstreams: HashMap<UpstreamTag, UpstreamRuns>,
+    work: HashMap<ServiceName, ServiceWork>,
     observing_since: Instant,
 }
 
@@ -126,6 +156,7 @@
     pub fn new(now: Instant) -> Self {
         Self {
             upstreams: HashMap::new(),
+            work: HashMap::new(),
             observing_since: now,
         }
     }
@@ -138,18 +169,66 @@
         let runs = self
             .upstreams
             .entry(start.upstream)
-            .or_insert_with(|| UpstreamRuns::new(start.service, now));
+            .or_insert_with(|| UpstreamRuns::new(start.service.clone(), now));
         runs.last_start = now;
-        runs.runs
-            .insert(start.run, now + start.lasts.min(MAX_RUN_TIME));
+        let run = TrackedRun {
+            begun: now,
+            latest_end: now + start.lasts.min(MAX_RUN_TIME),
+            claim: start.claim,
+        };
+        let is_new = runs.runs.insert(start.run, run).is_none();
         runs.cache.record(&start.prompt, start.capacity, now);
+        if let Some(claim) = start.claim.filter(|_| is_new) {
+            runs.slots = claim.slots;
+            let work = self.work.entry(start.service).or_default();
+            work.table.begin(&claim, now);
+        }
     }
 
     /// Records the end of a request.
-    pub fn end(&mut self, end: RunEnd) {
-        if let Some(runs) = self.upstreams.get_mut(&end.upstream) {
-            runs.runs.remove(&end.run);
+    pub fn end(&mut self, end: RunEnd, now: Instant) {
+        let Some(runs) = self.upstreams.get_mut(&end.upstream) else {
+            return;
+        };
+        let Some(run) = runs.runs.remove(&end.run) else {
+            return;
+        };
+        if let Some((claim, work)) = run.claim.zip(self.work.get_mut(&runs.service)) {
+            work.table.end(&claim, run.begun, end.work, now);
+        }
+    }
+
+    /// Returns the share of the querying organisation; `None` if the keeper doesn't know enough.
+    pub fn share(&mut self, query: &AccountQuery, now: Instant) -> Option<OrganisationShare> {
+        let organisation = query.organisation?;
+        if now.saturating_duration_since(self.observing_since) < SHARE_OBSERVATION_TIME {
+            return None;
+        }
+        let known = self.work.get(&query.service)?.level;
+        let current =
+            known.filter(|(computed, _)| now.saturating_duration_since(*computed) < LEVEL_LIFETIME);
+        let slots = match current {
+            Some(_) => SlotUse::default(),
+            None => self.slot_use(&query.service, now),
+        };
+        let work = self.work.get_mut(&query.service)?;
+        let (_, level) = current.unwrap_or_else(|| (now, work.table.level(&slots, now)));
+        if current.is_none() {
+            work.level = Some((now, level));
+        }
+        work.table.share(organisation, &level, now)
+    }
+
+    /// Returns the use of the slots of a service's upstreams, as far as they have received requests recently.
+    fn slot_use(&mut self, service: &ServiceName, now: Instant) -> SlotUse {
+        let mut slots = SlotUse::default();
+        for runs in self.upstreams.values_mut() {
+            let active = now.saturating_duration_since(runs.last_start) < EXTRA_ACTIVITY_TIME;
+            if active && runs.service == *service {
+                slots.add(runs.running(now), runs.slots);
+            }
         }
+        slots
     }
 
     /// Returns the accounts of the queried upstreams, and of the least loaded others of the service.
@@ -207,5 +286,8 @@
     fn drop_unused(&mut self, now: Instant) {
         self.upstreams
             .retain(|_, runs| now.saturating_duration_since(runs.last_start) < DROP_AFTER);
+        let upstreams = &self.upstreams;
+        self.work
+            .retain(|service, _| upstreams.values().any(|runs| runs.service == *service));
     }
 }
