--- a/crates/samphiregrade-gateway/src/exchange/context.rs
+++ b/crates/samphiregrade-gateway/src/exchange/context.rs
@@ -18,7 +18,8 @@
 use crate::routing::RouteTable;
 use crate::settings::OrganisationSection;
 use crate::upstream::{
-    AnsweredRequest, OutcomeTracker, PrefixShares, ServiceTimes, SpeedBoard, UpstreamDirectory,
+    AnsweredRequest, OutcomeTracker, PrefixShares, ServiceTimes, ShareBoard, SpeedBoard,
+    UpstreamDirectory,
 };
 
 /// Times of a shutdown.
@@ -47,6 +48,8 @@
     pub outcomes: Arc<OutcomeTracker>,
     /// Speeds of upstreams.
     pub speeds: Arc<SpeedBoard>,
+    /// Organisations above their fair share of an engine service.
+    pub shares: ShareBoard,
     /// Measured request times, by service.
     times: Mutex<HashMap<ServiceName, ServiceTimes>>,
     /// Local allowances of the organisations' limits.
@@ -85,6 +88,7 @@
             turns,
             outcomes: Arc::default(),
             speeds: Arc::default(),
+            shares: ShareBoard::default(),
             times: Mutex::default(),
             limits: EntryLimiter::new(instance, organisations),
             freshness: KeyFreshness::new(organisations.freshness_rule()),
--- a/crates/samphiregrade-gateway/src/fact/service.rs
+++ b/crates/samphiregrade-gateway/src/fact/service.rs
@@ -222,7 +222,7 @@
                 KeeperReply::Noted
             }
             KeeperRequest::RunEnded(end) => {
-                self.with(|state| state.runs.end(end));
+                self.with(|state| state.runs.end(end, now));
                 KeeperReply::Noted
             }
             KeeperRequest::Accounts(question) => KeeperReply::Accounts {
@@ -230,6 +230,7 @@
                     let KeeperState { runs, speeds, .. } = state;
                     runs.answer(&question, now, |tag| speeds.slowdown(tag))
                 }),
+                share: self.with(|state| state.runs.share(&question, now)),
                 suspects: self.suspects(),
                 speeds: self.speeds(wants_speeds),
                 helper: self.with(|state| state.followers.next(None, now)),
--- a/crates/samphiregrade-gateway/src/observe/metrics.rs
+++ b/crates/samphiregrade-gateway/src/observe/metrics.rs
@@ -39,6 +39,7 @@
     store_calls: Counter<u64>,
     keeper_calls: Counter<u64>,
     slow_upstreams: Gauge<u64>,
+    yielding_turns: Counter<u64>,
 }
 
 impl GatewayMetrics {
@@ -89,6 +90,10 @@
                 .u64_gauge("samphiregrade_slow_upstreams")
                 .with_description("Upstreams slower than their service's median by a fifth")
                 .build(),
+            yielding_turns: meter
+                .u64_counter("samphiregrade_turns_over_share")
+                .with_description("First turns ranked last because of their organisation's share")
+                .build(),
             registry,
             _provider: provider,
         })
@@ -135,6 +140,11 @@
         self.slow_upstreams.record(count, &[]);
     }
 
+    /// Counts a first turn that is ranked last because its organisation is above its fair share.
+    pub fn count_yielding_turn(&self) {
+        self.yielding_turns.add(1, &[]);
+    }
+
     /// Renders all instruments in the Prometheus text format.
     ///
     /// # Errors
