Test fair shares between organisations in a burst of three

The load is that of docs/design/demands.md, part 4, with the three largest organisations at seven times their usual rate and the long programs of the others doubled.

Other tests: keepers that restart during the burst, a keeper without data, callers without an organisation, ranks without shares, the bound on organisations, and ranks that stay within their class.

--- a/crates/samphiregrade-gateway/tests/suite/keepers.rs
+++ b/crates/samphiregrade-gateway/tests/suite/keepers.rs
@@ -493,6 +493,7 @@
         prompt: Vec::new(),
         capacity: 100_000,
         lasts: TEST_TIMEOUT,
+        claim: None,
     }
 }
 
@@ -517,9 +518,10 @@
         service: "engines".into(),
         upstreams: UPSTREAMS.to_vec(),
         prompt: Vec::new(),
+        organisation: None,
     };
     eventually("accounts of all upstreams", async || {
-        let accounts = client.query_accounts(&query, TEST_TIMEOUT).await;
+        let accounts = client.query_accounts(&query, TEST_TIMEOUT).await.accounts;
         let reported = |tag: u64| accounts.iter().find(|account| account.upstream == tag);
         let matches_count =
             |tag: &u64| reported(*tag).is_some_and(|account| account.running == running);
@@ -540,6 +542,7 @@
         sending.report_run_end(RunEnd {
             upstream,
             run: upstream,
+            work: Duration::ZERO,
         });
     }
     expect_running(&placing, 0).await;
--- a/crates/samphiregrade-gateway/tests/suite/main.rs
+++ b/crates/samphiregrade-gateway/tests/suite/main.rs
@@ -5,6 +5,7 @@
 mod disk;
 mod events;
 mod facts;
+mod fair_share;
 mod health;
 mod helpers;
 mod hot_organisation;
--- a/crates/samphiregrade-gateway/tests/suite/rank.rs
+++ b/crates/samphiregrade-gateway/tests/suite/rank.rs
@@ -164,6 +164,7 @@
                 time_left: Some(
                     total_time.saturating_sub(Duration::from_millis(now - program.arrived)),
                 ),
+                over_share: false,
             };
             (rank_of(program.tag, &progress), program.waits_since)
         };
--- a/crates/samphiregrade-gateway/tests/suite/run_table.rs
+++ b/crates/samphiregrade-gateway/tests/suite/run_table.rs
@@ -26,6 +26,7 @@
         prompt: prompt.to_vec(),
         capacity: CAPACITY,
         lasts: Duration::from_secs(2),
+        claim: None,
     }
 }
 
@@ -34,6 +35,15 @@
         service: "engines".into(),
         upstreams: upstreams.to_vec(),
         prompt: prompt.to_vec(),
+        organisation: None,
+    }
+}
+
+fn end(upstream: u64, run: u64) -> RunEnd {
+    RunEnd {
+        upstream,
+        run,
+        work: Duration::ZERO,
     }
 }
 
@@ -46,10 +56,7 @@
     table.begin(start(7, 2, &prompt), now);
     let accounts = table.answer(&query(&[7], &prompt), now);
     assert_eq!((accounts[0].running, accounts[0].uncached), (2, 0));
-    table.end(RunEnd {
-        upstream: 7,
-        run: 1,
-    });
+    table.end(end(7, 1), now);
     let accounts = table.answer(&query(&[7], &[part(1, 12_000), part(3, 500)]), now);
     assert_eq!((accounts[0].running, accounts[0].uncached), (1, 500));
 }
@@ -69,14 +76,11 @@
     let mut table = RunTable::new(now);
     table.begin(start(7, 1, &[]), now);
     for (upstream, run) in [(7, 9), (8, 1)] {
-        table.end(RunEnd { upstream, run });
+        table.end(end(upstream, run), now);
     }
     assert_eq!(table.answer(&query(&[7], &[]), now)[0].running, 1);
     for _ in 0..2 {
-        table.end(RunEnd {
-            upstream: 7,
-            run: 1,
-        });
+        table.end(end(7, 1), now);
     }
     assert_eq!(table.answer(&query(&[7], &[]), now)[0].running, 0);
 }
@@ -300,10 +304,7 @@
                 self.most_running = self.most_running.max(*running);
                 *self.placed.get_mut(&engine).expect("an engine") += 1;
                 let run = u64::from(self.placed.values().sum::<u32>());
-                let end = RunEnd {
-                    upstream: engine,
-                    run,
-                };
+                let end = end(engine, run);
                 let report = start(engine, run, &prompt);
                 vec![
                     (now + REPORT_DELAY, BurstEvent::StartReported(report)),
@@ -322,7 +323,7 @@
             }
             BurstEvent::EndReported(end) => {
                 for slot in self.placement.account_slots(end.upstream) {
-                    self.tables[slot].end(end);
+                    self.tables[slot].end(end, now);
                 }
                 Vec::new()
             }
