--- a/crates/samphiregrade-gateway/src/exchange/connection.rs
+++ b/crates/samphiregrade-gateway/src/exchange/connection.rs
@@ -8,11 +8,12 @@
 use std::time::Instant;
 
 use bytes::{Bytes, BytesMut};
-use samphiregrade_http::wire::{RequestHead, SocketLimits, WireSocket};
+use samphiregrade_http::wire::{RequestHead, WireSocket};
 use smol_str::SmolStr;
 use tokio::net::TcpStream;
 
 use super::admission::{admit_while_preparing, identify};
+use super::affinity::note_completed;
 use super::attempt::LiveResponse;
 use super::context::EntryContext;
 use super::dispatch::dispatch;
@@ -29,7 +30,7 @@
 use reading::{BodyEnd, HeadEnd};
 
 async fn serve_stream(context: Arc<EntryContext>, stream: TcpStream, tokens: ShutdownTokens) {
-    let socket = match WireSocket::new(stream, &SocketLimits::default()) {
+    let socket = match WireSocket::new(stream, &context.slow_readers.socket_limits()) {
         Ok(socket) => socket,
         Err(error) => {
             log::debug!("a client connection failed before its first request: {error}");
@@ -271,6 +272,9 @@
             RelayEnd::Complete { status, spent } => {
                 record.status = status;
                 record.outcome = "answered";
+                if status == 200 {
+                    note_completed(&context, request, &upstream, record);
+                }
                 if let Some(plan) = turn.filter(|plan| !plan.retained || status != 200) {
                     plan.settle(&context, spent, Some(&upstream.record));
                 }
--- a/crates/samphiregrade-gateway/src/exchange/context.rs
+++ b/crates/samphiregrade-gateway/src/exchange/context.rs
@@ -8,6 +8,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 
 use super::limit_desk::EntryLimiter;
+use super::slow_readers::{MemoryMegabytes, SlowReaders};
 use super::turn_cache::TurnCache;
 use crate::access::{BootTime, KeyFreshness};
 use crate::dialect::Dialect;
@@ -18,10 +19,13 @@
 use crate::routing::RouteTable;
 use crate::settings::OrganisationSection;
 use crate::upstream::{
-    AnsweredRequest, OutcomeTracker, PrefixShares, ServiceTimes, ShareBoard, SpeedBoard,
-    UpstreamDirectory,
+    AffinityTracker, AnsweredRequest, OutcomeTracker, PrefixShares, ServiceTimes, ShareBoard,
+    SpeedBoard, UpstreamDirectory,
 };
 
+/// Memory of a machine of unknown size, in megabytes.
+const DEFAULT_MEMORY: MemoryMegabytes = 256;
+
 /// Times of a shutdown.
 #[derive(Clone, Copy, Debug)]
 struct StopTimes {
@@ -50,8 +54,12 @@
     pub speeds: Arc<SpeedBoard>,
     /// Organisations above their fair share of an engine service.
     pub shares: ShareBoard,
+    /// Measured affinity of requests to upstreams, by service.
+    pub affinity: AffinityTracker,
     /// Measured request times, by service.
     times: Mutex<HashMap<ServiceName, ServiceTimes>>,
+    /// Bounds of what is buffered for clients that read slowly.
+    pub slow_readers: SlowReaders,
     /// Local allowances of the organisations' limits.
     pub limits: EntryLimiter,
     /// Freshness of the known keys.
@@ -89,7 +97,9 @@
             outcomes: Arc::default(),
             speeds: Arc::default(),
             shares: ShareBoard::default(),
+            affinity: AffinityTracker::default(),
             times: Mutex::default(),
+            slow_readers: SlowReaders::new(DEFAULT_MEMORY),
             limits: EntryLimiter::new(instance, organisations),
             freshness: KeyFreshness::new(organisations.freshness_rule()),
             metrics,
@@ -101,6 +111,15 @@
         }
     }
 
+    /// Sets the memory of the machine.
+    #[must_use]
+    pub fn with_memory(self, memory: MemoryMegabytes) -> Self {
+        Self {
+            slow_readers: SlowReaders::new(memory),
+            ..self
+        }
+    }
+
     /// Returns the measured request times of a service, or the defaults if none were measured.
     #[must_use]
     pub fn service_times(&self, service: &ServiceRecord) -> ServiceTimes {
--- a/crates/samphiregrade-gateway/src/exchange/mod.rs
+++ b/crates/samphiregrade-gateway/src/exchange/mod.rs
@@ -1,6 +1,7 @@
 //! The request path: from a client connection through admission and dispatch to an upstream, and back.
 
 mod admission;
+mod affinity;
 mod attempt;
 mod connection;
 mod context;
@@ -11,6 +12,7 @@
 mod refusal;
 mod relay;
 mod request;
+mod slow_readers;
 mod survey;
 mod turn;
 mod turn_cache;
@@ -21,5 +23,6 @@
 pub use events::EventParser;
 pub use limit_desk::{EntryLimiter, TokenSource};
 pub use refusal::{Refusal, RefusalReason};
+pub use slow_readers::{MemoryMegabytes, SlowReaders, WaitingWrites};
 pub use turn_cache::TurnCache;
 pub use waiting::drain_backlog;
--- a/crates/samphiregrade-gateway/src/exchange/outcome.rs
+++ b/crates/samphiregrade-gateway/src/exchange/outcome.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 use smol_str::SmolStr;
 
+use super::affinity::PlacedObject;
 use super::context::EntryContext;
 use super::limit_desk::TokenSource;
 use crate::access::BootTime;
@@ -67,6 +68,8 @@
     pub slowdown: f64,
     /// The part of `slowdown` that is due to contention on the upstream's machine.
     pub contention: f64,
+    /// Where a request for an object was sent; `None` if affinity does not apply.
+    pub affinity: Option<PlacedObject>,
     /// Survey of the keepers before the request was placed; `None` if there was none.
     pub survey: Option<SurveyRecord>,
     /// Rank of the request at the engine; `None` if it was not sent to an engine.
@@ -113,6 +116,8 @@
     slowdown: f64,
     contention: f64,
     #[serde(skip_serializing_if = "Option::is_none")]
+    affinity: Option<&'static str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
     accounts: Option<usize>,
     #[serde(skip_serializing_if = "Option::is_none")]
     survey_ms: Option<f64>,
@@ -157,6 +162,7 @@
             uncached: 0,
             slowdown: 1.0,
             contention: 1.0,
+            affinity: None,
             survey: None,
             rank: None,
             program_left: None,
@@ -205,6 +211,7 @@
             uncached: self.uncached,
             slowdown: (self.slowdown * 100.0).round() / 100.0,
             contention: (self.contention * 100.0).round() / 100.0,
+            affinity: self.affinity.as_ref().map(PlacedObject::name),
             accounts: self.survey.map(|survey| survey.accounts),
             survey_ms: self.survey.map(|survey| milliseconds(survey.duration)),
             rank: self.rank,
--- a/crates/samphiregrade-gateway/src/observe/metrics.rs
+++ b/crates/samphiregrade-gateway/src/observe/metrics.rs
@@ -40,6 +40,7 @@
     keeper_calls: Counter<u64>,
     slow_upstreams: Gauge<u64>,
     yielding_turns: Counter<u64>,
+    affinity: Counter<u64>,
 }
 
 impl GatewayMetrics {
@@ -94,6 +95,10 @@
                 .u64_counter("samphiregrade_turns_over_share")
                 .with_description("First turns ranked last because of their organisation's share")
                 .build(),
+            affinity: meter
+                .u64_counter("samphiregrade_affinity_requests")
+                .with_description("Completed requests for objects, by role of the upstream")
+                .build(),
             registry,
             _provider: provider,
         })
@@ -145,6 +150,11 @@
         self.yielding_turns.add(1, &[]);
     }
 
+    /// Counts a completed request for an object.
+    pub fn count_affinity(&self, role: &'static str) {
+        self.affinity.add(1, &[KeyValue::new("role", role)]);
+    }
+
     /// Renders all instruments in the Prometheus text format.
     ///
     /// # Errors
--- a/crates/samphiregrade-gateway/src/upstream/mod.rs
+++ b/crates/samphiregrade-gateway/src/upstream/mod.rs
@@ -1,5 +1,7 @@
 //! Upstreams as this instance sees them: which ones are registered, their load, and what they have cached.
 
+mod affinity;
+mod affinity_board;
 mod balance;
 mod breaker;
 mod cache;
@@ -18,6 +20,11 @@
 mod speed_board;
 mod speed_estimate;
 
+pub use affinity::{
+    AffinityGain, AffinityPlan, AffinityRole, AffinitySample, MAX_GAIN, ObjectTag, UnixSeconds,
+    rank_for_object, surcharges,
+};
+pub use affinity_board::{AffinityTracker, PlannedAffinity};
 pub use balance::{
     Candidate, ContentionEstimate, ContentionView, LoadView, SLOW_UPSTREAM, WorkEstimate,
     choose_upstream, estimate_loads, mean_excess,
--- a/crates/samphiregrade-gateway/tests/suite/main.rs
+++ b/crates/samphiregrade-gateway/tests/suite/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the gateway's decisions and durable state, without a platform.
 
 mod access;
+mod affinity;
 mod balance;
 mod disk;
 mod events;
@@ -26,6 +27,7 @@
 mod service_times;
 mod settings;
 mod silence;
+mod slow_readers;
 mod speed;
 mod turn_cache;
 mod upstreams;
