Proofs of keys: paced reads, held requests, one keeper of each domain when overdue

Cause: with a bound of 5 s, keepers read every 1.5 s and entries asked every 0.6 s, so a proof was up to 2.1 s old when an outage of the key-value service began, and an outage of 4.6 s caused refusals for 1.7 s.

Overdue proofs are requested from one keeper of each domain. Retry-After of keys-unproved follows the time without proofs. Deployments without a bound keep their timing and calls.

--- a/crates/samphiregrade-gateway/src/access/mod.rs
+++ b/crates/samphiregrade-gateway/src/access/mod.rs
@@ -8,5 +8,7 @@
 mod key_table;
 
 pub use clock::BootTime;
-pub use freshness::{FreshnessRule, KeyFreshness, proof_of_watch};
+pub use freshness::{
+    FreshnessRule, KeyFreshness, ProofTiming, READS_IN_FLIGHT, proof_of_watch, read_phase,
+};
 pub use key_table::{CallerIdentity, KeyTable, Organisation};
--- a/crates/samphiregrade-gateway/src/exchange/connection.rs
+++ b/crates/samphiregrade-gateway/src/exchange/connection.rs
@@ -22,6 +22,7 @@
 use super::request::RoutedRequest;
 use super::survey::{PlacementView, survey};
 use super::turn::{PreparedTurn, ProgramState, TurnPlan};
+use crate::access::BootTime;
 use crate::model::{ClientLimits, RequestKind, RequestMetadata};
 use crate::routing::{RouteTable, service_for};
 
@@ -302,7 +303,9 @@
         refusal: Refusal,
         keep_alive: bool,
     ) -> bool {
-        let refusal = refusal.while_cut_off(self.context.cut_off_for());
+        let refusal = refusal
+            .until_proof(self.context.freshness.unproved_for(BootTime::now()))
+            .while_cut_off(self.context.cut_off_for());
         record.outcome = refusal.reason.name();
         record.window = refusal.window;
         record.status = refusal.reason.status();
--- a/crates/samphiregrade-gateway/src/exchange/mod.rs
+++ b/crates/samphiregrade-gateway/src/exchange/mod.rs
@@ -20,6 +20,6 @@
 pub use context::EntryContext;
 pub use events::EventParser;
 pub use limit_desk::{EntryLimiter, TokenSource};
-pub use refusal::{Refusal, RefusalReason};
+pub use refusal::{Refusal, RefusalReason, proof_retry_after};
 pub use turn_cache::TurnCache;
 pub use waiting::drain_backlog;
--- a/crates/samphiregrade-gateway/src/exchange/refusal.rs
+++ b/crates/samphiregrade-gateway/src/exchange/refusal.rs
@@ -13,6 +13,16 @@
 /// Retry-After time of a refusal by an instance that lacks a configuration or a connection to the keepers.
 const UNREADY_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Shortest Retry-After time of a refusal for want of a proof.
+const MIN_PROOF_RETRY_AFTER: Duration = Duration::from_millis(300);
+
+/// Longest Retry-After time of a refusal for want of a proof.
+const MAX_PROOF_RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Largest factor by which the Retry-After times of refusals for want of a proof differ at one moment, so that their
+/// clients do not return together.
+const PROOF_RETRY_SPREAD: f64 = 1.4;
+
 /// Time after an instance was cut off until its clients' new connections go to another instance: the instance detects
 /// the network partition within 0.6 seconds, and the platform probes its readiness twice, one second apart.
 const FAILOVER_TIME: Duration = Duration::from_millis(2700);
@@ -169,6 +179,17 @@
 }
 
 impl Refusal {
+    /// Sets the Retry-After time of a refusal for want of a proof; `unproved_for` is the time for which no key has been
+    /// served, `None` without a bound for withdrawn keys.
+    #[must_use]
+    pub fn until_proof(mut self, unproved_for: Option<Duration>) -> Self {
+        let unproved_for = unproved_for.filter(|_| self.reason == RefusalReason::KeysUnproved);
+        if let Some(unproved_for) = unproved_for {
+            self.retry_after = Some(proof_retry_after(unproved_for, rand::random()));
+        }
+        self
+    }
+
     /// Extends the Retry-After time while the instance is cut off, until the client's next connection goes to another
     /// instance.
     #[must_use]
@@ -211,6 +232,17 @@
     }
 }
 
+/// Returns the Retry-After time of a refusal for want of a proof; `spread` is between 0 and 1.
+///
+/// A lack of proofs that has lasted for some time is expected to last about as long again. The time counts from when
+/// proofs expired, not from when the service failed: the whole outage always exceeds the largest Retry-After time.
+#[must_use]
+pub fn proof_retry_after(unproved_for: Duration, spread: f64) -> Duration {
+    let longest = MAX_PROOF_RETRY_AFTER.div_f64(PROOF_RETRY_SPREAD);
+    let expected = unproved_for.clamp(MIN_PROOF_RETRY_AFTER, longest);
+    expected.mul_f64(1.0 + (PROOF_RETRY_SPREAD - 1.0) * spread)
+}
+
 fn reason_phrase(status: u16) -> &'static str {
     match status {
         400 => "Bad Request",
--- a/crates/samphiregrade-gateway/src/fact/mod.rs
+++ b/crates/samphiregrade-gateway/src/fact/mod.rs
@@ -36,6 +36,7 @@
 };
 pub use news::LagMonitor;
 pub use placement::{KeeperPlacement, KeeperSlot, PlacementGeneration};
+pub use proofs::{PROOF_TIMEOUT, ProofRoute};
 pub use reader::FactReader;
 pub use rebuild::rebuild_from_others;
 pub use service::KeeperService;
--- a/crates/samphiregrade-gateway/src/observe/metrics.rs
+++ b/crates/samphiregrade-gateway/src/observe/metrics.rs
@@ -37,6 +37,7 @@
     sends: Counter<u64>,
     store_calls: Counter<u64>,
     keeper_calls: Counter<u64>,
+    key_proofs: Counter<u64>,
 }
 
 impl GatewayMetrics {
@@ -79,6 +80,10 @@
                 .u64_counter("samphiregrade_keeper_calls")
                 .with_description("Calls of keeper instances, by result")
                 .build(),
+            key_proofs: meter
+                .u64_counter("samphiregrade_key_proofs")
+                .with_description("Rounds of requests for proofs of the keys, and losses of proofs")
+                .build(),
             registry,
             _provider: provider,
         })
@@ -114,6 +119,11 @@
         self.keeper_calls.add(1, &[KeyValue::new("result", result)]);
     }
 
+    /// Counts a round of requests for proofs of the keys, or the expiry of the last proof.
+    pub fn count_key_proof(&self, result: &'static str) {
+        self.key_proofs.add(1, &[KeyValue::new("result", result)]);
+    }
+
     /// Renders all instruments in the Prometheus text format.
     ///
     /// # Errors
--- a/crates/samphiregrade-gateway/src/role/keeper.rs
+++ b/crates/samphiregrade-gateway/src/role/keeper.rs
@@ -130,6 +130,7 @@
 async fn shut_down(service: &KeeperService, tasks: &TaskTracker) {
     let since = Instant::now();
     service.mirror().release_waiters();
+    service.proofs().release_waiters();
     tasks.close();
     tasks.wait().await;
     let flushing = tokio::time::timeout(FLUSH_TIMEOUT, service.flush());
--- a/crates/samphiregrade-gateway/src/role/member.rs
+++ b/crates/samphiregrade-gateway/src/role/member.rs
@@ -1,6 +1,6 @@
 //! Membership of a keeper in the deployment: registration, slots, rebuild and retirement.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -11,12 +11,14 @@
 
 use super::authority::{KEEPER_PREFIX, PLACEMENT_KEY, REGISTRATION_PREFIX};
 use super::membership::{MembershipStep, MembershipView, SlotReplies, next_step};
+use crate::access::read_phase;
 use crate::dialect::{Dialect, StoreItem, StoreRevision, StoreValue, StoreWrite};
 use crate::fact::{
     KeeperAnswer, KeeperEnvelope, KeeperPlacement, KeeperReply, KeeperRequest, KeeperService,
     KeeperSlot, rebuild_from_others,
 };
 use crate::link::LinkEndpoint;
+use crate::model::DomainId;
 use crate::observe::Logbook;
 use crate::settings::GatewaySettings;
 use crate::store::{
@@ -149,10 +151,12 @@
             outdated.clone(),
             stop.clone(),
         ));
+        let rule = self.settings.organisations.freshness_rule();
         let prover = ConfigurationProver {
             store: self.store.with_own_connection(),
             key: self.dialect.configuration_key(),
-            interval: self.settings.organisations.freshness_rule().read_interval(),
+            interval: rule.read_interval(),
+            timing: rule.proof_timing(),
             cache: self.service.proofs().clone(),
             mirror: self.service.mirror().clone(),
             outdated,
@@ -173,6 +177,19 @@
             }
         }
         self.initialized = true;
+        self.set_read_phase();
+    }
+
+    /// Spreads the reads of the failure domains' keepers evenly over the interval.
+    fn set_read_phase(&self) {
+        let placement = self.service.placement();
+        let domains: BTreeSet<DomainId> = placement
+            .slots
+            .into_iter()
+            .map(|slot| slot.domain)
+            .collect();
+        let phase = read_phase(&domains, &self.own.domain);
+        self.service.proofs().set_phase(phase);
     }
 
     fn apply_registration(&mut self, name: &str, item: &StoreItem) {
--- a/crates/samphiregrade-gateway/src/store/proof.rs
+++ b/crates/samphiregrade-gateway/src/store/proof.rs
@@ -3,12 +3,13 @@
 //!
 //! Avoids that each instance of a fleet queries the key-value service every second or two to find out whether a key was
 //! withdrawn. All entries of a failure domain request proofs from the same keeper first, so that a few calls serve all
-//! of them. If that keeper stops responding or its calls are rejected, the next keeper starts reading with the first
+//! of them. Under a bound for withdrawn keys, the keepers of the failure domains read at evenly spread times, and hold a
+//! request that arrives shortly before a read until the read completes. If that keeper stops responding or its calls are rejected, the next keeper starts reading with the first
 //! request.
 
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::sync::{Arc, Mutex, OnceLock};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use serde::{Deserialize, Serialize};
 use tokio::sync::{Notify, watch};
@@ -16,20 +17,20 @@
 
 use super::client::StoreClient;
 use super::mirror::StoreMirror;
-use crate::access::BootTime;
+use crate::access::{BootTime, ProofTiming, READS_IN_FLIGHT};
 use crate::dialect::StoreRevision;
 use crate::hold::lock_ignoring_poison;
 
 /// Number of reads with which a keeper continues after the last request.
 const READS_AFTER_REQUEST: u32 = 2;
 
-/// Maximum time for which a request waits for the read that it has triggered.
+/// Maximum time for which a request waits for the read that it has triggered, without a bound for withdrawn keys.
 const FIRST_READ_TIMEOUT: Duration = Duration::from_millis(120);
 
-/// Delay after a failed read.
+/// Delay after a failed read, without a bound for withdrawn keys.
 const RETRY_DELAY: Duration = Duration::from_millis(250);
 
-/// Timeout of a read: long enough for a service that is slower than usual by a factor of dozens, and short enough that
+/// Timeout of a read without a bound for withdrawn keys: long enough for a service that is slower than usual by a factor of dozens, and short enough that
 /// the next read follows soon after an outage.
 const READ_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -63,6 +64,12 @@
     /// Time between two reads, in milliseconds.
     interval: AtomicU64,
     requested: Notify,
+    /// Timing under a bound for withdrawn keys; unset without a bound.
+    timing: OnceLock<ProofTiming>,
+    /// Phase of the reads in thousandths of the interval.
+    phase: AtomicU64,
+    /// Cancelled when the keeper stops and holds no more requests.
+    released: CancellationToken,
 }
 
 impl Default for ProofCache {
@@ -72,19 +79,25 @@
             active_until: Mutex::default(),
             interval: AtomicU64::new(1000),
             requested: Notify::new(),
+            timing: OnceLock::new(),
+            phase: AtomicU64::new(0),
+            released: CancellationToken::new(),
         }
     }
 }
 
 impl ProofCache {
-    /// Handles a request for a proof; waits briefly for a new read if there was no recent request.
+    /// Handles a request for a proof; waits for a new read if there was no recent request or, under a bound for
+    /// withdrawn keys, if the next read is due soon.
     pub async fn answer(&self) -> Option<ConfigurationProof> {
         let received = BootTime::now();
         let idle = !self.is_requested();
         let interval = Duration::from_millis(self.interval.load(Ordering::Relaxed));
         *lock_ignoring_poison(&self.active_until) =
             Some(Instant::now() + interval * READS_AFTER_REQUEST);
-        if idle {
+        if let Some(timing) = self.timing.get() {
+            self.await_recent_read(timing, received, idle).await;
+        } else if idle {
             let mut reads = self.read.subscribe();
             self.requested.notify_one();
             // If no read completes in time, the reply carries the last read with its age.
@@ -97,6 +110,52 @@
         })
     }
 
+    async fn await_recent_read(&self, timing: &ProofTiming, received: BootTime, idle: bool) {
+        let mut reads = self.read.subscribe();
+        if idle {
+            self.requested.notify_one();
+        }
+        let known = *reads.borrow_and_update();
+        if known.is_some_and(|read| timing.is_recent(received.since(read.sent))) {
+            return;
+        }
+        // Without a read in time, the reply carries the last one with its age.
+        tokio::select! {
+            _ = tokio::time::timeout(timing.hold, reads.changed()) => {}
+            () = self.released.cancelled() => {}
+        }
+    }
+
+    /// Sets the phase of the reads, as a share of the interval between two reads.
+    pub fn set_phase(&self, phase: f64) {
+        let thousandths = Duration::from_secs(1).mul_f64(phase.clamp(0.0, 1.0));
+        let thousandths = u64::try_from(thousandths.as_millis()).unwrap_or(0);
+        self.phase.store(thousandths, Ordering::Relaxed);
+    }
+
+    /// Answers all held requests, and holds no more.
+    pub fn release_waiters(&self) {
+        self.released.cancel();
+    }
+
+    /// Returns the time until the next read under a bound for withdrawn keys.
+    fn next_read_in(&self, timing: &ProofTiming) -> Duration {
+        let time_of_day = SystemTime::now().duration_since(UNIX_EPOCH);
+        let phase = Duration::from_millis(self.phase.load(Ordering::Relaxed)).as_secs_f64();
+        timing.next_read_in(time_of_day.unwrap_or_default(), phase)
+    }
+
+    /// Stores a read unless a later one is known; returns whether it was stored.
+    fn store_read(&self, read: ConfigurationRead) -> bool {
+        self.read.send_if_modified(|known| {
+            let newer = known.is_none_or(|known| known.sent < read.sent);
+            if newer {
+                *known = Some(read);
+            }
+            newer
+        })
+    }
+
     fn is_requested(&self) -> bool {
         lock_ignoring_poison(&self.active_until).is_some_and(|until| Instant::now() < until)
     }
@@ -108,8 +167,10 @@
     pub store: StoreClient,
     /// Key of the configuration.
     pub key: &'static str,
-    /// Time between two reads.
+    /// Time between two reads without a bound for withdrawn keys.
     pub interval: Duration,
+    /// Timing under a bound for withdrawn keys; `None` without a bound.
+    pub timing: Option<ProofTiming>,
     /// Receives the reads.
     pub cache: Arc<ProofCache>,
     /// Data that the keeper's watch has delivered.
@@ -121,16 +182,60 @@
 impl ConfigurationProver {
     /// Reads until cancelled.
     pub async fn run(self, stop: CancellationToken) {
+        match self.timing {
+            Some(timing) => self.run_paced(timing, &stop).await,
+            None => self.run_serially(&stop).await,
+        }
+    }
+
+    /// Reads at the times of the timing. A read that does not complete delays none of the next ones: each of them uses
+    /// another connection.
+    async fn run_paced(self, timing: ProofTiming, stop: &CancellationToken) {
+        let interval = u64::try_from(timing.read_interval.as_millis()).unwrap_or(u64::MAX);
+        self.cache.interval.store(interval, Ordering::Relaxed);
+        // The timing never changes while the process runs.
+        let _ = self.cache.timing.set(timing);
+        let clients: Vec<StoreClient> = (0..READS_IN_FLIGHT)
+            .map(|_| self.store.with_own_connection())
+            .collect();
+        let prover = Arc::new(self);
+        for client in clients.iter().cycle() {
+            if !prover.await_request(stop).await {
+                return;
+            }
+            let (prover, client) = (prover.clone(), client.clone());
+            let pause = prover.cache.next_read_in(&timing);
+            let reading = stop.clone().run_until_cancelled_owned(async move {
+                prover.read(&client, timing.read_timeout).await;
+            });
+            tokio::spawn(reading);
+            tokio::select! {
+                () = stop.cancelled() => return,
+                () = tokio::time::sleep(pause) => {}
+            }
+        }
+    }
+
+    /// Waits until proofs are requested; returns whether the keeper still runs.
+    async fn await_request(&self, stop: &CancellationToken) -> bool {
+        if self.cache.is_requested() {
+            return true;
+        }
+        tokio::select! {
+            () = stop.cancelled() => false,
+            () = self.cache.requested.notified() => true,
+        }
+    }
+
+    /// Reads one after another.
+    async fn run_serially(self, stop: &CancellationToken) {
         let interval = u64::try_from(self.interval.as_millis()).unwrap_or(u64::MAX);
         self.cache.interval.store(interval, Ordering::Relaxed);
         loop {
-            if !self.cache.is_requested() {
-                tokio::select! {
-                    () = stop.cancelled() => return,
-                    () = self.cache.requested.notified() => {}
-                }
+            if !self.await_request(stop).await {
+                return;
             }
-            let pause = if self.read().await {
+            let pause = if self.read(&self.store, READ_TIMEOUT).await {
                 self.interval
             } else {
                 RETRY_DELAY
@@ -143,9 +248,9 @@
     }
 
     /// Reads the configuration once; returns whether the read yielded a proof.
-    async fn read(&self) -> bool {
+    async fn read(&self, client: &StoreClient, timeout: Duration) -> bool {
         let sent = BootTime::now();
-        let page = match self.store.read_within(self.key, READ_TIMEOUT).await {
+        let page = match client.read_within(self.key, timeout).await {
             Ok(page) => page,
             Err(failure) => {
                 log::debug!("no proof of the configuration's freshness: {failure}");
@@ -156,10 +261,8 @@
             return false;
         };
         let revision = item.revision;
-        self.cache
-            .read
-            .send_replace(Some(ConfigurationRead { revision, sent }));
-        if self.is_newer_than_mirror(revision) {
+        let stored = self.cache.store_read(ConfigurationRead { revision, sent });
+        if stored && self.is_newer_than_mirror(revision) {
             self.check_watch(revision);
         }
         true
--- a/crates/samphiregrade-gateway/tests/suite/main.rs
+++ b/crates/samphiregrade-gateway/tests/suite/main.rs
@@ -18,6 +18,7 @@
 mod news;
 mod outcomes;
 mod panics;
+mod proofs;
 mod rank;
 mod routing;
 mod run_table;
