Proofs of keys: one check of the watch at a time, test of the preferred keeper

Guards removed one at a time in the proofs tests showed that the choice of a replacement keeper was not covered; it is now.

--- a/crates/samphiregrade-gateway/src/store/proof.rs
+++ b/crates/samphiregrade-gateway/src/store/proof.rs
@@ -7,7 +7,7 @@
 //! request that arrives shortly before a read until the read completes. If that keeper stops responding or its calls are rejected, the next keeper starts reading with the first
 //! request.
 
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -68,6 +68,8 @@
     timing: OnceLock<ProofTiming>,
     /// Phase of the reads in thousandths of the interval.
     phase: AtomicU64,
+    /// Whether the watch is being checked against a read.
+    checking_watch: AtomicBool,
     /// Cancelled when the keeper stops and holds no more requests.
     released: CancellationToken,
 }
@@ -81,6 +83,7 @@
             requested: Notify::new(),
             timing: OnceLock::new(),
             phase: AtomicU64::new(0),
+            checking_watch: AtomicBool::new(false),
             released: CancellationToken::new(),
         }
     }
@@ -274,11 +277,19 @@
     }
 
     /// Has all keys read again if the watch doesn't deliver a change that was read.
+    ///
+    /// Only one check is in progress at a time. Otherwise, frequent reads would interrupt the reading of all keys again
+    /// and again while the service is slow.
     fn check_watch(&self, revision: StoreRevision) {
+        if self.cache.checking_watch.swap(true, Ordering::AcqRel) {
+            return;
+        }
+        let cache = self.cache.clone();
         let (key, mirror) = (self.key, self.mirror.clone());
         let outdated = self.outdated.clone();
         tokio::spawn(async move {
             tokio::time::sleep(WATCH_TIMEOUT).await;
+            cache.checking_watch.store(false, Ordering::Release);
             let known = mirror.revision_of(key);
             if known.is_some_and(|known| known < revision) {
                 outdated.notify_one();
--- a/crates/samphiregrade-gateway/tests/suite/proofs.rs
+++ b/crates/samphiregrade-gateway/tests/suite/proofs.rs
@@ -281,6 +281,23 @@
     );
 }
 
+/// Guards against a failure domain that moves to another domain's keeper after one late reply, or stays there.
+#[test]
+fn other_keeper_is_preferred_after_two_misses_and_for_ten_seconds() {
+    let slots = slots();
+    let mut route = ProofRoute::default();
+    let preferred = |route: &ProofRoute, now: u64| {
+        let slot = route.preferred(&slots, at(now)).expect("a keeper");
+        slot.name.clone()
+    };
+    for (now, expected) in [(1000, "a1"), (2000, "b1")] {
+        route.record(&"a1".into(), Some(&"b1".into()), at(now));
+        assert_eq!(preferred(&route, now), expected);
+    }
+    assert_eq!(preferred(&route, 11_000), "b1");
+    assert_eq!(preferred(&route, 12_000), "a1");
+}
+
 /// Guards against entries that only ever query each domain's first keeper.
 #[test]
 fn keys_are_served_while_the_first_keeper_of_each_domain_is_rejected() {
