Proofs of keys: rounds that end early don't move on to second keepers

Cause: while a newer configuration is on its way to an entry, keepers answer at once with its revision; three such rounds would have had each domain's second keeper read as well. Found by reading.

Change: only a round that lasted as long as keepers hold a request counts as failed.

--- a/crates/samphiregrade-gateway/src/role/proofs.rs
+++ b/crates/samphiregrade-gateway/src/role/proofs.rs
@@ -159,7 +159,11 @@
         return false;
     }
     let prover = query_all(context, &route.overdue(&slots), timing.hold + TRANSFER_TIME).await;
-    route.record(&preferred.name, prover.as_ref(), now);
+    // A round that ends early without a proof is no sign of failing reads: the newer configuration that a keeper has read
+    // may not have arrived yet. Counting it would have further keepers read.
+    if prover.is_some() || BootTime::now().since(now) >= timing.hold {
+        route.record(&preferred.name, prover.as_ref(), now);
+    }
     prover.is_some()
 }
 
