--- a/crates/samphiregrade-gateway/src/observe/metrics.rs
+++ b/crates/samphiregrade-gateway/src/observe/metrics.rs
@@ -41,6 +41,7 @@
     slow_upstreams: Gauge<u64>,
     yielding_turns: Counter<u64>,
     affinity: Counter<u64>,
+    key_proofs: Counter<u64>,
 }
 
 impl GatewayMetrics {
@@ -99,6 +100,10 @@
                 .u64_counter("samphiregrade_affinity_requests")
                 .with_description("Completed requests for objects, by role of the upstream")
                 .build(),
+            key_proofs: meter
+                .u64_counter("samphiregrade_key_proofs")
+                .with_description("Rounds of requests for proofs of the keys, and losses of proofs")
+                .build(),
             registry,
             _provider: provider,
         })
@@ -155,6 +160,11 @@
         self.affinity.add(1, &[KeyValue::new("role", role)]);
     }
 
+    /// Counts a round of requests for proofs of the keys, or the expiry of the last proof.
+    pub fn count_key_proof(&self, result: &'static str) {
+        self.key_proofs.add(1, &[KeyValue::new("result", result)]);
+    }
+
     /// Renders all instruments in the Prometheus text format.
     ///
     /// # Errors
--- a/crates/samphiregrade-gateway/tests/suite/affinity.rs
+++ b/crates/samphiregrade-gateway/tests/suite/affinity.rs
@@ -211,7 +211,7 @@
                 freshness: 0.5_f64.powf((self.now - known.reports[index].1) / 0.25),
             })
             .collect();
-        let loads = estimate_loads(&views);
+        let loads = estimate_loads(&views, |_| 1.0);
         let mut candidates: Vec<Candidate> = (0..UPSTREAMS)
             .map(|index| Candidate {
                 load: loads[index],
--- a/crates/samphiregrade-gateway/tests/suite/main.rs
+++ b/crates/samphiregrade-gateway/tests/suite/main.rs
@@ -21,6 +21,7 @@
 mod outcomes;
 mod panics;
 mod placement;
+mod proofs;
 mod rank;
 mod routing;
 mod run_table;
