--- a/crates/samphiregrade-gateway/tests/suite/upstreams.rs
+++ b/crates/samphiregrade-gateway/tests/suite/upstreams.rs
@@ -4,7 +4,9 @@
 use std::time::{Duration, Instant};
 
 use samphiregrade_gateway::model::{PromptPart, ReportedLoad, UpstreamRecord, UpstreamState};
-use samphiregrade_gateway::upstream::{DepartureRule, Upstream, UpstreamRegistry};
+use samphiregrade_gateway::upstream::{
+    DepartureRule, Outcome, OutcomeTracker, Upstream, UpstreamRegistry,
+};
 
 const DRAIN: Duration = Duration::from_secs(2);
 
@@ -171,6 +173,38 @@
     );
 }
 
+// Guards against an upstream that is avoided after its return, or believed to be known, because of its start before.
+#[test]
+fn outcomes_and_programs_of_an_earlier_start_do_not_count() {
+    let now = Instant::now();
+    let mut registry = UpstreamRegistry::new(DepartureRule::for_drain(DRAIN));
+    let outcomes = OutcomeTracker::default();
+    registry.put(started("i-1", 1000), now);
+    let before = only(&registry);
+    for _ in 0..20 {
+        outcomes.note(before.start_tag, Outcome::Failure, now);
+    }
+    assert!(outcomes.penalty(before.start_tag, false, now) > Duration::ZERO);
+    // The record expires, and the upstream returns before it is dropped.
+    registry.remove(&"i-1".into(), now);
+    registry.put(started("i-1", 2000), now);
+    let after = only(&registry);
+    assert_eq!(
+        outcomes.penalty(after.start_tag, false, now),
+        Duration::ZERO
+    );
+    let candidate = after.candidate(0.0, &[], false, &"a".into(), now);
+    assert_eq!(candidate.penalty, Duration::ZERO);
+    assert!(!after.record.is_same_start(&before.record));
+    let due = now + DRAIN * 2;
+    registry.drop_departed(due);
+    assert_eq!(
+        usable(&registry),
+        ["i-1"],
+        "the departure was that of the earlier start"
+    );
+}
+
 /// Returns whether a stalled response is abandoned soon.
 async fn is_abandoned(upstream: &Upstream) -> bool {
     let abandoned = upstream.wait_until_unreachable(Duration::from_millis(20));
