Entries: bound what is buffered for clients that read slowly

Cause: an entry reads a response only as fast as its client does, but the system's send queue grows to megabytes: 200 clients that read nothing occupied 548 MB, on machines with as little as 88 MB. A response that its client did not read was reported as late, as if the upstream had not finished.

Change: the send queue of a client connection is a 2,048th of the machine's memory, 32 to 256 kB. While clients that wait together occupy more than an eighth of the memory, those that have waited longest, and at least for 1 s, are ended, with a reset and the outcome client-slow.

--- a/crates/samphiregrade-gateway/src/exchange/connection.rs
+++ b/crates/samphiregrade-gateway/src/exchange/connection.rs
@@ -8,7 +8,7 @@
 use std::time::Instant;
 
 use bytes::{Bytes, BytesMut};
-use samphiregrade_http::wire::{RequestHead, SocketLimits, WireSocket};
+use samphiregrade_http::wire::{RequestHead, WireSocket};
 use smol_str::SmolStr;
 use tokio::net::TcpStream;
 
@@ -30,7 +30,7 @@
 use reading::{BodyEnd, HeadEnd};
 
 async fn serve_stream(context: Arc<EntryContext>, stream: TcpStream, tokens: ShutdownTokens) {
-    let socket = match WireSocket::new(stream, &SocketLimits::default()) {
+    let socket = match WireSocket::new(stream, &context.slow_readers.socket_limits()) {
         Ok(socket) => socket,
         Err(error) => {
             log::debug!("a client connection failed before its first request: {error}");
--- a/crates/samphiregrade-gateway/src/exchange/context.rs
+++ b/crates/samphiregrade-gateway/src/exchange/context.rs
@@ -8,6 +8,7 @@
 use arc_swap::{ArcSwap, ArcSwapOption};
 
 use super::limit_desk::EntryLimiter;
+use super::slow_readers::{MemoryMegabytes, SlowReaders};
 use super::turn_cache::TurnCache;
 use crate::access::{BootTime, KeyFreshness};
 use crate::dialect::Dialect;
@@ -21,6 +22,9 @@
     AffinityTracker, AnsweredRequest, OutcomeTracker, PrefixShares, ServiceTimes, UpstreamDirectory,
 };
 
+/// Memory of a machine of unknown size, in megabytes.
+const DEFAULT_MEMORY: MemoryMegabytes = 256;
+
 /// Times of a shutdown.
 #[derive(Clone, Copy, Debug)]
 struct StopTimes {
@@ -49,6 +53,8 @@
     pub affinity: AffinityTracker,
     /// Measured request times, by service.
     times: Mutex<HashMap<ServiceName, ServiceTimes>>,
+    /// Bounds of what is buffered for clients that read slowly.
+    pub slow_readers: SlowReaders,
     /// Local allowances of the organisations' limits.
     pub limits: EntryLimiter,
     /// Freshness of the known keys.
@@ -86,6 +92,7 @@
             outcomes: Arc::default(),
             affinity: AffinityTracker::default(),
             times: Mutex::default(),
+            slow_readers: SlowReaders::new(DEFAULT_MEMORY),
             limits: EntryLimiter::new(instance, organisations),
             freshness: KeyFreshness::new(organisations.freshness_rule()),
             metrics,
@@ -97,6 +104,15 @@
         }
     }
 
+    /// Sets the memory of the machine.
+    #[must_use]
+    pub fn with_memory(self, memory: MemoryMegabytes) -> Self {
+        Self {
+            slow_readers: SlowReaders::new(memory),
+            ..self
+        }
+    }
+
     /// Returns the measured request times of a service, or the defaults if none were measured.
     #[must_use]
     pub fn service_times(&self, service: &ServiceRecord) -> ServiceTimes {
--- a/crates/samphiregrade-gateway/src/exchange/relay.rs
+++ b/crates/samphiregrade-gateway/src/exchange/relay.rs
@@ -68,6 +68,8 @@
     /// The network path to the upstream is broken.
     Path,
     Client,
+    /// The client did not read the response in time, or as the slowest one while too much memory was occupied.
+    SlowClient,
     Deadline,
     NotDurable,
     /// The instance is stopping.
@@ -237,7 +239,8 @@
             biased;
             written = writing => written.map_err(|_| RelayStop::Client),
             () = self.client.abort.cancelled() => Err(RelayStop::Stopping),
-            () = tokio::time::sleep_until(self.request.due.into()) => Err(RelayStop::Deadline),
+            () = tokio::time::sleep_until(self.request.due.into()) => Err(RelayStop::SlowClient),
+            () = self.context.slow_readers.until_given_up(self.client.socket, bytes.len()) => Err(RelayStop::SlowClient),
         }
     }
 
@@ -293,6 +296,10 @@
                 ("upstream-unreachable", detail, RefusalReason::Broken)
             }
             RelayStop::Client => ("client-gone", String::new(), RefusalReason::Broken),
+            RelayStop::SlowClient => {
+                let detail = "the client did not read the response".to_owned();
+                ("client-slow", detail, RefusalReason::Broken)
+            }
             RelayStop::Deadline => {
                 let detail = format!("{} did not finish in time", upstream.record.id);
                 ("late", detail, RefusalReason::Late)
@@ -336,6 +343,7 @@
         Err(
             RelayStop::Path
             | RelayStop::Client
+            | RelayStop::SlowClient
             | RelayStop::Deadline
             | RelayStop::NotDurable
             | RelayStop::Stopping,
--- a/crates/samphiregrade-gateway/src/role/entry.rs
+++ b/crates/samphiregrade-gateway/src/role/entry.rs
@@ -92,7 +92,7 @@
     let metrics = Arc::new(GatewayMetrics::new().context("creating the metrics")?);
     let registry = UpstreamRegistry::new(DepartureRule::for_drain(settings.times.drain()));
     let cache_bytes = settings.instance.memory_megabytes * 1024 * 1024 / TURN_CACHE_DIVISOR;
-    let context = Arc::new(EntryContext::new(
+    let context = EntryContext::new(
         dialect.clone(),
         registry.directory(),
         metrics.clone(),
@@ -100,7 +100,8 @@
         TurnCache::new(usize::try_from(cache_bytes).unwrap_or(usize::MAX)),
         &settings.instance.name,
         &settings.organisations,
-    ));
+    );
+    let context = Arc::new(context.with_memory(settings.instance.memory_megabytes));
     let clients = settings
         .listen
         .clients
--- a/crates/samphiregrade-gateway/tests/suite/main.rs
+++ b/crates/samphiregrade-gateway/tests/suite/main.rs
@@ -25,6 +25,7 @@
 mod service_times;
 mod settings;
 mod silence;
+mod slow_readers;
 mod turn_cache;
 mod upstreams;
 mod waiting;
--- a/crates/samphiregrade-http/src/wire/socket.rs
+++ b/crates/samphiregrade-http/src/wire/socket.rs
@@ -68,6 +68,9 @@
     /// Whether closing resets the connection. An orderly close leaves queued bytes to the kernel, which continues
     /// to send them for seconds: a request abandoned during a network partition would still arrive after the partition.
     pub reset_on_close: bool,
+    /// Bytes that the system may queue for sending; `None` for the system's default, which grows to megabytes. The
+    /// system also counts its overhead and allows twice as much.
+    pub send_queue: Option<usize>,
 }
 
 impl SocketLimits {
@@ -93,6 +96,7 @@
                 ..LivenessLimits::default()
             }),
             reset_on_close: true,
+            send_queue: None,
         }
     }
 
@@ -105,6 +109,7 @@
         Self {
             liveness: None,
             reset_on_close: true,
+            send_queue: None,
         }
     }
 }
@@ -114,6 +119,7 @@
         Self {
             liveness: Some(LivenessLimits::default()),
             reset_on_close: false,
+            send_queue: None,
         }
     }
 }
@@ -148,6 +154,9 @@
     if limits.reset_on_close {
         options.set_linger(Some(Duration::ZERO))?;
     }
+    if let Some(bytes) = limits.send_queue {
+        options.set_send_buffer_size(bytes)?;
+    }
     let Some(liveness) = limits.liveness else {
         return Ok(());
     };
