Ignore upstreams without known slots in the contention of a service; test shares over links

Runs of callers without an organisation state no slots, so their upstreams counted as full. A test with real links checks that the work one entry reports reaches another one as a share.

--- a/crates/samphiregrade-gateway/src/upstream/fair_share.rs
+++ b/crates/samphiregrade-gateway/src/upstream/fair_share.rs
@@ -13,13 +13,15 @@
 use super::service_times::ServiceTimes;
 use crate::model::OrganisationTag;
 
-/// Half-life of work: a burst of some seconds shows within its first second and is forgotten soon after it.
+/// Half-life of work: short enough for a burst of six seconds to show while it lasts.
 const HALF_LIFE: Duration = Duration::from_secs(4);
 
 /// Maximum number of organisations in a table; the one with the least work is dropped.
 const ORGANISATION_LIMIT: usize = 1024;
 
-/// Multiple of its fair share that an organisation may use: single keepers' shares vary by a third.
+/// Multiple of its fair share that an organisation may use, as docs/design/demands.md sets it. In the load of
+/// tests/suite/fair_share.rs (seeds 11 to 14), 0.85 to 0.90 of the other organisations' programs were in time, and 0.93
+/// to 0.95 with a bound of 1.0, which has not been tried with other loads.
 const SHARE_BOUND: f64 = 1.5;
 
 /// Largest part of the slots that may be free while a service counts as contended. A keeper holds about nine engines in
--- a/crates/samphiregrade-gateway/src/upstream/run_table.rs
+++ b/crates/samphiregrade-gateway/src/upstream/run_table.rs
@@ -35,8 +35,8 @@
 /// Longest time for which a run counts if its end is never reported: its entry may have crashed.
 const MAX_RUN_TIME: Duration = Duration::from_secs(30);
 
-/// Time for which a service's fair share is used before it is computed again: with 1,024 organisations the computation
-/// takes tens of microseconds, and a keeper answers hundreds of queries a second.
+/// Time for which a service's fair share is used before it is computed again: the computation sorts the work of up to
+/// 1,024 organisations, and a keeper answers hundreds of queries a second.
 const LEVEL_LIFETIME: Duration = Duration::from_millis(50);
 
 /// Random number of one run, assigned by the entry that sends the request.
@@ -224,7 +224,8 @@
         let mut slots = SlotUse::default();
         for runs in self.upstreams.values_mut() {
             let active = now.saturating_duration_since(runs.last_start) < EXTRA_ACTIVITY_TIME;
-            if active && runs.service == *service {
+            // The slots of an upstream are unknown until a run with a claim begins there.
+            if active && runs.service == *service && runs.slots > 0 {
                 slots.add(runs.running(now), runs.slots);
             }
         }
--- a/crates/samphiregrade-gateway/tests/suite/keepers.rs
+++ b/crates/samphiregrade-gateway/tests/suite/keepers.rs
@@ -17,7 +17,9 @@
 use samphiregrade_gateway::link::LinkEndpoint;
 use samphiregrade_gateway::observe::GatewayMetrics;
 use samphiregrade_gateway::store::FollowEvent;
-use samphiregrade_gateway::upstream::{AccountQuery, RunEnd, RunStart};
+use samphiregrade_gateway::upstream::{
+    AccountQuery, OrganisationShare, RunEnd, RunStart, WorkClaim,
+};
 use tempfile::TempDir;
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
@@ -548,6 +550,41 @@
     expect_running(&placing, 0).await;
 }
 
+#[tokio::test]
+async fn work_of_an_organisation_is_visible_to_another_entry() {
+    let deployment = Deployment::start().await;
+    let (sending, placing) = (deployment.client("a"), deployment.client("b"));
+    let work = Duration::from_millis(300);
+    for upstream in UPSTREAMS {
+        let claim = WorkClaim {
+            organisation: 5,
+            work,
+            slots: 16,
+        };
+        sending.report_run_start(RunStart {
+            claim: Some(claim),
+            ..run_start(upstream)
+        });
+        sending.report_run_end(RunEnd {
+            upstream,
+            run: upstream,
+            work,
+        });
+    }
+    let query = AccountQuery {
+        service: "engines".into(),
+        upstreams: UPSTREAMS.to_vec(),
+        prompt: Vec::new(),
+        organisation: Some(5),
+    };
+    // A keeper reports no shares in its first seconds.
+    eventually("a share of all work", async || {
+        let shares = placing.query_accounts(&query, TEST_TIMEOUT).await.shares;
+        OrganisationShare::average(&shares).is_some_and(|share| share.used > 0.99)
+    })
+    .await;
+}
+
 #[tokio::test]
 async fn accounts_survive_a_lost_keeper() {
     let mut deployment = Deployment::start().await;
