--- a/crates/samphiregrade-gateway/src/upstream/fair_share.rs
+++ b/crates/samphiregrade-gateway/src/upstream/fair_share.rs
@@ -20,7 +20,7 @@
 const ORGANISATION_LIMIT: usize = 1024;
 
 /// Multiple of its fair share that an organisation may use, as docs/design/demands.md sets it. In the load of
-/// tests/suite/fair_share.rs (seeds 11 to 14), 0.85 to 0.90 of the other organisations' programs were in time, and 0.93
+/// `tests/suite/fair_share.rs` (seeds 11 to 14), 0.85 to 0.90 of the others' programs were in time, and 0.93
 /// to 0.95 with a bound of 1.0, which has not been tried with other loads.
 const SHARE_BOUND: f64 = 1.5;
 
