Count only changes of a machine's figure as contention

Cause: on the uneven deployment the fourth figure of X-Instance-Load contains the machine's own speed: 55 on the fast quarter of the engines, 120 on the others, 2.5 times that under contention. Samples divided by it showed equal speeds, and, where contention had changed during a response, false ones of 0.25 to 3.4; turns queued at engines that looked fast.

Change: contention is the ratio to the lowest recent figure of the upstream, at least 1.

--- a/crates/samphiregrade-gateway/src/exchange/relay.rs
+++ b/crates/samphiregrade-gateway/src/exchange/relay.rs
@@ -187,7 +187,7 @@
                 Some(_) => load.running,
                 None => load.running.saturating_add(load.waiting),
             }),
-            contention: response.load.map_or(1.0, |load| load.contention()),
+            contention: response.contention,
         };
         if service.engine.is_some() {
             let generation = total.saturating_sub(response.time_to_head);
--- a/crates/samphiregrade-gateway/src/upstream/mod.rs
+++ b/crates/samphiregrade-gateway/src/upstream/mod.rs
@@ -5,6 +5,7 @@
 mod balance;
 mod breaker;
 mod cache;
+mod contention;
 mod directory;
 mod fair_share;
 mod homes;
@@ -31,6 +32,7 @@
 };
 pub use breaker::{BreakerState, UpstreamBreaker};
 pub use cache::PrefixCache;
+pub use contention::UsualContention;
 pub use directory::{DepartureRule, REREGISTRATION_TIME, UpstreamDirectory, UpstreamRegistry};
 pub use fair_share::{
     OrganisationShare, ShareLevel, SlotUse, WorkClaim, WorkTable, max_min_share, run_work,
--- a/crates/samphiregrade-gateway/src/upstream/peer.rs
+++ b/crates/samphiregrade-gateway/src/upstream/peer.rs
@@ -1,7 +1,6 @@
 //! State of one upstream: connections, load, circuit breaker and cache estimate.
 
 use std::io;
-use std::ops::RangeInclusive;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -11,6 +10,7 @@
 use super::balance::{Candidate, ContentionView, LoadView};
 use super::breaker::{BreakerState, UpstreamBreaker};
 use super::cache::PrefixCache;
+use super::contention::UsualContention;
 use super::outcome_board::OutcomeTracker;
 use super::outcomes::Outcome;
 use super::silence::{ResponseMonitor, WaitNumber};
@@ -23,10 +23,6 @@
 /// Half-life of a reported contention: contention of shared machines changes about every 600 ms.
 const CONTENTION_HALF_LIFE: Duration = Duration::from_millis(300);
 
-/// Bounds of a reported contention, in per cent: an absurd report would otherwise dominate the mean of its service for
-/// seconds.
-const CONTENTION_BOUNDS: RangeInclusive<u32> = 25..=800;
-
 /// Longest time for which an idle connection is kept, even if the upstream allows more.
 const MAX_IDLE: Duration = Duration::from_secs(8);
 
@@ -66,6 +62,7 @@
     load: ReportedLoad,
     own: u32,
     at: Instant,
+    usual: UsualContention,
 }
 
 /// An upstream, shared by all requests of this instance.
@@ -215,11 +212,10 @@
         let Some(report) = *lock_ignoring_poison(&self.report) else {
             return ContentionView::default();
         };
-        let (lower, upper) = CONTENTION_BOUNDS.into_inner();
-        let percent = report.load.contention_percent.clamp(lower, upper);
+        let factor = report.usual.factor(report.load.contention_percent);
         let age = at.saturating_duration_since(report.at).as_secs_f64();
         ContentionView {
-            excess: f64::from(percent) / 100.0 - 1.0,
+            excess: factor - 1.0,
             freshness: 0.5_f64.powf(age / CONTENTION_HALF_LIFE.as_secs_f64()),
         }
     }
@@ -291,10 +287,20 @@
         lock_ignoring_poison(&self.domain_monitor).is_overdue(waited_since, now)
     }
 
-    /// Records the load that a response reported.
-    pub fn note_load(&self, load: ReportedLoad, now: Instant) {
+    /// Records the load that a response reported; returns the contention on the upstream's machine, as a multiple of the
+    /// usual time of work there.
+    pub fn note_load(&self, load: ReportedLoad, now: Instant) -> f64 {
         let own = self.in_flight.load(Ordering::Relaxed);
-        *lock_ignoring_poison(&self.report) = Some(LoadReport { load, own, at: now });
+        let mut report = lock_ignoring_poison(&self.report);
+        let usual =
+            UsualContention::after(report.map(|report| report.usual), load.contention_percent);
+        *report = Some(LoadReport {
+            load,
+            own,
+            at: now,
+            usual,
+        });
+        usual.factor(load.contention_percent)
     }
 
     /// Records that the engine has processed a prompt.
