Upstream speeds: test of the exchange between entries and keepers

Cause: nothing tested that samples and speeds pass through requests and replies. Change: two clients and three keepers over loopback; the client that sends no samples learns the slowdown.

--- a/crates/samphiregrade-gateway/tests/suite/speed.rs
+++ b/crates/samphiregrade-gateway/tests/suite/speed.rs
@@ -4,15 +4,21 @@
 #![allow(clippy::cast_precision_loss, clippy::float_cmp)]
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use arc_swap::ArcSwap;
 use quickcheck::quickcheck;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
+use samphiregrade_gateway::fact::{HelperAddress, KeeperClient};
+use samphiregrade_gateway::observe::GatewayMetrics;
 use samphiregrade_gateway::upstream::{
     KnownSpeed, SampleSource, SpeedBoard, SpeedSample, SpeedTable, UpstreamSpeed,
 };
 
+use crate::keepers::{Deployment, endpoint, reservation};
+
 const ENTRIES: usize = 100;
 const KEEPERS: usize = 3;
 const TICK: Duration = Duration::from_millis(10);
@@ -416,3 +422,41 @@
     }
     quickcheck(valid as fn(f32, f32, f32) -> bool);
 }
+
+/// Guards against samples or speeds that get lost between an entry and the keepers.
+#[tokio::test]
+async fn entry_that_sends_no_samples_learns_speeds_through_the_keepers() {
+    let deployment = Deployment::start().await;
+    let boards: [Arc<SpeedBoard>; 2] = Default::default();
+    let clients = ["informed", "other"].map(|name| {
+        let own = HelperAddress {
+            name: name.into(),
+            address: ([127, 0, 0, 1], 1).into(),
+            domain: "a".into(),
+        };
+        KeeperClient::new(
+            endpoint(&deployment.authority, name),
+            Arc::new(ArcSwap::from_pointee(deployment.placement.clone())),
+            Arc::new(GatewayMetrics::new().expect("metrics")),
+            own,
+            Arc::default(),
+            boards[usize::from(name == "other")].clone(),
+        )
+    });
+    for step in 0..12 {
+        for upstream in 0..4 {
+            let seconds = if upstream == 0 { 2.0 } else { 1.0 };
+            boards[0].note(sample(upstream, seconds), Instant::now());
+        }
+        for client in &clients {
+            let turn = format!("t{step}");
+            let fact = reservation(&turn, 1);
+            let turn = turn.as_str().into();
+            let reserved = client.reserve(&"p".into(), fact, 100, &turn, 1).await;
+            assert!(reserved.is_ok());
+        }
+        tokio::time::sleep(Duration::from_millis(120)).await;
+    }
+    let slowdown = boards[1].slowdown(0, Instant::now());
+    assert!((slowdown - 2.0).abs() < 0.01, "{slowdown}");
+}
