Upstream speeds: bounded work of evaluations

Cause: an evaluation's work grows with the number of upstreams. In an unoptimised build, with 96 samples for each upstream, it took 49 ms per second with 68 upstreams and 832 ms with 1,024. Change: above 100 upstreams, evaluations are rarer in proportion.

--- a/crates/samphiregrade-gateway/src/upstream/speed.rs
+++ b/crates/samphiregrade-gateway/src/upstream/speed.rs
@@ -42,6 +42,10 @@
 /// Time between two evaluations of all samples: short compared with the time after which a slow upstream is to be known.
 const EVALUATION_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Shortest interval for each upstream in the table, so that the work of evaluations is bounded: above 100 upstreams,
+/// evaluations are rarer, and every two seconds with a full table.
+const INTERVAL_PER_UPSTREAM: Duration = Duration::from_millis(2);
+
 /// Time for which a verdict is kept without enough samples: a slow upstream receives few requests.
 const VERDICT_LIFETIME: Duration = Duration::from_secs(30);
 
@@ -298,7 +302,9 @@
                 .samples
                 .add(sample, now);
         }
-        let is_due = |evaluated| now.saturating_duration_since(evaluated) >= EVALUATION_INTERVAL;
+        let count = u32::try_from(self.upstreams.len()).unwrap_or(u32::MAX);
+        let interval = EVALUATION_INTERVAL.max(INTERVAL_PER_UPSTREAM * count);
+        let is_due = |evaluated| now.saturating_duration_since(evaluated) >= interval;
         if self.evaluated.is_none_or(is_due) {
             self.evaluated = Some(now);
             self.evaluate(now);
