Learn speeds from the work times that upstreams report

Cause: on the competing deployment, whose engines are alike, response times showed false speeds of 0.25 to 0.5: a short turn's time to generate counted the first event's tokens, which come with the head, so the lower half of the samples was that of the shortest turns.

Change: where upstreams report how long work takes on their machine, that figure is the sample; it does not depend on the work or the load. Learning from response times needs upstreams.learn-speeds, off by default, and counts the time and the tokens after the first event.

--- a/crates/samphiregrade-gateway/src/exchange/attempt.rs
+++ b/crates/samphiregrade-gateway/src/exchange/attempt.rs
@@ -51,8 +51,6 @@
     pub time_to_head: Duration,
     /// Load of the upstream, as the head reports it.
     pub load: Option<ReportedLoad>,
-    /// Contention on the upstream's machine when the head was sent, as a multiple of the usual time of work.
-    pub contention: f64,
 }
 
 /// The upstream chosen for an attempt.
@@ -230,9 +228,9 @@
         sent_at: Instant,
     ) -> AttemptOutcome {
         let now = Instant::now();
-        let contention = metadata
-            .load
-            .map_or(1.0, |load| self.upstream.note_load(load, now));
+        if let Some(load) = metadata.load {
+            self.upstream.note_load(load, now);
+        }
         if metadata.not_executed || head.status == 421 {
             if head.status == 421 {
                 record_failure(self.upstream, true, "another upstream now has its address");
@@ -263,7 +261,6 @@
             sent_at,
             time_to_head: now.saturating_duration_since(sent_at),
             load: metadata.load,
-            contention,
             framing,
             guard: self.guard,
         }))
--- a/crates/samphiregrade-gateway/src/exchange/context.rs
+++ b/crates/samphiregrade-gateway/src/exchange/context.rs
@@ -52,6 +52,8 @@
     pub outcomes: Arc<OutcomeTracker>,
     /// Speeds of upstreams.
     pub speeds: Arc<SpeedBoard>,
+    /// Whether speeds are learned from response times of upstreams that don't report how long work takes.
+    pub learns_speeds: bool,
     /// Organisations above their fair share of an engine service.
     pub shares: ShareBoard,
     /// Measured affinity of requests to upstreams, by service.
@@ -96,6 +98,7 @@
             turns,
             outcomes: Arc::default(),
             speeds: Arc::default(),
+            learns_speeds: false,
             shares: ShareBoard::default(),
             affinity: AffinityTracker::default(),
             times: Mutex::default(),
@@ -120,6 +123,15 @@
         }
     }
 
+    /// Sets whether speeds are learned from response times.
+    #[must_use]
+    pub fn with_learned_speeds(self, learns_speeds: bool) -> Self {
+        Self {
+            learns_speeds,
+            ..self
+        }
+    }
+
     /// Returns the measured request times of a service, or the defaults if none were measured.
     #[must_use]
     pub fn service_times(&self, service: &ServiceRecord) -> ServiceTimes {
--- a/crates/samphiregrade-gateway/src/exchange/relay.rs
+++ b/crates/samphiregrade-gateway/src/exchange/relay.rs
@@ -96,6 +96,8 @@
     started: bool,
     /// When the last part of the response arrived; what follows depends on the keepers and the client only.
     body_ended: Option<Instant>,
+    /// When the first part of the body arrived.
+    body_began: Option<Instant>,
 }
 
 /// Relays a response to the client.
@@ -127,6 +129,7 @@
         parser: EventParser::new(retained),
         framing,
         started: false,
+        body_began: None,
         body_ended: None,
     };
     let result = relay.run(&mut response, retained).await;
@@ -151,7 +154,7 @@
             total: response.sent_at.elapsed(),
         };
         context.record_times(&request.service, &answered);
-        if let Some(sample) = relay.speed_sample(&response, spent) {
+        if let Some(sample) = relay.speed_sample(&response) {
             context.speeds.note(sample, Instant::now());
         }
     }
@@ -175,24 +178,35 @@
         self.parser.started_events().saturating_mul(per_event)
     }
 
-    /// Returns what the complete response says about the speed of its upstream.
-    fn speed_sample(&self, response: &LiveResponse, tokens: u32) -> Option<SpeedSample> {
+    /// Returns what the complete response says about the speed of its upstream: the time of work that the upstream reports
+    /// or, if it reports none and speeds are learned from responses, the time of this response.
+    fn speed_sample(&self, response: &LiveResponse) -> Option<SpeedSample> {
+        let upstream = response.guard.upstream().start_tag;
         let service = &self.request.service;
-        let total = self.body_ended?.saturating_duration_since(response.sent_at);
+        if let Some(percent) = response.load.and_then(|load| load.work_time_percent) {
+            return SpeedSample::of_report(upstream, &service.name, percent);
+        }
+        if !self.context.learns_speeds {
+            return None;
+        }
         let source = SampleSource {
-            upstream: response.guard.upstream().start_tag,
+            upstream,
             service: &service.name,
             // Requests that wait at an engine don't slow down the running ones.
             load: response.load.map_or(0, |load| match service.engine {
                 Some(_) => load.running,
                 None => load.running.saturating_add(load.waiting),
             }),
-            contention: response.contention,
+            contention: 1.0,
         };
+        let ended = self.body_ended?;
         if service.engine.is_some() {
-            let generation = total.saturating_sub(response.time_to_head);
+            let generation = ended.saturating_duration_since(self.body_began?);
+            let per_event = self.turn.map_or(0, |plan| plan.tokens_per_event);
+            let tokens = self.spent().saturating_sub(per_event);
             return SpeedSample::of_engine(&source, generation, tokens);
         }
+        let total = ended.saturating_duration_since(response.sent_at);
         SpeedSample::of_plain(&source, &self.request.route.name, total)
     }
 
@@ -254,6 +268,7 @@
                 BodyPiece::More => return Ok(false),
                 BodyPiece::Data(data) => {
                     self.started = true;
+                    self.body_began.get_or_insert_with(Instant::now);
                     if self.turn.is_some() && response.head.status == 200 {
                         self.parser.read(&data);
                     }
--- a/crates/samphiregrade-gateway/src/model/upstream.rs
+++ b/crates/samphiregrade-gateway/src/model/upstream.rs
@@ -62,7 +62,7 @@
 }
 
 /// Load that an upstream reports with a response.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct ReportedLoad {
     /// Running requests.
     pub running: u32,
@@ -70,23 +70,7 @@
     pub waiting: u32,
     /// Requests that the upstream runs concurrently.
     pub slots: u32,
-    /// Time that work currently takes on the upstream's machine, in per cent. 100 is usual; the machine's own speed may be
-    /// part of the figure.
-    pub contention_percent: u32,
-}
-
-impl ReportedLoad {
-    /// Contention of a machine on which work takes its usual time, in per cent.
-    pub const USUAL_CONTENTION: u32 = 100;
-}
-
-impl Default for ReportedLoad {
-    fn default() -> Self {
-        Self {
-            running: 0,
-            waiting: 0,
-            slots: 0,
-            contention_percent: Self::USUAL_CONTENTION,
-        }
-    }
+    /// Time that work currently takes on the upstream's machine, in per cent, if the upstream reports it. 100 is usual; the
+    /// machine's own speed may be part of the figure.
+    pub work_time_percent: Option<u32>,
 }
--- a/crates/samphiregrade-gateway/src/role/entry.rs
+++ b/crates/samphiregrade-gateway/src/role/entry.rs
@@ -103,7 +103,10 @@
         &settings.instance.name,
         &settings.organisations,
     );
-    let context = Arc::new(context.with_memory(settings.instance.memory_megabytes));
+    let context = context
+        .with_memory(settings.instance.memory_megabytes)
+        .with_learned_speeds(settings.upstreams.learn_speeds);
+    let context = Arc::new(context);
     let clients = settings
         .listen
         .clients
--- a/crates/samphiregrade-gateway/src/settings.rs
+++ b/crates/samphiregrade-gateway/src/settings.rs
@@ -61,6 +61,9 @@
     /// Guarantees for organisations.
     #[serde(default)]
     pub organisations: OrganisationSection,
+    /// Placement of requests at upstreams.
+    #[serde(default)]
+    pub upstreams: UpstreamSection,
 }
 
 /// Identity of the instance.
@@ -176,6 +179,14 @@
     }
 }
 
+/// Placement of requests at upstreams.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+#[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
+pub struct UpstreamSection {
+    /// Whether the speeds of upstreams that don't report how long work takes are learned from their response times.
+    pub learn_speeds: bool,
+}
+
 /// Guarantees for organisations, their keys and their limits.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields, rename_all = "kebab-case")]
--- a/crates/samphiregrade-gateway/src/upstream/peer.rs
+++ b/crates/samphiregrade-gateway/src/upstream/peer.rs
@@ -62,7 +62,7 @@
     load: ReportedLoad,
     own: u32,
     at: Instant,
-    usual: UsualContention,
+    usual: Option<UsualContention>,
 }
 
 /// An upstream, shared by all requests of this instance.
@@ -212,7 +212,11 @@
         let Some(report) = *lock_ignoring_poison(&self.report) else {
             return ContentionView::default();
         };
-        let factor = report.usual.factor(report.load.contention_percent);
+        let percent = report.load.work_time_percent;
+        let factor = report
+            .usual
+            .zip(percent)
+            .map_or(1.0, |(usual, percent)| usual.factor(percent));
         let age = at.saturating_duration_since(report.at).as_secs_f64();
         ContentionView {
             excess: factor - 1.0,
@@ -287,20 +291,20 @@
         lock_ignoring_poison(&self.domain_monitor).is_overdue(waited_since, now)
     }
 
-    /// Records the load that a response reported; returns the contention on the upstream's machine, as a multiple of the
-    /// usual time of work there.
-    pub fn note_load(&self, load: ReportedLoad, now: Instant) -> f64 {
+    /// Records the load that a response reported.
+    pub fn note_load(&self, load: ReportedLoad, now: Instant) {
         let own = self.in_flight.load(Ordering::Relaxed);
         let mut report = lock_ignoring_poison(&self.report);
-        let usual =
-            UsualContention::after(report.map(|report| report.usual), load.contention_percent);
+        let before = report.and_then(|report| report.usual);
+        let usual = load
+            .work_time_percent
+            .map(|percent| UsualContention::after(before, percent));
         *report = Some(LoadReport {
             load,
             own,
             at: now,
-            usual,
+            usual: usual.or(before),
         });
-        usual.factor(load.contention_percent)
     }
 
     /// Records that the engine has processed a prompt.
--- a/crates/samphiregrade-gateway/src/upstream/speed.rs
+++ b/crates/samphiregrade-gateway/src/upstream/speed.rs
@@ -37,7 +37,10 @@
 const TIME_BOUNDS: (f32, f32) = (1e-7, 600.0);
 
 /// Number of generated tokens below which delays of the network, not the engine, determine the time.
-const MIN_TOKENS: u32 = 16;
+const MIN_TOKENS: u32 = 48;
+
+/// Kind of work of the times that upstreams report.
+const REPORTED_WORK: &str = "reported";
 
 /// Time between two evaluations of all samples: short compared with the time after which a slow upstream is to be known.
 const EVALUATION_INTERVAL: Duration = Duration::from_millis(200);
@@ -99,7 +102,23 @@
 }
 
 impl SpeedSample {
+    /// Returns the sample of a response that reports how long work takes on the upstream's machine, in per cent.
+    ///
+    /// The figure is the same for all kinds of work and doesn't depend on the load, so that few samples are needed.
+    #[must_use]
+    pub fn of_report(upstream: UpstreamTag, service: &str, percent: u32) -> Option<Self> {
+        let source = SampleSource {
+            upstream,
+            service,
+            load: 0,
+            contention: 1.0,
+        };
+        Self::new(&source, REPORTED_WORK, f64::from(percent) / 100.0)
+    }
+
     /// Returns the sample of an engine's response; `None` if the response is too short.
+    ///
+    /// `generation` is the time between the first event and the end, and `tokens` the number generated in it.
     #[must_use]
     pub fn of_engine(source: &SampleSource, generation: Duration, tokens: u32) -> Option<Self> {
         if tokens < MIN_TOKENS {
--- a/crates/samphiregrade-gateway/tests/suite/upstreams.rs
+++ b/crates/samphiregrade-gateway/tests/suite/upstreams.rs
@@ -126,9 +126,9 @@
         (100, 0.0),
         (4_000_000, 800.0 / 121.0 - 1.0),
     ];
-    for (contention_percent, excess) in reports {
+    for (percent, excess) in reports {
         let load = ReportedLoad {
-            contention_percent,
+            work_time_percent: Some(percent),
             ..ReportedLoad::default()
         };
         upstream.note_load(load, now);
@@ -142,25 +142,27 @@
 #[test]
 fn machine_that_always_reports_the_same_figure_has_no_contention() {
     let now = Instant::now();
-    for contention_percent in [55, 120, 220] {
+    for percent in [55, 120, 220] {
         let upstream = Upstream::new(
             record("i-1", UpstreamState::Ready),
             std::sync::Arc::default(),
             now,
         );
         let load = ReportedLoad {
-            contention_percent,
+            work_time_percent: Some(percent),
             ..ReportedLoad::default()
         };
         for _ in 0..3 {
-            assert!((upstream.note_load(load, now) - 1.0).abs() < 1e-9);
+            upstream.note_load(load, now);
+            assert!(upstream.contention_view(now).excess.abs() < 1e-9);
         }
         let contended = ReportedLoad {
-            contention_percent: contention_percent * 5 / 2,
+            work_time_percent: Some(percent * 5 / 2),
             ..load
         };
-        let factor = upstream.note_load(contended, now);
-        assert!((2.3..=2.5).contains(&factor), "{factor}");
+        upstream.note_load(contended, now);
+        let excess = upstream.contention_view(now).excess;
+        assert!((1.3..=1.5).contains(&excess), "{excess}");
     }
 }
 
