--- a/crates/samphiregrade-gateway/src/upstream/speed_board.rs
+++ b/crates/samphiregrade-gateway/src/upstream/speed_board.rs
@@ -24,12 +24,12 @@
 /// Age at which a queued sample is no longer reported.
 const MAX_SAMPLE_AGE: Duration = Duration::from_secs(2);
 
-/// Shortest mean time between two samples: each one takes about 25 bytes to every keeper, so ten keepers cost at most
-/// 10 KB/s.
-const SAMPLE_INTERVAL: Duration = Duration::from_millis(25);
+/// Limit of the samples that are noted.
+const NOTED_SAMPLES: SampleBudget = SampleBudget::new(Duration::from_millis(25), 20);
 
-/// Number of samples that may follow each other at once.
-const SAMPLE_BURST: u32 = 20;
+/// Limit of the samples that are sent: each one takes about 25 bytes, so all keepers together cost at most 5 KB/s,
+/// however many they are.
+const SENT_SAMPLES: SampleBudget = SampleBudget::new(Duration::from_millis(5), 100);
 
 /// Time between two requests for speeds: with 17 differing upstreams, the replies take about 1.5 KB/s.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(200);
@@ -39,7 +39,38 @@
 
 type SampleNumber = u64;
 
-#[derive(Debug, Default)]
+/// Limits the mean rate of samples.
+#[derive(Clone, Copy, Debug)]
+struct SampleBudget {
+    /// Shortest mean time between two samples.
+    interval: Duration,
+    /// Number of samples that may follow each other at once.
+    burst: u32,
+    /// Time up to which the permitted rate is used up.
+    used_up_to: Option<Instant>,
+}
+
+impl SampleBudget {
+    const fn new(interval: Duration, burst: u32) -> Self {
+        Self {
+            interval,
+            burst,
+            used_up_to: None,
+        }
+    }
+
+    /// Returns whether one more sample is permitted, and counts it.
+    fn admit(&mut self, now: Instant) -> bool {
+        let used_up_to = self.used_up_to.map_or(now, |time| time.max(now));
+        if used_up_to >= now + self.interval * self.burst {
+            return false;
+        }
+        self.used_up_to = Some(used_up_to + self.interval);
+        true
+    }
+}
+
+#[derive(Debug)]
 struct BoardState {
     known: HashMap<UpstreamTag, KnownSpeed>,
     unreported: VecDeque<(Instant, SpeedSample)>,
@@ -47,8 +78,8 @@
     next_number: SampleNumber,
     /// Sequence number up to which samples were reported to each keeper.
     reported: HashMap<SmolStr, SampleNumber>,
-    /// Time up to which the permitted sample rate is used up.
-    used_up_to: Option<Instant>,
+    noted: SampleBudget,
+    sent: SampleBudget,
     last_request: Option<Instant>,
 }
 
@@ -69,7 +100,7 @@
     /// Records the sample of a response, unless there are too many.
     pub fn note(&self, sample: SpeedSample, now: Instant) {
         let mut state = lock_ignoring_poison(&self.state);
-        if !state.admit_sample(now) {
+        if !state.noted.admit(now) {
             return;
         }
         state.next_number += 1;
@@ -93,9 +124,12 @@
         let limit =
             usize::try_from(pending).map_or(MESSAGE_LIMIT, |count| count.min(MESSAGE_LIMIT));
         let is_recent = |noted| now.saturating_duration_since(noted) < MAX_SAMPLE_AGE;
-        let newest = state.unreported.iter().rev().take(limit);
+        let BoardState {
+            unreported, sent, ..
+        } = &mut *state;
+        let newest = unreported.iter().rev().take(limit);
         let samples = newest
-            .filter(|(noted, _)| is_recent(*noted))
+            .filter(|(noted, _)| is_recent(*noted) && sent.admit(now))
             .map(|(_, sample)| *sample)
             .collect();
         SpeedReport {
@@ -158,16 +192,21 @@
     }
 }
 
-impl BoardState {
-    fn admit_sample(&mut self, now: Instant) -> bool {
-        let used_up_to = self.used_up_to.map_or(now, |time| time.max(now));
-        if used_up_to >= now + SAMPLE_INTERVAL * SAMPLE_BURST {
-            return false;
+impl Default for BoardState {
+    fn default() -> Self {
+        Self {
+            known: HashMap::new(),
+            unreported: VecDeque::new(),
+            next_number: 0,
+            reported: HashMap::new(),
+            noted: NOTED_SAMPLES,
+            sent: SENT_SAMPLES,
+            last_request: None,
         }
-        self.used_up_to = Some(used_up_to + SAMPLE_INTERVAL);
-        true
     }
+}
 
+impl BoardState {
     fn begin_request(&mut self, now: Instant) -> bool {
         let is_due = |last| now.saturating_duration_since(last) >= REQUEST_INTERVAL;
         if !self.last_request.is_none_or(is_due) {
