Accept no proof without a readable configuration; review of proofs and speeds

Found in review: an item that can't be read has revision 0, and a keeper passed it on as a proof, which every entry accepted. Reads after a failed one waited for the next interval, up to a minute with long bounds. A repeated reply with an old read could count as a new proof by microseconds, so that the next keeper was asked late. Figures of 1 per cent made an upstream look four times as fast, and loads near the integer limit overflowed.

Tests of revision 0 and of reported figures.

--- a/crates/samphiregrade-gateway/src/access/freshness.rs
+++ b/crates/samphiregrade-gateway/src/access/freshness.rs
@@ -24,7 +24,7 @@
 const PACED_READ_SHARE: f64 = 0.1;
 
 /// Shortest time between two reads of a keeper, unless the bound requires a shorter one: at most two calls a second.
-const MIN_READ_INTERVAL: Duration = Duration::from_millis(500);
+pub const MIN_READ_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Number of reads of a keeper that may be in progress at the same time.
 pub const READS_IN_FLIGHT: u32 = 3;
@@ -212,7 +212,7 @@
     /// Records that the newest configuration at a time had a revision; returns whether this proves that the known one
     /// is current.
     pub fn prove_revision(&self, revision: StoreRevision, moment: BootTime) -> bool {
-        let known = revision <= self.taken.load(Ordering::Acquire);
+        let known = revision > 0 && revision <= self.taken.load(Ordering::Acquire);
         if known {
             self.prove(moment);
         }
--- a/crates/samphiregrade-gateway/src/access/mod.rs
+++ b/crates/samphiregrade-gateway/src/access/mod.rs
@@ -9,6 +9,7 @@
 
 pub use clock::BootTime;
 pub use freshness::{
-    FreshnessRule, KeyFreshness, ProofTiming, READS_IN_FLIGHT, proof_of_watch, read_phase,
+    FreshnessRule, KeyFreshness, MIN_READ_INTERVAL, ProofTiming, READS_IN_FLIGHT, proof_of_watch,
+    read_phase,
 };
 pub use key_table::{CallerIdentity, KeyTable, Organisation};
--- a/crates/samphiregrade-gateway/src/role/proofs.rs
+++ b/crates/samphiregrade-gateway/src/role/proofs.rs
@@ -27,6 +27,9 @@
 /// short compared with the time within which a proof reaches every entry after an outage.
 const MIN_ROUND_TIME: Duration = Duration::from_millis(80);
 
+/// Part of the read interval by which a reply has to advance the proof.
+const ADVANCE_DIVISOR: u32 = 20;
+
 /// Allowance for the transfer of a request that a keeper holds.
 const TRANSFER_TIME: Duration = Duration::from_millis(200);
 
@@ -202,8 +205,10 @@
     };
     // The request arrived no earlier than it was sent, however long it was in transit.
     let moment = sent.before(proof.age);
+    // A repeated reply with an older read differs by the time of its transfer.
+    let advance = context.freshness.rule().read_interval() / ADVANCE_DIVISOR;
     context.freshness.prove_revision(proof.revision, moment)
-        && before.is_none_or(|before| before < moment)
+        && before.is_none_or(|before| before.after(advance) <= moment)
 }
 
 /// Logs when the proof expires and when there is a new one.
--- a/crates/samphiregrade-gateway/src/store/proof.rs
+++ b/crates/samphiregrade-gateway/src/store/proof.rs
@@ -17,8 +17,8 @@
 
 use super::client::StoreClient;
 use super::mirror::StoreMirror;
-use crate::access::{BootTime, ProofTiming, READS_IN_FLIGHT};
-use crate::dialect::StoreRevision;
+use crate::access::{BootTime, MIN_READ_INTERVAL, ProofTiming, READS_IN_FLIGHT};
+use crate::dialect::{StoreItem, StoreRevision, StoreValue};
 use crate::hold::lock_ignoring_poison;
 
 /// Number of reads with which a keeper continues after the last request.
@@ -148,6 +148,12 @@
         timing.next_read_in(time_of_day.unwrap_or_default(), phase)
     }
 
+    /// Returns whether the newest read is so old that a read must have failed.
+    fn is_overdue(&self, timing: &ProofTiming) -> bool {
+        let newest = *self.read.borrow();
+        newest.is_none_or(|read| BootTime::now().since(read.sent) > timing.overdue_age)
+    }
+
     /// Stores a read unless a later one is known; returns whether it was stored.
     fn store_read(&self, read: ConfigurationRead) -> bool {
         self.read.send_if_modified(|known| {
@@ -208,6 +214,12 @@
             }
             let (prover, client) = (prover.clone(), client.clone());
             let pause = prover.cache.next_read_in(&timing);
+            // With a long interval, waiting for the next one would refuse keys long after an outage.
+            let pause = if prover.cache.is_overdue(&timing) {
+                pause.min(MIN_READ_INTERVAL)
+            } else {
+                pause
+            };
             let reading = stop.clone().run_until_cancelled_owned(async move {
                 prover.read(&client, timing.read_timeout).await;
             });
@@ -260,7 +272,13 @@
                 return false;
             }
         };
-        let Some(item) = page.items.iter().find(|item| item.key == self.key) else {
+        // An item that can't be read has revision 0, which would prove every known configuration.
+        let is_configuration = |item: &&StoreItem| {
+            item.key == self.key
+                && item.revision > 0
+                && matches!(item.value, StoreValue::Present(_))
+        };
+        let Some(item) = page.items.iter().find(is_configuration) else {
             return false;
         };
         let revision = item.revision;
--- a/crates/samphiregrade-gateway/src/upstream/contention.rs
+++ b/crates/samphiregrade-gateway/src/upstream/contention.rs
@@ -5,7 +5,7 @@
 //! change from the usual report counts as contention.
 
 /// Bounds of a reported figure in per cent: a single absurd report would otherwise dominate the mean of its service.
-const REPORT_BOUNDS: (f64, f64) = (25.0, 800.0);
+pub(super) const REPORT_BOUNDS: (f64, f64) = (25.0, 800.0);
 
 /// Share of the distance by which the usual figure follows a higher report. Contention lengthens work and never shortens
 /// it, so the usual figure is close to the lowest one; it follows a machine that has become slower within dozens of
--- a/crates/samphiregrade-gateway/src/upstream/peer.rs
+++ b/crates/samphiregrade-gateway/src/upstream/peer.rs
@@ -196,7 +196,7 @@
                 ..LoadView::default()
             };
         };
-        let present = f64::from(report.load.running + report.load.waiting);
+        let present = f64::from(report.load.running.saturating_add(report.load.waiting));
         let age = now.saturating_duration_since(report.at).as_secs_f64();
         LoadView {
             own,
--- a/crates/samphiregrade-gateway/src/upstream/speed.rs
+++ b/crates/samphiregrade-gateway/src/upstream/speed.rs
@@ -4,7 +4,7 @@
 //! Handles services whose upstreams differ in speed. Where there are many entries, each one sends to an upstream only
 //! once in seconds and can't measure its speed by itself.
 //!
-//! Entries report times, and the expected time is formed by each keeper from the times at all upstreams of the service
+//! The times are those that upstreams report or, if they report none, response times. Entries report times, and the expected time is formed by each keeper from the times at all upstreams of the service
 //! (see `speed_estimate`). It therefore doesn't depend on which upstreams a single entry uses.
 //!
 //! A verdict needs samples with a total weight of at least six, from four different quarters of a second, and a
@@ -16,6 +16,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::contention::REPORT_BOUNDS;
 use super::speed_estimate::{MIN_SAMPLES, SpeedEstimate, UpstreamSamples, estimate_speeds};
 use crate::model::{UpstreamTag, name_tag};
 
@@ -105,15 +106,20 @@
     /// Returns the sample of a response that reports how long work takes on the upstream's machine, in per cent.
     ///
     /// The figure is the same for all kinds of work and doesn't depend on the load, so that few samples are needed.
+    /// Returns `None` for an absurd figure.
     #[must_use]
     pub fn of_report(upstream: UpstreamTag, service: &str, percent: u32) -> Option<Self> {
+        let percent = f64::from(percent);
+        if percent < REPORT_BOUNDS.0 || percent > REPORT_BOUNDS.1 {
+            return None;
+        }
         let source = SampleSource {
             upstream,
             service,
             load: 0,
             contention: 1.0,
         };
-        Self::new(&source, REPORTED_WORK, f64::from(percent) / 100.0)
+        Self::new(&source, REPORTED_WORK, percent / 100.0)
     }
 
     /// Returns the sample of an engine's response; `None` if the response is too short.
--- a/crates/samphiregrade-gateway/tests/suite/access.rs
+++ b/crates/samphiregrade-gateway/tests/suite/access.rs
@@ -296,3 +296,16 @@
         never_serves_late(&steps)
     }
 }
+
+// Guards against a configuration that can't be read, which has revision 0, as a proof that the known keys are current.
+#[test]
+fn revision_zero_proves_nothing() {
+    let freshness = KeyFreshness::new(FreshnessRule {
+        strict: Some(Duration::from_secs(5)),
+    });
+    freshness.take_revision(7);
+    let moment = BootTime::since_start(Duration::from_secs(100));
+    assert!(!freshness.prove_revision(0, moment));
+    assert_eq!(freshness.age(moment), None);
+    assert!(freshness.prove_revision(7, moment));
+}
--- a/crates/samphiregrade-gateway/tests/suite/speed.rs
+++ b/crates/samphiregrade-gateway/tests/suite/speed.rs
@@ -472,3 +472,41 @@
     let slowdown = boards[1].slowdown(0, Instant::now());
     assert!((slowdown - 2.0).abs() < 0.01, "{slowdown}");
 }
+
+// Guards against engines that are taken for slow because their machines are contended, where upstreams report the time of
+// work: a quarter of the machines takes 0.55 of the usual time, the others 1.2, and 2.5 times that for 15 % of the time.
+#[test]
+fn reported_times_show_fast_machines_and_not_contention() {
+    let start = Instant::now();
+    let mut random = StdRng::seed_from_u64(3);
+    let mut table = SpeedTable::default();
+    let mut contended = [false; 44];
+    let (mut views, mut wrong) = (0, 0);
+    for tick in 0..400_u32 {
+        let now = start + Duration::from_millis(100) * tick;
+        if tick.is_multiple_of(6) {
+            contended = std::array::from_fn(|_| random.random_bool(0.15));
+        }
+        for (upstream, &contended) in (0_u64..).zip(&contended) {
+            let usual = if upstream.is_multiple_of(4) { 55 } else { 120 };
+            let percent = if contended { usual * 5 / 2 } else { usual };
+            let sample = SpeedSample::of_report(upstream, "engines", percent);
+            table.take(&[sample.expect("a usable figure")], now);
+        }
+        if tick < 30 {
+            continue;
+        }
+        for upstream in 0..44 {
+            let slowdown = table.slowdown(upstream);
+            let right = if upstream.is_multiple_of(4) {
+                (0.4..0.55).contains(&slowdown)
+            } else {
+                (0.9..SLOW).contains(&slowdown)
+            };
+            views += 1;
+            wrong += usize::from(!right);
+        }
+    }
+    assert!(wrong * 50 < views, "{wrong} of {views}");
+    assert_eq!(SpeedSample::of_report(1, "engines", 1), None);
+}
