--- a/crates/samphiregrade-gateway/src/upstream/speed.rs
+++ b/crates/samphiregrade-gateway/src/upstream/speed.rs
@@ -38,7 +38,7 @@
 const TIME_BOUNDS: (f32, f32) = (1e-7, 600.0);
 
 /// Number of generated tokens below which delays of the network, not the engine, determine the time.
-const MIN_TOKENS: u32 = 48;
+const MIN_TOKENS: u32 = 16;
 
 /// Kind of work of the times that upstreams report.
 const REPORTED_WORK: &str = "reported";
