Publish the directory once for many records of upstreams

An entry built and sorted the whole directory for each record, and compared each known record with each new one: time that grows with the square of their number.

Change: the directory is published once for each page of records, and the mean contention is taken over at most 127 upstreams. Not measured yet.

--- a/crates/samphiregrade-gateway/src/exchange/dispatch.rs
+++ b/crates/samphiregrade-gateway/src/exchange/dispatch.rs
@@ -23,6 +23,9 @@
 /// new or faster than the others also gets requests.
 const EXPLORATION_SHARE: f64 = 0.125;
 
+/// Number of upstreams over which the mean contention of a service is taken, at least where there are as many.
+const MEAN_SAMPLE: usize = 64;
+
 /// Minimum number of upstreams with a known account for which a request is placed among these only.
 const MIN_ACCOUNTS: usize = 3;
 
@@ -145,8 +148,10 @@
     if let Some(probed) = select_probe(context, request, &eligible, now) {
         return Some(probed);
     }
-    // The mean is over all upstreams: accounts are known of only a few.
-    let mean_excess = mean_excess(&contention_views(request, &eligible, now));
+    // The mean is not only over the upstreams with accounts, which are few.
+    let step = (eligible.len() / MEAN_SAMPLE).max(1);
+    let sample: Vec<&Arc<Upstream>> = eligible.iter().copied().step_by(step).collect();
+    let mean_excess = mean_excess(&contention_views(request, &sample, now));
     let eligible = with_accounts(eligible, &request.view);
     let contentions = contentions(request, &eligible, mean_excess, now);
     let mut candidates = candidates(context, request, &eligible, &contentions, now);
--- a/crates/samphiregrade-gateway/src/role/beliefs.rs
+++ b/crates/samphiregrade-gateway/src/role/beliefs.rs
@@ -185,8 +185,15 @@
                 registry.replace(records, now);
             }
             FollowEvent::Changes(page) => {
+                let mut changed = false;
                 for change in decode_changes(&context, &page) {
-                    apply_change(&mut registry, change, now);
+                    match change {
+                        UpstreamChange::Record(record) => changed |= registry.apply(record, now),
+                        other => apply_change(&mut registry, other, now),
+                    }
+                }
+                if changed {
+                    registry.publish();
                 }
             }
         }
--- a/crates/samphiregrade-gateway/src/upstream/directory.rs
+++ b/crates/samphiregrade-gateway/src/upstream/directory.rs
@@ -1,6 +1,6 @@
 //! Directory of the upstreams of each service, built from the records in the platform's key-value service.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -116,14 +116,23 @@
     /// A record of another start of a known upstream replaces the upstream with a new one, of which nothing is known
     /// yet. A record of an earlier start is outdated and ignored.
     pub fn put(&mut self, record: UpstreamRecord, now: Instant) {
+        if self.apply(record, now) {
+            self.publish();
+        }
+    }
+
+    /// Applies an upstream's record without publishing the directory; returns whether it has to be published.
+    ///
+    /// Publishing after each of many records would take time that grows with the square of their number.
+    pub(crate) fn apply(&mut self, record: UpstreamRecord, now: Instant) -> bool {
         let Some(known) = self.known.get(&record.id) else {
             log_upstream("upstream-added", &record);
             self.add(record, now);
-            return;
+            return true;
         };
         if known.record.is_after(&record) {
             log_upstream("upstream-entry-outdated", &record);
-            return;
+            return false;
         }
         self.departures
             .retain(|departure| departure.id != record.id);
@@ -131,7 +140,7 @@
             log_upstream("upstream-started-again", &record);
             known.set_draining(true);
             self.add(record, now);
-            return;
+            return true;
         }
         let draining = record.state == UpstreamState::Draining;
         known.set_departed(false);
@@ -144,6 +153,7 @@
             };
             log_upstream(event, &record);
         }
+        false
     }
 
     /// Adds an upstream, replacing a known one with the same id.
@@ -154,7 +164,6 @@
         upstream.set_draining(draining);
         self.known
             .insert(upstream.record.id.clone(), Arc::new(upstream));
-        self.publish();
     }
 
     /// Takes an upstream out of use whose record can't be decoded any more, whoever wrote the record. A valid record
@@ -192,17 +201,22 @@
     /// Applies the complete set of records: upstreams without a record are removed. Records that can't be decoded are
     /// passed to `reject` before.
     pub fn replace(&mut self, records: Vec<UpstreamRecord>, now: Instant) {
+        let present: HashSet<&UpstreamId> = records.iter().map(|record| &record.id).collect();
         let missing: Vec<UpstreamId> = self
             .known
             .keys()
-            .filter(|id| !records.iter().any(|record| record.id == **id))
+            .filter(|id| !present.contains(id))
             .cloned()
             .collect();
         for id in missing {
             self.remove(&id, now);
         }
+        let mut changed = false;
         for record in records {
-            self.put(record, now);
+            changed |= self.apply(record, now);
+        }
+        if changed {
+            self.publish();
         }
     }
 
@@ -230,7 +244,8 @@
             .min()
     }
 
-    fn publish(&self) {
+    /// Publishes the directory that requests read.
+    pub(crate) fn publish(&self) {
         let mut directory = UpstreamDirectory::default();
         for upstream in self.known.values() {
             let service = upstream.record.service.clone();
