--- a/crates/samphiregrade-gateway/src/fact/service.rs
+++ b/crates/samphiregrade-gateway/src/fact/service.rs
@@ -56,7 +56,7 @@
     /// Outcomes of requests at upstreams that entries report; in memory only, because they lose relevance within
     /// seconds.
     outcomes: OutcomeTable,
-    /// Speeds of upstreams, from the response times that entries report; in memory only, too.
+    /// Speeds of upstreams, from the times of work that entries report; in memory only, too.
     speeds: SpeedTable,
     /// Requests that run at the upstreams whose accounts the keeper holds; in memory only, too.
     runs: RunTable,
--- a/crates/samphiregrade-gateway/src/upstream/contention.rs
+++ b/crates/samphiregrade-gateway/src/upstream/contention.rs
@@ -1,8 +1,8 @@
 //! Contention on an upstream's machine, relative to what the machine usually reports: pure.
 //!
 //! Handles machines of different speeds that are shared with other work. An upstream reports how long work takes at the
-//! moment, but a machine that is always slow may report that as well. Speeds are learned from response times, so only the
-//! change from the usual report counts as contention.
+//! moment, but a machine that is always slow may report that as well. Its usual report is the upstream's speed (see
+//! `speed`), so only the change from it counts as contention.
 
 /// Bounds of a reported figure in per cent: a single absurd report would otherwise dominate the mean of its service.
 pub(super) const REPORT_BOUNDS: (f64, f64) = (25.0, 800.0);
