Log and count how the bodies of upstreams' responses end

Logs told neither how the body of a response was framed nor whether its last event was complete, so that the hypotheses could not be told apart.

Change: request lines have framing and open_event, samphiregrade_upstream_responses_total counts both. Nothing is decided by it yet.

--- a/crates/samphiregrade-gateway/src/exchange/connection.rs
+++ b/crates/samphiregrade-gateway/src/exchange/connection.rs
@@ -261,14 +261,7 @@
             keep_alive,
             abort: &self.tokens.abort,
         };
-        let end = relay_response(
-            &context,
-            client,
-            request,
-            turn.as_ref(),
-            response,
-            record.uncached,
-        );
+        let end = relay_response(&context, client, request, turn.as_ref(), response, record);
         match end.await {
             RelayEnd::Complete { status, spent } => {
                 record.status = status;
--- a/crates/samphiregrade-gateway/src/exchange/outcome.rs
+++ b/crates/samphiregrade-gateway/src/exchange/outcome.rs
@@ -78,6 +78,10 @@
     pub program_left: Option<Duration>,
     /// Status sent to the client; 0 if there was none.
     pub status: u16,
+    /// How the end of the upstream's response was marked; `None` without a response.
+    pub framing: Option<&'static str>,
+    /// Whether the last event of the upstream's stream was incomplete.
+    pub open_event: bool,
     /// Outcome of the request.
     pub outcome: &'static str,
     /// Errors that occurred while the request was served.
@@ -125,6 +129,10 @@
     rank: Option<u8>,
     #[serde(skip_serializing_if = "Option::is_none")]
     program_left_ms: Option<f64>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    framing: Option<&'static str>,
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    open_event: bool,
     status: u16,
     outcome: &'static str,
     #[serde(skip_serializing_if = "str::is_empty")]
@@ -166,6 +174,8 @@
             survey: None,
             rank: None,
             program_left: None,
+            framing: None,
+            open_event: false,
             status: 0,
             outcome: DROPPED,
             detail: String::new(),
@@ -216,6 +226,8 @@
             survey_ms: self.survey.map(|survey| milliseconds(survey.duration)),
             rank: self.rank,
             program_left_ms: self.program_left.map(milliseconds),
+            framing: self.framing,
+            open_event: self.open_event,
             status: self.status,
             outcome: self.outcome,
             detail: &self.detail,
--- a/crates/samphiregrade-gateway/src/exchange/relay.rs
+++ b/crates/samphiregrade-gateway/src/exchange/relay.rs
@@ -12,10 +12,11 @@
 use super::attempt::LiveResponse;
 use super::context::EntryContext;
 use super::events::EventParser;
+use super::outcome::RequestRecord;
 use super::refusal::RefusalReason;
 use super::request::RoutedRequest;
 use super::turn::TurnPlan;
-use crate::model::UpstreamRecord;
+use crate::model::{RequestKind, UpstreamRecord};
 use crate::upstream::{AnsweredRequest, Outcome, SampleSource, SpeedSample, run_work};
 
 /// Time without data after which a response is abandoned if the network path to its upstream was found to be broken: a
@@ -91,7 +92,8 @@
     client: RelayClient<'exchange>,
     request: &'exchange RoutedRequest,
     turn: Option<&'exchange TurnPlan>,
-    parser: EventParser,
+    /// Parser of the events; `None` if the response is not a stream of events.
+    parser: Option<EventParser>,
     framing: ClientFraming,
     started: bool,
     /// When the last part of the response arrived; what follows depends on the keepers and the client only.
@@ -107,8 +109,10 @@
     request: &RoutedRequest,
     turn: Option<&TurnPlan>,
     mut response: LiveResponse,
-    uncached: u32,
+    record: &mut RequestRecord,
 ) -> RelayEnd {
+    let uncached = record.uncached;
+    record.framing = Some(response.framing.name());
     let retained = turn.is_some_and(|plan| plan.retained) && response.head.status == 200;
     let framing = match response.framing {
         _ if request.head.minor_version == 0 => ClientFraming::Close,
@@ -126,13 +130,17 @@
         client,
         request,
         turn,
-        parser: EventParser::new(retained),
+        parser: is_event_stream(request, &response.head).then(|| EventParser::new(retained)),
         framing,
         started: false,
         body_began: None,
         body_ended: None,
     };
     let result = relay.run(&mut response, retained).await;
+    record.open_event = relay.is_inside_event();
+    context
+        .metrics
+        .count_response(response.framing.name(), relay.end_name(&result));
     if let Some(outcome) = upstream_outcome(&result, &response) {
         let upstream = response.guard.upstream().start_tag;
         context.outcomes.note(upstream, outcome, Instant::now());
@@ -175,7 +183,24 @@
     /// Returns the tokens of all events of which the client may have received a part.
     fn spent(&self) -> u32 {
         let per_event = self.turn.map_or(0, |plan| plan.tokens_per_event);
-        self.parser.started_events().saturating_mul(per_event)
+        let events = self.parser.as_ref().map_or(0, EventParser::started_events);
+        events.saturating_mul(per_event)
+    }
+
+    /// Returns whether the last event that the upstream has sent is incomplete.
+    fn is_inside_event(&self) -> bool {
+        self.parser
+            .as_ref()
+            .is_some_and(EventParser::is_inside_event)
+    }
+
+    /// Returns the name of the response's end, for the metrics.
+    fn end_name(&self, result: &Result<(), RelayStop>) -> &'static str {
+        match result {
+            Ok(()) if self.is_inside_event() => "open-event",
+            Ok(()) => "complete",
+            Err(_) => "truncated",
+        }
     }
 
     /// Returns what the complete response says about the speed of its upstream: the time of work that the upstream reports
@@ -269,8 +294,8 @@
                 BodyPiece::Data(data) => {
                     self.started = true;
                     self.body_began.get_or_insert_with(Instant::now);
-                    if self.turn.is_some() && response.head.status == 200 {
-                        self.parser.read(&data);
+                    if let Some(parser) = &mut self.parser {
+                        parser.read(&data);
                     }
                     match self.framing {
                         ClientFraming::Chunked => append_chunk(output, &data),
@@ -302,7 +327,8 @@
             return Ok(());
         };
         let spent = self.spent();
-        let output = self.parser.take_output();
+        let output = self.parser.as_mut().map(EventParser::take_output);
+        let output = output.unwrap_or_default();
         let mut chain = BytesMut::with_capacity(self.request.body.len() + output.len());
         chain.put_slice(&self.request.body);
         chain.put_slice(&output);
@@ -377,6 +403,18 @@
     }
 }
 
+/// Returns whether a response is a stream of events: every one of a streaming route is, and any other that says so.
+fn is_event_stream(request: &RoutedRequest, head: &ResponseHead) -> bool {
+    let media_type = head.fields.text("content-type");
+    let is_stream = request.route.kind == RequestKind::Streaming;
+    head.status == 200 && (is_stream || media_type.is_some_and(is_event_media_type))
+}
+
+fn is_event_media_type(media_type: &str) -> bool {
+    let name = media_type.split(';').next().unwrap_or_default();
+    name.trim().eq_ignore_ascii_case("text/event-stream")
+}
+
 /// Resolves when the instance, while stopping, can no longer wait for pending commits.
 async fn final_commit_timeout(abort: &CancellationToken) {
     abort.cancelled().await;
--- a/crates/samphiregrade-gateway/src/observe/metrics.rs
+++ b/crates/samphiregrade-gateway/src/observe/metrics.rs
@@ -36,6 +36,7 @@
     before_send: Histogram<f64>,
     sends: Counter<u64>,
     placements: Counter<u64>,
+    responses: Counter<u64>,
     store_calls: Counter<u64>,
     keeper_calls: Counter<u64>,
     slow_upstreams: Gauge<u64>,
@@ -80,6 +81,10 @@
                 .u64_counter("samphiregrade_upstream_placements")
                 .with_description("Choices of an upstream, by its expected speed")
                 .build(),
+            responses: meter
+                .u64_counter("samphiregrade_upstream_responses")
+                .with_description("Responses of upstreams, by framing of the body and by end")
+                .build(),
             store_calls: meter
                 .u64_counter("samphiregrade_store_calls")
                 .with_description("Calls of the key-value service, by result")
@@ -134,6 +139,12 @@
         self.placements.add(1, &[KeyValue::new("speed", speed)]);
     }
 
+    /// Counts a response of an upstream, by how the end of its body was marked and by how it ended.
+    pub fn count_response(&self, framing: &'static str, end: &'static str) {
+        let labels = [KeyValue::new("framing", framing), KeyValue::new("end", end)];
+        self.responses.add(1, &labels);
+    }
+
     /// Counts a call to the key-value service.
     pub fn count_store_call(&self, result: &'static str) {
         self.store_calls.add(1, &[KeyValue::new("result", result)]);
--- a/crates/samphiregrade-gateway/tests/suite/events.rs
+++ b/crates/samphiregrade-gateway/tests/suite/events.rs
@@ -23,3 +23,27 @@
     assert_eq!(parser.started_events(), 2);
     assert_eq!(parser.take_output().as_ref(), b"one\n");
 }
+
+quickcheck! {
+    fn incomplete_events_are_noticed_wherever_the_stream_ends(step: usize) -> bool {
+        // Ends of complete events, and of the comment between them.
+        let complete = [0, 19, 71, 78, 79, 100];
+        let mut whole = EventParser::new(false);
+        let mut ends = Vec::new();
+        for (index, byte) in STREAM.iter().enumerate() {
+            let mut parser = EventParser::new(step % 2 == 0);
+            for piece in STREAM[..index].chunks(step % 30 + 1) {
+                parser.read(piece);
+            }
+            if parser.is_inside_event() != whole.is_inside_event() {
+                return false;
+            }
+            if !whole.is_inside_event() {
+                ends.push(index);
+            }
+            whole.read(&[*byte]);
+        }
+        ends.push(STREAM.len());
+        !whole.is_inside_event() && whole.complete_events() == 3 && ends == complete
+    }
+}
--- a/crates/samphiregrade-http/src/wire/framing.rs
+++ b/crates/samphiregrade-http/src/wire/framing.rs
@@ -42,6 +42,19 @@
     UntilClose,
 }
 
+impl BodyFraming {
+    /// Returns the name used in logs and metrics.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Empty => "empty",
+            Self::Length(_) => "length",
+            Self::Chunked => "chunks",
+            Self::UntilClose => "close",
+        }
+    }
+}
+
 /// What the decoder returns for the bytes in the buffer.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum BodyPiece {
