Cut streams that end inside an event, however they are framed

Cause: the relay took the end of a body for the end of its stream. A body that ends with its connection is complete by its framing when the connection closes in an orderly way, also in the middle of an event. The same holds for a last chunk or a length that comes too early.

Change: every stream's events are followed, and a body that ends inside an event is broken off. What has arrived is passed on, the client's response is cut visibly, the upstream is recorded as failed, a retained turn is not stored. A stream without length that ends before its first event gets 502: nothing shows that it is complete.

Ruled out: a reset that is read as an orderly close (tests with resets passed before the fix), and a cut that is lost towards the client (the outcome was answered).

--- a/crates/samphiregrade-gateway/src/exchange/relay.rs
+++ b/crates/samphiregrade-gateway/src/exchange/relay.rs
@@ -27,6 +27,12 @@
 /// and a commit takes a few milliseconds. The time is short compared with the time for writing the last responses.
 const FINAL_COMMIT_TIME: Duration = Duration::from_millis(150);
 
+/// Description of a stream that ended inside an event.
+const ENDED_INSIDE_EVENT: &str = "the stream ended inside an event";
+
+/// Description of a stream whose connection ended before its first event: nothing shows that it is complete.
+const ENDED_WITHOUT_EVENT: &str = "the connection ended before the first event of the stream";
+
 /// How the response to the client marks the end of the body.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum ClientFraming {
@@ -242,6 +248,7 @@
             let ended = self.transfer_body(response, &mut output)?;
             if ended {
                 self.body_ended = Some(Instant::now());
+                self.check_stream_end(response.framing, &mut output).await?;
             }
             if ended && retained {
                 self.flush(&mut output).await?;
@@ -275,6 +282,32 @@
         }
     }
 
+    /// Fails if the body has ended although its stream has not, after sending the events that have arrived.
+    ///
+    /// The framing of a body tells where its bytes end. An upstream that breaks off may still close its connection in an
+    /// orderly way or send the last chunk.
+    async fn check_stream_end(
+        &mut self,
+        framing: BodyFraming,
+        output: &mut BytesMut,
+    ) -> Result<(), RelayStop> {
+        let Some(parser) = &self.parser else {
+            return Ok(());
+        };
+        if parser.is_inside_event() {
+            if self.framing == ClientFraming::AsIs {
+                // With its last byte, the body would have the announced length and look complete.
+                output.truncate(output.len().saturating_sub(1));
+            }
+            self.flush(output).await?;
+            return Err(RelayStop::Upstream(ENDED_INSIDE_EVENT.to_owned()));
+        }
+        if framing == BodyFraming::UntilClose && parser.complete_events() == 0 {
+            return Err(RelayStop::Upstream(ENDED_WITHOUT_EVENT.to_owned()));
+        }
+        Ok(())
+    }
+
     /// Returns whether a part of the body is ready to be written; the head is not written without one.
     fn has_body_output(&self, output: &BytesMut) -> bool {
         self.started && !output.is_empty()
