Do not take a response without a length for an empty one

A service that answers with neither a length nor chunks would have its call recorded with status 200 and an empty body, a broken-off one as well.

Cause: the HTTP client's library reads such a body of HTTP/1.1 as empty, and keeps the connection's bytes to itself.

Change: the client reports such a response as interrupted, so that the outcome of its call is unknown (looked up, or repeated if the call allows it) and an engine counts as failed. Bodies of HTTP/1.0 are read as before, and a reset of those is noticed.

Evidence: body_without_length_is_never_taken_for_an_empty_one and body_without_length_is_incomplete_after_a_reset failed before and pass; of HTTP/1.0 both passed before.

--- a/crates/samphiregrade-http/src/client.rs
+++ b/crates/samphiregrade-http/src/client.rs
@@ -6,8 +6,10 @@
 
 use futures_util::StreamExt;
 use ntex::SharedCfg;
-use ntex::client::Client;
 use ntex::client::error::ClientError;
+use ntex::client::{Client, ClientResponse};
+use ntex::http::Version;
+use ntex::http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use ntex::rt::Arbiter;
 use ntex::time::Millis;
 use ntex::util::{Bytes, BytesMut};
@@ -214,7 +216,7 @@
         head = send_request(&client, &job.request) => head,
         () = job.reply.closed() => return,
     };
-    let response = match head {
+    let response = match head.and_then(check_framing) {
         Ok(response) => response,
         Err(error) => {
             let _ = job.reply.send(Err(error));
@@ -239,7 +241,7 @@
 async fn send_request(
     client: &Client,
     request: &OutgoingRequest,
-) -> Result<ntex::client::ClientResponse, HttpError> {
+) -> Result<ClientResponse, HttpError> {
     let mut builder = client.request(request.method.clone(), request.url.as_str());
     for (name, value) in &request.headers {
         builder = builder.header(name.as_str(), value.as_str());
@@ -251,6 +253,18 @@
     sending.await.map_err(|error| classify(&error))
 }
 
+/// Rejects a response of HTTP/1.1 whose body ends with its connection: `ntex` reports such a body as empty.
+fn check_framing(response: ClientResponse) -> Result<ClientResponse, HttpError> {
+    let headers = response.headers();
+    let is_framed = headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING);
+    let has_body = !matches!(response.status().as_u16(), 204 | 304);
+    if response.version() == Version::HTTP_11 && has_body && !is_framed {
+        let detail = "the response has neither a length nor chunks";
+        return Err(HttpError::Interrupted(detail.to_owned()));
+    }
+    Ok(response)
+}
+
 fn classify(error: &ClientError) -> HttpError {
     match error {
         ClientError::Timeout => HttpError::TimedOut,
@@ -260,7 +274,7 @@
 }
 
 async fn relay_body(
-    response: ntex::client::ClientResponse,
+    response: ClientResponse,
     sender: mpsc::Sender<Result<Bytes, HttpError>>,
     timeout: Duration,
 ) {
--- /dev/null
+++ b/crates/samphiregrade-http/tests/client.rs
@@ -0,0 +1,88 @@
+//! Responses that end early, as the client reports them.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread;
+use std::time::Duration;
+
+use samphiregrade_http::{HttpPool, OutgoingRequest, run_system};
+use socket2::SockRef;
+
+/// Time between the last bytes of a response and the end of its connection.
+const END_DELAY: Duration = Duration::from_millis(20);
+
+/// Time after which a test's request counts as unanswered; only a failing test reaches it.
+const TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Starts a server that sends the text as its response to each request, and then closes or resets the connection.
+fn serve(text: &'static str, resets: bool) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            respond(stream, text, resets);
+        }
+    });
+    address
+}
+
+fn respond(mut stream: TcpStream, text: &str, resets: bool) {
+    let mut request = [0; 4096];
+    let _ = stream.read(&mut request).expect("a request");
+    stream.write_all(text.as_bytes()).expect("a sent response");
+    thread::sleep(END_DELAY);
+    if resets {
+        let linger = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+        linger.expect("a connection that can be reset");
+    }
+}
+
+/// Returns the body that the client reports; `None` if it reports that the response is incomplete or can't be read.
+fn fetch(text: &'static str, resets: bool) -> Option<String> {
+    let address = serve(text, resets);
+    run_system(async move {
+        let pool = HttpPool::start(1);
+        let request = OutgoingRequest::get(&format!("http://{address}/")).with_timeout(TIMEOUT);
+        let mut response = pool.send(request).await.ok()?;
+        let body = response.read_all().await.ok()?;
+        Some(String::from_utf8_lossy(&body).into_owned())
+    })
+}
+
+const FIELDS: &str = "Content-Type: application/json\r\n";
+
+const VERSIONS: [&str; 2] = ["HTTP/1.1", "HTTP/1.0"];
+
+fn response(version: &str, framing: &str, body: &str) -> &'static str {
+    let text = format!("{version} 200 OK\r\n{FIELDS}{framing}\r\n{body}");
+    Box::leak(text.into_boxed_str())
+}
+
+// Guards against a reply of a service that has neither a length nor chunks, and that counted as an empty body.
+#[test]
+fn body_without_length_is_never_taken_for_an_empty_one() {
+    for version in VERSIONS {
+        let body = fetch(response(version, "", "{\"paid\":true}"), false);
+        assert_ne!(body.as_deref(), Some(""), "{version}");
+    }
+}
+
+// Guards against a reply of a service that was reset in the middle of its body and counted as complete.
+#[test]
+fn body_without_length_is_incomplete_after_a_reset() {
+    for version in VERSIONS {
+        let body = fetch(response(version, "", "{\"paid\":"), true);
+        assert_eq!(body, None, "{version}");
+    }
+}
+
+#[test]
+fn framed_body_is_incomplete_if_its_connection_ends_early() {
+    for resets in [false, true] {
+        let counted = response("HTTP/1.1", "Content-Length: 20\r\n", "{\"paid\":");
+        assert_eq!(fetch(counted, resets), None, "length, resets: {resets}");
+        let chunked = "Transfer-Encoding: chunked\r\n";
+        let chunked = response("HTTP/1.1", chunked, "8\r\n{\"paid\":\r\n");
+        assert_eq!(fetch(chunked, resets), None, "chunks, resets: {resets}");
+    }
+}
