--- a/crates/samphiregrade-standins/src/proxy.rs
+++ b/crates/samphiregrade-standins/src/proxy.rs
@@ -101,30 +101,37 @@
         let (near_read, near_write) = near.split();
         let (far_read, far_write) = far.split();
         let mut faults = self.faults.subscribe();
-        tokio::select! {
-            () = async {
-                tokio::join!(
-                    self.forward_bytes(near_read, far_write, false),
-                    self.forward_bytes(far_read, near_write, true),
-                );
-            } => {}
-            _ = faults.wait_for(|faults| faults.cut || faults.reset) => {}
-        }
-        if faults.borrow().reset {
+        let both = async {
+            tokio::try_join!(
+                self.forward_bytes(near_read, far_write, false),
+                self.forward_bytes(far_read, near_write, true),
+            )
+        };
+        let broken = tokio::select! {
+            ends = both => ends.is_err(),
+            _ = faults.wait_for(|faults| faults.cut || faults.reset) => false,
+        };
+        if broken || faults.borrow().reset {
             // With a linger time of zero, dropping a connection resets it.
             let _ = near.set_zero_linger();
             let _ = far.set_zero_linger();
         }
     }
 
-    async fn forward_bytes(&self, mut from: ReadHalf<'_>, mut to: WriteHalf<'_>, back: bool) {
+    /// Forwards bytes until their sender closes its side; an error says that one of the connections was reset.
+    async fn forward_bytes(
+        &self,
+        mut from: ReadHalf<'_>,
+        mut to: WriteHalf<'_>,
+        back: bool,
+    ) -> io::Result<()> {
         let mut faults = self.faults.subscribe();
         let mut buffer = vec![0; BUFFER];
         loop {
-            let Ok(count @ 1..) = from.read(&mut buffer).await else {
-                let _ = to.shutdown().await;
-                return;
-            };
+            let count = from.read(&mut buffer).await?;
+            if count == 0 {
+                return to.shutdown().await;
+            }
             let delay = faults.borrow().delay_ms;
             if delay > 0 {
                 tokio::time::sleep(Duration::from_millis(delay)).await;
@@ -132,16 +139,13 @@
             let delivers = |faults: &LinkFaults| !(faults.half_open || back && faults.one_way);
             let held_back = !delivers(&faults.borrow());
             if faults.wait_for(delivers).await.is_err() {
-                return;
+                return Ok(());
             }
             if held_back && was_reset(&from) {
-                let _ = to.shutdown().await;
-                return;
+                return Err(io::ErrorKind::ConnectionReset.into());
             }
             self.bytes.fetch_add(count as u64, Ordering::Relaxed);
-            if to.write_all(&buffer[..count]).await.is_err() {
-                return;
-            }
+            to.write_all(&buffer[..count]).await?;
         }
     }
 
