Log the software versions of upstreams and what clients take up

Logs had neither the version of an upstream nor the attempt that a request continues, so the hypotheses could not be told apart.

Nothing is decided by them yet.

--- a/crates/samphiregrade-gateway/src/exchange/connection.rs
+++ b/crates/samphiregrade-gateway/src/exchange/connection.rs
@@ -114,6 +114,8 @@
         let mut record = self.open_record(id, started);
         record.program = metadata.program.clone().unwrap_or_default();
         record.program_left = metadata.program_deadline;
+        let resumption = metadata.resumption.as_ref();
+        record.resumes = resumption.and_then(|stream| stream.first_attempt.clone());
         let keep_alive = head.keeps_connection() && head.minor_version > 0;
         let body = match self.read_body(&head, limits).await {
             BodyEnd::Complete(body) => body,
--- a/crates/samphiregrade-gateway/src/exchange/dispatch.rs
+++ b/crates/samphiregrade-gateway/src/exchange/dispatch.rs
@@ -52,6 +52,7 @@
         let upstream = chosen.upstream.clone();
         tried.push(upstream.clone());
         record.upstream = upstream.record.id.clone();
+        record.software = upstream.record.software.clone();
         let sends_before = record.sends;
         let sending = attempt(context, request, &chosen, record);
         let Ok(outcome) = tokio::time::timeout_at(request.due.into(), sending).await else {
--- a/crates/samphiregrade-gateway/src/exchange/outcome.rs
+++ b/crates/samphiregrade-gateway/src/exchange/outcome.rs
@@ -12,7 +12,7 @@
 use super::limit_desk::TokenSource;
 use crate::access::BootTime;
 use crate::limits::WindowUse;
-use crate::model::RequestKind;
+use crate::model::{RequestId, RequestKind, SoftwareVersion};
 use crate::observe::{Logbook, RequestSample};
 
 /// The survey of upstream accounts before a request was placed.
@@ -58,6 +58,10 @@
     pub kind: Option<RequestKind>,
     /// Upstream of the last attempt.
     pub upstream: SmolStr,
+    /// Version of that upstream's software; empty if not stated.
+    pub software: SoftwareVersion,
+    /// Attempt that began the stream which the request takes up; `None` if the client names none.
+    pub resumes: Option<RequestId>,
     /// Number of times that the request was sent to an upstream.
     pub sends: u32,
     /// Estimated load of the chosen upstream.
@@ -114,6 +118,10 @@
     token: Option<&'static str>,
     route: &'line str,
     upstream: &'line str,
+    #[serde(skip_serializing_if = "str::is_empty")]
+    software: &'line str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    resumes: Option<&'line str>,
     sends: u32,
     load: f64,
     uncached: u32,
@@ -165,6 +173,8 @@
             route: SmolStr::default(),
             kind: None,
             upstream: SmolStr::default(),
+            software: SoftwareVersion::default(),
+            resumes: None,
             sends: 0,
             load: 0.0,
             uncached: 0,
@@ -216,6 +226,8 @@
             token: self.token.map(TokenSource::name),
             route: &self.route,
             upstream: &self.upstream,
+            software: &self.software,
+            resumes: self.resumes.as_deref(),
             sends: self.sends,
             load: (self.load * 10.0).round() / 10.0,
             uncached: self.uncached,
--- a/crates/samphiregrade-gateway/src/model/metadata.rs
+++ b/crates/samphiregrade-gateway/src/model/metadata.rs
@@ -51,12 +51,19 @@
     pub previous_turn: Option<TurnId>,
     /// The object that the request concerns; requests for one object are faster on one upstream.
     pub affinity: Option<SmolStr>,
-    /// Whether the client resumes a stream.
-    pub resumes: bool,
+    /// The stream that the client takes up again; `None` if the request begins a stream or is none.
+    pub resumption: Option<StreamResumption>,
     /// The caller's credential.
     pub credential: CallerCredential,
 }
 
+/// A stream that a client takes up again.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct StreamResumption {
+    /// Attempt that brought the first event of the stream; `None` if the client doesn't name it.
+    pub first_attempt: Option<RequestId>,
+}
+
 /// Metadata of a response, in addition to its status.
 #[derive(Clone, Debug, Default)]
 pub struct ResponseMetadata {
--- a/crates/samphiregrade-gateway/src/model/mod.rs
+++ b/crates/samphiregrade-gateway/src/model/mod.rs
@@ -11,7 +11,9 @@
     ClientLimits, EngineRecord, RequestKind, RouteAccess, RouteRecord, RoutingConfig,
     ServiceRecord, ServiceShare,
 };
-pub use metadata::{DispatchHeaders, PromptPart, RequestMetadata, ResponseMetadata, TokenUsage};
+pub use metadata::{
+    DispatchHeaders, PromptPart, RequestMetadata, ResponseMetadata, StreamResumption, TokenUsage,
+};
 pub use organisation::{
     CallerCredential, CallerKey, OrganisationName, OrganisationRecord, OrganisationTag,
     RequestLimit,
@@ -32,6 +34,9 @@
 /// Name of a service.
 pub type ServiceName = SmolStr;
 
+/// Version of the software that an upstream runs; versions have no order.
+pub type SoftwareVersion = SmolStr;
+
 /// Id of an upstream, which may be the same after a restart.
 pub type UpstreamId = SmolStr;
 
--- a/crates/samphiregrade-gateway/src/model/upstream.rs
+++ b/crates/samphiregrade-gateway/src/model/upstream.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::{DomainId, ServiceName, UpstreamId};
+use super::{DomainId, ServiceName, SoftwareVersion, UpstreamId};
 
 /// Whether an upstream accepts requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -27,6 +27,8 @@
     pub started: Option<UpstreamStart>,
     /// Service that the upstream belongs to.
     pub service: ServiceName,
+    /// Version of the upstream's software; empty if not stated.
+    pub software: SoftwareVersion,
     /// Address of the upstream.
     pub address: SocketAddr,
     /// Failure domain of the upstream.
--- a/crates/samphiregrade-gateway/src/upstream/directory.rs
+++ b/crates/samphiregrade-gateway/src/upstream/directory.rs
@@ -64,6 +64,7 @@
     upstream: &'line str,
     started: Option<UpstreamStart>,
     service: &'line str,
+    software: &'line str,
     domain: &'line str,
     address: String,
 }
@@ -267,6 +268,7 @@
         upstream: &record.id,
         started: record.started,
         service: &record.service,
+        software: &record.software,
         domain: &record.domain,
         address: record.address.to_string(),
     };
--- a/crates/samphiregrade-gateway/tests/suite/upstreams.rs
+++ b/crates/samphiregrade-gateway/tests/suite/upstreams.rs
@@ -15,6 +15,7 @@
         id: id.into(),
         started: None,
         service: "engines".into(),
+        software: "v1".into(),
         address: "127.0.0.1:9".parse().expect("an address"),
         domain: "a".into(),
         slots: 8,
@@ -324,6 +325,7 @@
     assert_eq!(only(&registry).record.address, moved.address);
     let moved_service = UpstreamRecord {
         service: "tools".into(),
+        software: "v1".into(),
         ..moved
     };
     registry.put(moved_service, now);
