Resume streams only at the software version that began them

A client whose stream had broken off took it up at some entry, which sent it to any upstream of the service.

Cause: nothing knew versions. An upstream's version was not decoded, where a stream had begun was forgotten with its connection, and each place that picks an upstream chose among all of the service.

Change: the version that begins a stream is kept with the reservation of its turn: in the reservation itself, before the turn is sent, where one version serves, and else in a background write when an upstream responds. The records come back with the reservation of the attempt that takes the stream up, and only upstreams of the recorded version are candidates for it, in each choice. Without a record, or without such an upstream, the client is refused at once with a time to come back. A lost record costs a refusal, never a mixture. An upstream's record with another version describes another upstream.

Ruled out: that restarts or reused addresses are needed (calm is enough).

The model of the keepers has origins now: acknowledged ones are found over lost disks and rebuilds.

--- a/crates/samphiregrade-gateway/src/exchange/connection.rs
+++ b/crates/samphiregrade-gateway/src/exchange/connection.rs
@@ -17,6 +17,7 @@
 use super::attempt::LiveResponse;
 use super::context::EntryContext;
 use super::dispatch::dispatch;
+use super::origin::{KnownVersions, OriginSource, SoftwareRule};
 use super::outcome::{ConnectionAge, OpenRecord, RequestRecord, SurveyRecord};
 use super::refusal::{Refusal, RefusalReason};
 use super::relay::{RelayClient, RelayEnd, relay_response};
@@ -170,11 +171,8 @@
         let organisation = caller.organisation();
         record.organisation = organisation.map(|organisation| organisation.name.clone());
         let priority = organisation.and_then(|organisation| organisation.priority);
-        let key = metadata
-            .program
-            .clone()
-            .unwrap_or_else(|| record.request.clone());
-        let service = service_for(&route, &key)
+        let key = metadata.origin_program().unwrap_or(&record.request);
+        let service = service_for(&route, key)
             .and_then(|name| table.service(name))
             .ok_or(RefusalReason::NoUpstream)?
             .clone();
@@ -190,6 +188,7 @@
             metadata,
             body,
             program_state: ProgramState::default(),
+            software: SoftwareRule::default(),
             view: PlacementView::default(),
             times: self.context.service_times(&service),
             urgency: table.urgency(&service.name, priority.unwrap_or(route.priority)),
@@ -327,10 +326,19 @@
     turn: Option<&TurnPlan>,
     record: &mut RequestRecord,
 ) -> Result<Box<LiveResponse>, Refusal> {
-    let preparing = prepare_turn(context, turn, request.body.clone(), request.due);
+    let is_tracked = turn.is_some_and(TurnPlan::is_tracked);
+    let versions = if is_tracked {
+        KnownVersions::of(context, request)
+    } else {
+        KnownVersions::default()
+    };
+    let preparing = prepare_turn(context, turn, request.body.clone(), request.due, versions);
     if let Some(prepared) = admit_while_preparing(context, request, record, preparing).await?? {
         request.body = prepared.body;
         request.program_state = prepared.program_state;
+        request.software = prepared.software;
+        record.origin = prepared.origin;
+        context.metrics.count_origin(prepared.origin);
     }
     if request.service.engine.is_some() {
         let started = Instant::now();
@@ -341,7 +349,12 @@
         });
         note_share(context, request);
     }
-    dispatch(context, request, record).await
+    let response = dispatch(context, request, record).await?;
+    if let Some(plan) = turn.filter(|_| record.origin == Some(OriginSource::Noted)) {
+        // Of several upstreams that the request was sent to, only the one that responds brings events.
+        plan.note_origin(context, response.guard.upstream());
+    }
+    Ok(response)
 }
 
 /// Records the share of the caller's organisation for the log and the metrics.
@@ -362,11 +375,12 @@
     turn: Option<&TurnPlan>,
     body: Bytes,
     due: Instant,
+    versions: KnownVersions,
 ) -> Result<Option<PreparedTurn>, RefusalReason> {
     let Some(plan) = turn else {
         return Ok(None);
     };
-    let preparing = plan.prepare(context, &body);
+    let preparing = plan.prepare(context, &body, versions);
     let prepared = tokio::time::timeout_at(due.into(), preparing).await;
     prepared.unwrap_or(Err(RefusalReason::LateUnsent)).map(Some)
 }
--- a/crates/samphiregrade-gateway/src/exchange/dispatch.rs
+++ b/crates/samphiregrade-gateway/src/exchange/dispatch.rs
@@ -6,6 +6,7 @@
 use super::affinity::apply_affinity;
 use super::attempt::{AttemptOutcome, ChosenUpstream, LiveResponse, attempt, record_failure};
 use super::context::EntryContext;
+use super::origin::SoftwareRule;
 use super::outcome::RequestRecord;
 use super::refusal::{Refusal, RefusalReason};
 use super::request::RoutedRequest;
@@ -126,6 +127,8 @@
     }
     let reason = if record.sends > 0 {
         RefusalReason::NotExecuted
+    } else if request.metadata.resumption.is_some() {
+        RefusalReason::NoSameVersion
     } else {
         RefusalReason::NoUpstream
     };
@@ -144,7 +147,7 @@
     let now = Instant::now();
     let directory = context.directory.load();
     let upstreams = directory.of(&request.service.name);
-    let eligible = eligible_upstreams(upstreams, tried, now);
+    let eligible = eligible_upstreams(upstreams, request.software, tried, now);
     record.affinity = None;
     if let Some(probed) = select_probe(context, request, &eligible, now) {
         return Some(probed);
@@ -178,15 +181,16 @@
     })
 }
 
-/// Returns the untried upstreams that accept requests; only those with a closed circuit breaker if there are any.
+/// Returns the untried upstreams that may run the request; only those with a closed circuit breaker if there are any.
 fn eligible_upstreams<'directory>(
     upstreams: &'directory [Arc<Upstream>],
+    software: SoftwareRule,
     tried: &[Arc<Upstream>],
     now: Instant,
 ) -> Vec<&'directory Arc<Upstream>> {
     let eligible: Vec<&Arc<Upstream>> = upstreams
         .iter()
-        .filter(|upstream| upstream.takes_requests())
+        .filter(|upstream| upstream.takes_requests() && software.allows(upstream))
         .filter(|upstream| !tried.iter().any(|other| Arc::ptr_eq(other, upstream)))
         .collect();
     let healthy: Vec<&Arc<Upstream>> = eligible
--- a/crates/samphiregrade-gateway/src/exchange/outcome.rs
+++ b/crates/samphiregrade-gateway/src/exchange/outcome.rs
@@ -10,6 +10,7 @@
 use super::affinity::PlacedObject;
 use super::context::EntryContext;
 use super::limit_desk::TokenSource;
+use super::origin::OriginSource;
 use crate::access::BootTime;
 use crate::limits::WindowUse;
 use crate::model::{RequestId, RequestKind, SoftwareVersion};
@@ -62,6 +63,8 @@
     pub software: SoftwareVersion,
     /// Attempt that began the stream which the request takes up; `None` if the client names none.
     pub resumes: Option<RequestId>,
+    /// How the software version of the request's stream is known; `None` if the stream can't be taken up again.
+    pub origin: Option<OriginSource>,
     /// Number of times that the request was sent to an upstream.
     pub sends: u32,
     /// Estimated load of the chosen upstream.
@@ -122,6 +125,8 @@
     software: &'line str,
     #[serde(skip_serializing_if = "Option::is_none")]
     resumes: Option<&'line str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    origin: Option<&'static str>,
     sends: u32,
     load: f64,
     uncached: u32,
@@ -175,6 +180,7 @@
             upstream: SmolStr::default(),
             software: SoftwareVersion::default(),
             resumes: None,
+            origin: None,
             sends: 0,
             load: 0.0,
             uncached: 0,
@@ -228,6 +234,7 @@
             upstream: &self.upstream,
             software: &self.software,
             resumes: self.resumes.as_deref(),
+            origin: self.origin.map(OriginSource::name),
             sends: self.sends,
             load: (self.load * 10.0).round() / 10.0,
             uncached: self.uncached,
--- a/crates/samphiregrade-gateway/src/exchange/refusal.rs
+++ b/crates/samphiregrade-gateway/src/exchange/refusal.rs
@@ -58,6 +58,10 @@
     NoKeepers,
     /// The previous turn that the request continues from does not exist.
     NoSuchTurn,
+    /// It is unknown which software version began the stream that the client takes up; the request has not run.
+    UnknownOrigin,
+    /// No upstream of the software version that began the stream accepts the request; the request has not run.
+    NoSameVersion,
     /// The program's token budget does not cover the turn.
     OverBudget,
     /// The instance is stopping and accepts no more work; the request has not run.
@@ -89,6 +93,8 @@
             Self::NotExecuted => "not-executed",
             Self::NoKeepers => "no-keepers",
             Self::NoSuchTurn => "no-such-turn",
+            Self::UnknownOrigin => "unknown-origin",
+            Self::NoSameVersion => "no-same-version",
             Self::OverBudget => "over-budget",
             Self::Stopping => "stopping",
             Self::LateUnsent => "late-unsent",
@@ -115,6 +121,8 @@
             | Self::NoUpstream
             | Self::NotExecuted
             | Self::NoKeepers
+            | Self::UnknownOrigin
+            | Self::NoSameVersion
             | Self::Stopping
             | Self::LateUnsent => 503,
             Self::Late => 504,
@@ -134,9 +142,12 @@
                 Some(UNREADY_RETRY_AFTER)
             }
             // A stopping instance closes its listener, so the next connection goes to another instance.
-            Self::NoUpstream | Self::NotExecuted | Self::Stopping | Self::LateUnsent => {
-                Some(UPSTREAM_RETRY_AFTER)
-            }
+            Self::NoUpstream
+            | Self::NotExecuted
+            | Self::UnknownOrigin
+            | Self::NoSameVersion
+            | Self::Stopping
+            | Self::LateUnsent => Some(UPSTREAM_RETRY_AFTER),
             _ => None,
         }
     }
--- a/crates/samphiregrade-gateway/src/exchange/request.rs
+++ b/crates/samphiregrade-gateway/src/exchange/request.rs
@@ -12,6 +12,7 @@
 use crate::upstream::{ProgramProgress, ServiceTimes, TurnPace, UrgencyClass, turn_rank};
 
 use super::limit_desk::LimitToken;
+use super::origin::SoftwareRule;
 use super::survey::PlacementView;
 use super::turn::ProgramState;
 
@@ -33,6 +34,8 @@
     pub body: Bytes,
     /// State of the program, as reported by the keepers.
     pub program_state: ProgramState,
+    /// The upstreams that may run the request, by the version of their software.
+    pub software: SoftwareRule,
     /// Homes and accounts of the upstreams that are relevant for placement.
     pub view: PlacementView,
     /// Position of the request's priority among all priorities of the service.
--- a/crates/samphiregrade-gateway/src/exchange/survey.rs
+++ b/crates/samphiregrade-gateway/src/exchange/survey.rs
@@ -91,7 +91,7 @@
     let eligible: Vec<_> = directory
         .of(&request.service.name)
         .iter()
-        .filter(|upstream| upstream.takes_requests())
+        .filter(|upstream| upstream.takes_requests() && request.software.allows(upstream))
         .collect();
     let engines: Vec<u64> = eligible.iter().map(|upstream| upstream.tag).collect();
     let now = Instant::now();
--- a/crates/samphiregrade-gateway/src/exchange/turn.rs
+++ b/crates/samphiregrade-gateway/src/exchange/turn.rs
@@ -6,19 +6,21 @@
 use smol_str::SmolStr;
 
 use super::context::EntryContext;
+use super::origin::{KnownVersions, OriginSource, SoftwareRule, StreamStep, find_origin};
 use super::refusal::RefusalReason;
 use super::request::RoutedRequest;
 use crate::fact::{
-    ChainLookup, FactFailure, FactRecord, Reservation, ReserveOutcome, TurnFact, TurnPlace,
+    ChainLookup, FactFailure, FactRecord, ProgramLedger, Reservation, ReserveOutcome, TurnFact,
+    TurnPlace,
 };
-use crate::model::{ProgramId, SessionId, TurnId, UpstreamRecord};
-use crate::upstream::ProgramProgress;
+use crate::model::{ProgramId, SessionId, SoftwareTag, TurnId, UpstreamRecord};
+use crate::upstream::{ProgramProgress, Upstream};
 
 /// Retention of budgets on a route that retains no turns, so that a program which was interrupted and resumes is still
 /// known.
 const BUDGET_RETENTION: Duration = Duration::from_mins(1);
 
-/// The budget and history handling of a turn.
+/// The budget, history and origin of a turn or of another stream that can be taken up again.
 #[derive(Clone, Debug)]
 pub struct TurnPlan {
     /// Id of the program. Like the ids of turns, it is scoped to the organisation, so that no other organisation can
@@ -38,6 +40,8 @@
     pub retained: bool,
     /// How long the turn and the budget are kept.
     pub retention: Duration,
+    /// What the request means for the stream that it asks for.
+    pub step: StreamStep,
     /// Request body of the client.
     pub input: Bytes,
     /// Session that the turn belongs to.
@@ -55,6 +59,10 @@
     pub body: Bytes,
     /// State of the program, as far as known.
     pub program_state: ProgramState,
+    /// The upstreams that may run the turn.
+    pub software: SoftwareRule,
+    /// How the software version of the stream is known; `None` if it is not recorded.
+    pub origin: Option<OriginSource>,
 }
 
 /// State of a program when one of its turns arrives, as reported by the keepers.
@@ -67,23 +75,28 @@
 }
 
 impl TurnPlan {
-    /// Returns the plan of a streaming request; `None` if it has neither a budget nor a history.
+    /// Returns the plan of a streaming request; `None` if it has neither a budget nor a history and can't be taken up again.
     #[must_use]
     pub fn of(request: &RoutedRequest) -> Option<Self> {
         let metadata = &request.metadata;
         let retained = request.route.retained;
-        if !retained && metadata.token_budget.is_none() {
+        if !retained && metadata.token_budget.is_none() && !request.route.resumable {
             return None;
         }
-        let program = metadata.program.as_ref().unwrap_or(&request.id);
         let scoped = |id: &SmolStr| request.caller.scoped_id(id);
+        let step = match &metadata.resumption {
+            _ if !request.route.resumable => StreamStep::Unresumable,
+            None => StreamStep::Begins,
+            Some(stream) => StreamStep::Resumes(stream.first_attempt.as_ref().map(scoped)),
+        };
         let retention = if request.route.retention.is_zero() {
             BUDGET_RETENTION
         } else {
             request.route.retention
         };
         Some(Self {
-            program: scoped(program),
+            program: scoped(metadata.origin_program().unwrap_or(&request.id)),
+            step,
             turn: scoped(&request.id),
             previous: metadata
                 .previous_turn
@@ -114,10 +127,17 @@
         &self,
         context: &EntryContext,
         body: &Bytes,
+        versions: KnownVersions,
     ) -> Result<PreparedTurn, RefusalReason> {
-        let (reserved, chain) = tokio::join!(self.reserve(context), self.chain(context));
+        let (reserved, chain) = tokio::join!(self.reserve(context, versions), self.chain(context));
         let chain = chain?;
-        let program_state = reserved?;
+        let ledger = reserved?;
+        let (software, origin) = self.choose_software(ledger.as_ref(), versions)?;
+        let ledger = ledger.unwrap_or_default();
+        let program_state = ProgramState {
+            last_place: ledger.last_place(Some(&self.session)).cloned(),
+            progress: ledger.progress(),
+        };
         let body = match chain {
             None => body.clone(),
             Some(chain) => {
@@ -130,25 +150,56 @@
         Ok(PreparedTurn {
             body,
             program_state,
+            software,
+            origin,
         })
     }
 
-    /// Reserves tokens; resolves to the known state of the program.
-    async fn reserve(&self, context: &EntryContext) -> Result<ProgramState, RefusalReason> {
-        let Some(budget) = self.budget else {
-            return Ok(ProgramState::default());
-        };
+    /// Reserves tokens and records the origin of a stream that begins; resolves to the known state of the program, or to
+    /// `None` if the plan needs none.
+    async fn reserve(
+        &self,
+        context: &EntryContext,
+        versions: KnownVersions,
+    ) -> Result<Option<ProgramLedger>, RefusalReason> {
+        if self.budget.is_none() && !self.is_tracked() {
+            return Ok(None);
+        }
+        let reserved = self.reserve_with_keepers(context, versions).await;
+        match reserved {
+            // Without a record, the stream can't be taken up again.
+            Err(RefusalReason::NoKeepers) if self.may_go_unrecorded() => Ok(None),
+            other => other.map(Some),
+        }
+    }
+
+    /// Returns whether the software version of the stream matters: it can be taken up again.
+    #[must_use]
+    pub fn is_tracked(&self) -> bool {
+        self.step != StreamStep::Unresumable
+    }
+
+    fn may_go_unrecorded(&self) -> bool {
+        self.budget.is_none() && self.step == StreamStep::Begins
+    }
+
+    async fn reserve_with_keepers(
+        &self,
+        context: &EntryContext,
+        versions: KnownVersions,
+    ) -> Result<ProgramLedger, RefusalReason> {
         let keepers = context
             .keepers
             .load_full()
             .ok_or(RefusalReason::NoKeepers)?;
-        let fact = self.reservation(None, None);
-        let reserving = keepers.reserve(&self.program, fact, budget, &self.turn, self.max_tokens);
+        let fact = match (&self.step, versions.serving) {
+            (StreamStep::Begins, Some(software)) => self.stream_fact(software),
+            _ => self.reservation(None, None),
+        };
+        let budget = self.budget.unwrap_or(u64::MAX);
+        let reserving = keepers.reserve(&self.program, fact, budget, &self.turn, self.most());
         match reserving.await {
-            Ok(ReserveOutcome::Reserved(ledger)) => Ok(ProgramState {
-                last_place: ledger.last_place(Some(&self.session)).cloned(),
-                progress: ledger.progress(),
-            }),
+            Ok(ReserveOutcome::Reserved(ledger)) => Ok(ledger),
             Ok(ReserveOutcome::OverBudget(ledger)) => {
                 log::info!(
                     "program {} is over its budget of {budget} tokens; {} turns are known",
@@ -163,6 +214,38 @@
         }
     }
 
+    /// Returns the tokens to reserve: none without a budget.
+    fn most(&self) -> u32 {
+        self.budget.map_or(0, |_| self.max_tokens)
+    }
+
+    /// Returns the upstreams that may run the turn, and how the version of its stream is known; `ledger` is what the
+    /// keepers know of the program.
+    fn choose_software(
+        &self,
+        ledger: Option<&ProgramLedger>,
+        versions: KnownVersions,
+    ) -> Result<(SoftwareRule, Option<OriginSource>), RefusalReason> {
+        match (&self.step, ledger) {
+            (StreamStep::Begins, Some(_)) => Ok(match versions.serving {
+                Some(software) => (SoftwareRule::Only(software), Some(OriginSource::Reserved)),
+                None => (SoftwareRule::Any, Some(OriginSource::Noted)),
+            }),
+            (StreamStep::Resumes(first), Some(ledger)) => {
+                let (software, source) = find_origin(first.as_ref(), ledger, versions)?;
+                Ok((SoftwareRule::Only(software), Some(source)))
+            }
+            _ => Ok((SoftwareRule::Any, None)),
+        }
+    }
+
+    /// Records in the background which upstream began the stream. A stream whose record is lost can't be taken up again.
+    pub fn note_origin(&self, context: &EntryContext, upstream: &Upstream) {
+        if let Some(keepers) = context.keepers.load_full() {
+            keepers.store_in_background(&self.program, &self.stream_fact(upstream.software));
+        }
+    }
+
     async fn chain(&self, context: &EntryContext) -> Result<Option<Bytes>, RefusalReason> {
         let Some(previous) = &self.previous else {
             return Ok(None);
@@ -184,13 +267,26 @@
     fn reservation(&self, spent: Option<u32>, place: Option<TurnPlace>) -> FactRecord {
         FactRecord::Reservation {
             program: self.program.clone(),
-            reservation: Reservation {
-                turn: self.turn.clone(),
-                most: self.max_tokens,
-                spent,
-                place,
-                program_left: self.program_left,
-            },
+            reservation: self.reserved_tokens(spent, place),
+            keep: self.retention,
+        }
+    }
+
+    fn reserved_tokens(&self, spent: Option<u32>, place: Option<TurnPlace>) -> Reservation {
+        Reservation {
+            turn: self.turn.clone(),
+            most: self.most(),
+            spent,
+            place,
+            program_left: self.program_left,
+        }
+    }
+
+    fn stream_fact(&self, software: SoftwareTag) -> FactRecord {
+        FactRecord::Stream {
+            program: self.program.clone(),
+            reservation: self.reserved_tokens(None, None),
+            software,
             keep: self.retention,
         }
     }
--- a/crates/samphiregrade-gateway/src/fact/book.rs
+++ b/crates/samphiregrade-gateway/src/fact/book.rs
@@ -9,7 +9,9 @@
 use bytes::Bytes;
 use smol_str::SmolStr;
 
-use super::message::{ExportRequest, FactRecord, ProgramLedger, Reservation, TurnFact, TurnPlace};
+use super::message::{
+    ExportRequest, FactRecord, ProgramLedger, Reservation, StreamOrigin, TurnFact, TurnPlace,
+};
 use super::placement::KeeperPlacement;
 use crate::model::{ProgramId, TurnId};
 
@@ -81,6 +83,22 @@
     last_used: Instant,
 }
 
+impl ProgramEntry {
+    /// Returns the facts of the streams that began with a reservation: none, or one.
+    fn stream_facts(&self, program: &ProgramId, reservation: &Reservation) -> Vec<FactRecord> {
+        let origins = self.ledger.origins.iter();
+        origins
+            .filter(|origin| origin.attempt == reservation.turn)
+            .map(|origin| FactRecord::Stream {
+                program: program.clone(),
+                reservation: reservation.clone(),
+                software: origin.software,
+                keep: self.keep,
+            })
+            .collect()
+    }
+}
+
 struct TurnEntry {
     program: ProgramId,
     previous: Option<TurnId>,
@@ -108,6 +126,20 @@
                 reservation,
                 keep,
             } => self.insert_reservation(program, reservation.clone(), *keep, now),
+            FactRecord::Stream {
+                program,
+                reservation,
+                software,
+                keep,
+            } => {
+                let origin = StreamOrigin {
+                    attempt: reservation.turn.clone(),
+                    software: *software,
+                };
+                let is_new = self.insert_reservation(program, reservation.clone(), *keep, now);
+                let entry = self.programs.get_mut(program);
+                is_new | entry.is_some_and(|entry| entry.ledger.add_origin(origin))
+            }
             FactRecord::Turn(turn) => self.insert_turn(turn, now),
             FactRecord::LimitUses { .. }
             | FactRecord::LimitReservations { .. }
@@ -242,15 +274,16 @@
                 continue;
             }
             for reservation in &entry.ledger.reservations {
+                let streams = entry.stream_facts(program, reservation);
                 // The turn's own fact contains the reservation's data.
-                if self.turns.contains_key(&reservation.turn) {
-                    continue;
+                if streams.is_empty() && !self.turns.contains_key(&reservation.turn) {
+                    exported.facts.push(FactRecord::Reservation {
+                        program: program.clone(),
+                        reservation: reservation.clone(),
+                        keep: entry.keep,
+                    });
                 }
-                exported.facts.push(FactRecord::Reservation {
-                    program: program.clone(),
-                    reservation: reservation.clone(),
-                    keep: entry.keep,
-                });
+                exported.facts.extend(streams);
             }
         }
         for (turn, entry) in &self.turns {
--- a/crates/samphiregrade-gateway/src/fact/message.rs
+++ b/crates/samphiregrade-gateway/src/fact/message.rs
@@ -11,7 +11,7 @@
 use crate::limits::{
     AllowanceGrant, AllowanceRequest, InstanceTag, LedgerTime, LimitReservation, TokenUse,
 };
-use crate::model::{ProgramId, SessionId, TurnId, UpstreamId, UpstreamStart};
+use crate::model::{ProgramId, SessionId, SoftwareTag, TurnId, UpstreamId, UpstreamStart};
 use crate::store::{ConfigurationProof, StreamReply, StreamRequest};
 use crate::upstream::{
     AccountQuery, OrganisationShare, OutcomeDelta, ProgramProgress, RunEnd, RunStart, SpeedReport,
@@ -67,19 +67,54 @@
     pub program_left: Option<Duration>,
 }
 
+/// The software version that began a stream.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct StreamOrigin {
+    /// The attempt that brought the stream's first event.
+    pub attempt: TurnId,
+    /// The version.
+    pub software: SoftwareTag,
+}
+
 /// The known reservations of a program.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct ProgramLedger {
     /// The reservations, in no particular order.
     pub reservations: Vec<Reservation>,
+    /// Origins of the streams that can be taken up again.
+    pub origins: Vec<StreamOrigin>,
 }
 
 impl ProgramLedger {
-    /// Merges the reservations that another keeper knows.
+    /// Merges the reservations and origins that another keeper knows.
     pub fn merge(&mut self, other: Self) {
         for reservation in other.reservations {
             self.add(reservation);
         }
+        for origin in other.origins {
+            self.add_origin(origin);
+        }
+    }
+
+    /// Adds the origin of a stream; returns whether it was unknown.
+    pub fn add_origin(&mut self, origin: StreamOrigin) -> bool {
+        let is_new = !self.origins.contains(&origin);
+        if is_new {
+            self.origins.push(origin);
+        }
+        is_new
+    }
+
+    /// Returns the version that began a stream; `None` if none is recorded, or several are because a client has used the
+    /// id of its attempt twice.
+    #[must_use]
+    pub fn origin(&self, attempt: &TurnId) -> Option<SoftwareTag> {
+        let mut recorded = self
+            .origins
+            .iter()
+            .filter(|origin| origin.attempt == *attempt);
+        let origin = recorded.next()?;
+        recorded.next().is_none().then_some(origin.software)
     }
 
     /// Adds a reservation or merges it into the known one of the same turn; returns whether anything changed.
@@ -181,6 +216,17 @@
         /// The reservations.
         reservations: Vec<LimitReservation>,
     },
+    /// Tokens that a turn has reserved, and the software version that begins its stream.
+    Stream {
+        /// The program.
+        program: ProgramId,
+        /// The reservation.
+        reservation: Reservation,
+        /// The version.
+        software: SoftwareTag,
+        /// Retention time after the program's last use.
+        keep: Duration,
+    },
 }
 
 impl FactRecord {
@@ -199,7 +245,7 @@
     #[must_use]
     pub fn estimated_bytes(&self) -> usize {
         match self {
-            Self::Reservation { .. } => 120,
+            Self::Reservation { .. } | Self::Stream { .. } => 120,
             Self::LimitUses { uses, .. } => 20 + 20 * uses.len(),
             Self::LimitReservations { reservations, .. } => 20 + 20 * reservations.len(),
             Self::LimitSnapshot {
--- a/crates/samphiregrade-gateway/src/fact/mod.rs
+++ b/crates/samphiregrade-gateway/src/fact/mod.rs
@@ -33,7 +33,7 @@
 };
 pub use message::{
     ChainAnswer, ExportRequest, FactRecord, KeeperAnswer, KeeperEnvelope, KeeperReply,
-    KeeperRequest, ProgramLedger, Reservation, TurnFact, TurnPlace,
+    KeeperRequest, ProgramLedger, Reservation, StreamOrigin, TurnFact, TurnPlace,
 };
 pub use news::LagMonitor;
 pub use placement::{KeeperPlacement, KeeperSlot, PlacementGeneration};
--- a/crates/samphiregrade-gateway/src/fact/service.rs
+++ b/crates/samphiregrade-gateway/src/fact/service.rs
@@ -579,7 +579,7 @@
 
 fn program_of_fact(fact: &FactRecord) -> &str {
     match fact {
-        FactRecord::Reservation { program, .. } => program,
+        FactRecord::Reservation { program, .. } | FactRecord::Stream { program, .. } => program,
         FactRecord::Turn(turn) => &turn.program,
         FactRecord::LimitUses { .. }
         | FactRecord::LimitReservations { .. }
--- a/crates/samphiregrade-gateway/src/model/metadata.rs
+++ b/crates/samphiregrade-gateway/src/model/metadata.rs
@@ -57,6 +57,16 @@
     pub credential: CallerCredential,
 }
 
+impl RequestMetadata {
+    /// Returns the program under which the stream of the request is known: that of the request or, without one, the attempt
+    /// that began the stream. `None` if the request begins a stream without a program.
+    #[must_use]
+    pub fn origin_program(&self) -> Option<&ProgramId> {
+        let first_attempt = || self.resumption.as_ref()?.first_attempt.as_ref();
+        self.program.as_ref().or_else(first_attempt)
+    }
+}
+
 /// A stream that a client takes up again.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct StreamResumption {
--- a/crates/samphiregrade-gateway/src/model/mod.rs
+++ b/crates/samphiregrade-gateway/src/model/mod.rs
@@ -37,6 +37,9 @@
 /// Version of the software that an upstream runs; versions have no order.
 pub type SoftwareVersion = SmolStr;
 
+/// Hash of a service and a version of its software, the same on every instance.
+pub type SoftwareTag = u64;
+
 /// Id of an upstream, which may be the same after a restart.
 pub type UpstreamId = SmolStr;
 
--- a/crates/samphiregrade-gateway/src/model/upstream.rs
+++ b/crates/samphiregrade-gateway/src/model/upstream.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::{DomainId, ServiceName, SoftwareVersion, UpstreamId};
+use super::{DomainId, ServiceName, SoftwareTag, SoftwareVersion, UpstreamId, name_tag};
 
 /// Whether an upstream accepts requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -42,16 +42,23 @@
 }
 
 impl UpstreamRecord {
+    /// Returns the hash of the upstream's service and software version.
+    #[must_use]
+    pub fn software_tag(&self) -> SoftwareTag {
+        name_tag(&format!("{}/{}", self.service, self.software))
+    }
+
     /// Returns whether another record with the same id describes the same start of the same upstream.
     ///
-    /// A restarted upstream has lost its earlier state, and one with another address or service is a different
-    /// upstream.
+    /// A restarted upstream has lost its earlier state, and one with another address, service or software version is a
+    /// different upstream.
     #[must_use]
     pub fn is_same_start(&self, other: &Self) -> bool {
         let starts = self.started.zip(other.started);
         starts.is_none_or(|(own, others)| own == others)
             && self.address == other.address
             && self.service == other.service
+            && self.software == other.software
             && self.domain == other.domain
     }
 
--- a/crates/samphiregrade-gateway/src/observe/metrics.rs
+++ b/crates/samphiregrade-gateway/src/observe/metrics.rs
@@ -7,6 +7,8 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
+use crate::exchange::OriginSource;
+
 /// Bucket bounds of the latency histograms in milliseconds: from the overhead of relaying to the longest deadline.
 const LATENCY_BOUNDS: [f64; 12] = [
     0.5, 1.0, 2.0, 5.0, 10.0, 25.0, 50.0, 100.0, 250.0, 500.0, 1000.0, 3000.0,
@@ -37,6 +39,7 @@
     sends: Counter<u64>,
     placements: Counter<u64>,
     responses: Counter<u64>,
+    origins: Counter<u64>,
     store_calls: Counter<u64>,
     keeper_calls: Counter<u64>,
     slow_upstreams: Gauge<u64>,
@@ -85,6 +88,10 @@
                 .u64_counter("samphiregrade_upstream_responses")
                 .with_description("Responses of upstreams, by framing of the body and by end")
                 .build(),
+            origins: meter
+                .u64_counter("samphiregrade_stream_origins")
+                .with_description("Streams that can be taken up again, by source of their version")
+                .build(),
             store_calls: meter
                 .u64_counter("samphiregrade_store_calls")
                 .with_description("Calls of the key-value service, by result")
@@ -145,6 +152,14 @@
         self.responses.add(1, &labels);
     }
 
+    /// Counts a stream that can be taken up again, by how the version of its upstream is known.
+    pub fn count_origin(&self, source: Option<OriginSource>) {
+        if let Some(source) = source {
+            self.origins
+                .add(1, &[KeyValue::new("source", source.name())]);
+        }
+    }
+
     /// Counts a call to the key-value service.
     pub fn count_store_call(&self, result: &'static str) {
         self.store_calls.add(1, &[KeyValue::new("result", result)]);
--- a/crates/samphiregrade-gateway/src/upstream/peer.rs
+++ b/crates/samphiregrade-gateway/src/upstream/peer.rs
@@ -15,7 +15,9 @@
 use super::outcomes::Outcome;
 use super::silence::{ResponseMonitor, WaitNumber};
 use crate::hold::lock_ignoring_poison;
-use crate::model::{DomainId, PromptPart, ReportedLoad, UpstreamRecord, UpstreamTag, name_tag};
+use crate::model::{
+    DomainId, PromptPart, ReportedLoad, SoftwareTag, UpstreamRecord, UpstreamTag, name_tag,
+};
 
 /// Half-life of a reported load: requests last some hundreds of milliseconds.
 const LOAD_HALF_LIFE: Duration = Duration::from_millis(250);
@@ -73,6 +75,8 @@
     pub tag: u64,
     /// Hash of this start of the upstream.
     pub start_tag: UpstreamTag,
+    /// Hash of the upstream's service and software version.
+    pub software: SoftwareTag,
     draining: AtomicBool,
     departed: AtomicBool,
     in_flight: AtomicU32,
@@ -100,6 +104,7 @@
                 "{}/{:?}/{}",
                 record.id, record.started, record.address
             )),
+            software: record.software_tag(),
             record,
             draining: AtomicBool::new(false),
             departed: AtomicBool::new(false),
--- a/crates/samphiregrade-gateway/tests/suite/events.rs
+++ b/crates/samphiregrade-gateway/tests/suite/events.rs
@@ -31,7 +31,7 @@
         let mut whole = EventParser::new(false);
         let mut ends = Vec::new();
         for (index, byte) in STREAM.iter().enumerate() {
-            let mut parser = EventParser::new(step % 2 == 0);
+            let mut parser = EventParser::new(step.is_multiple_of(2));
             for piece in STREAM[..index].chunks(step % 30 + 1) {
                 parser.read(piece);
             }
--- a/crates/samphiregrade-gateway/tests/suite/keepers_model.rs
+++ b/crates/samphiregrade-gateway/tests/suite/keepers_model.rs
@@ -2,7 +2,7 @@
 //!
 //! The model uses the product's placement arithmetic and fact index. Invariants, as long as no more disks are lost at
 //! once than the placement tolerates: an acknowledged turn is never reported as absent, and a ledger on which a
-//! decision is based includes every acknowledged reservation.
+//! decision is based includes every acknowledged reservation and origin of a stream.
 
 use std::time::{Duration, Instant};
 
@@ -19,6 +19,8 @@
     Write(u8),
     /// A reservation is written; the bits select the keepers that it reaches.
     Reserve(u8),
+    /// A reservation is written with the origin of its stream; the bits select the keepers that it reaches.
+    Begin(u8),
     /// A keeper loses its disk, if one more loss is tolerated.
     Wipe(u8),
     /// A keeper that lost its disk reads the other reachable keepers, selected by the bits.
@@ -30,11 +32,12 @@
 impl Arbitrary for Step {
     fn arbitrary(source: &mut Gen) -> Self {
         let (one, two) = (u8::arbitrary(source), u8::arbitrary(source));
-        match u8::arbitrary(source) % 6 {
+        match u8::arbitrary(source) % 7 {
             0 | 1 => Self::Write(one),
             2 => Self::Reserve(one),
             3 => Self::Wipe(one),
             4 => Self::Rebuild(one, two),
+            5 => Self::Begin(one),
             _ => Self::Read(one),
         }
     }
@@ -93,6 +96,17 @@
         }
     }
 
+    fn next_reservation(&mut self) -> Reservation {
+        self.written += 1;
+        Reservation {
+            turn: format!("r{}", self.written).into(),
+            most: 100,
+            spent: None,
+            place: None,
+            program_left: None,
+        }
+    }
+
     fn step(&mut self, step: Step) -> bool {
         match step {
             Step::Write(bits) => {
@@ -101,17 +115,18 @@
                 self.store(turn(&id, None, id.as_bytes(), b"out\n"), bits);
             }
             Step::Reserve(bits) => {
-                self.written += 1;
-                let reservation = Reservation {
-                    turn: format!("r{}", self.written).into(),
-                    most: 100,
-                    spent: None,
-                    place: None,
-                    program_left: None,
-                };
                 let fact = FactRecord::Reservation {
                     program: "p".into(),
-                    reservation,
+                    reservation: self.next_reservation(),
+                    keep: Duration::from_mins(1),
+                };
+                self.store(fact, bits);
+            }
+            Step::Begin(bits) => {
+                let fact = FactRecord::Stream {
+                    program: "p".into(),
+                    reservation: self.next_reservation(),
+                    software: self.written as u64,
                     keep: Duration::from_mins(1),
                 };
                 self.store(fact, bits);
@@ -180,6 +195,14 @@
                         .iter()
                         .any(|known| known.turn == reservation.turn)
                 }
+                FactRecord::Stream {
+                    reservation,
+                    software,
+                    ..
+                } => {
+                    let ledger = self.keepers[index].facts.ledger("p");
+                    ledger.origin(&reservation.turn) == Some(*software)
+                }
                 FactRecord::LimitUses { .. }
                 | FactRecord::LimitReservations { .. }
                 | FactRecord::LimitSnapshot { .. } => {
@@ -188,7 +211,9 @@
             });
             let quorum = match &fact {
                 FactRecord::Turn(_) => self.placement.global_read_quorum(),
-                FactRecord::Reservation { .. } => self.placement.read_quorum(),
+                FactRecord::Reservation { .. } | FactRecord::Stream { .. } => {
+                    self.placement.read_quorum()
+                }
                 FactRecord::LimitUses { .. }
                 | FactRecord::LimitReservations { .. }
                 | FactRecord::LimitSnapshot { .. } => {
--- a/crates/samphiregrade-gateway/tests/suite/main.rs
+++ b/crates/samphiregrade-gateway/tests/suite/main.rs
@@ -18,6 +18,7 @@
 mod membership;
 mod mirror;
 mod news;
+mod origins;
 mod outcomes;
 mod panics;
 mod placement;
--- a/crates/samphiregrade-gateway/tests/suite/upstreams.rs
+++ b/crates/samphiregrade-gateway/tests/suite/upstreams.rs
@@ -351,3 +351,20 @@
     registry.put(record("i-1", UpstreamState::Ready), due);
     assert_eq!(usable(&registry), ["i-1", "i-2"]);
 }
+
+// Guards against an upstream that comes back with other software under its id and address, and counts as the one before.
+#[test]
+fn record_with_another_software_version_describes_another_upstream() {
+    let now = Instant::now();
+    let mut registry = UpstreamRegistry::new(DepartureRule::for_drain(DRAIN));
+    registry.put(record("i-1", UpstreamState::Ready), now);
+    let before = only(&registry);
+    let other = UpstreamRecord {
+        software: "v2".into(),
+        ..record("i-1", UpstreamState::Ready)
+    };
+    registry.put(other, now);
+    let after = only(&registry);
+    assert_ne!(after.software, before.software);
+    assert!(!before.takes_requests() && after.takes_requests());
+}
