Look up a stream's origin again while its record may be on its way

What callers saw: none was seen in a deployment. On the code before, a client that takes up its stream within a millisecond may come before the background record of its version and be refused; a stream without a budget that began while keepers were silent could leave a record at a minority of them and run at another version.

Change: a missing record is looked up three times, 20 ms apart, before the refusal. A stream that begins with its version in the reservation is sent to that version only, confirmed or not. A stream without a budget that has nothing to record asks no keeper. Metrics tell apart whether the upstream broke off or the response was abandoned. The outcome no-same-version is used for streams that are taken up only.

--- a/crates/samphiregrade-gateway/src/exchange/dispatch.rs
+++ b/crates/samphiregrade-gateway/src/exchange/dispatch.rs
@@ -127,7 +127,7 @@
     }
     let reason = if record.sends > 0 {
         RefusalReason::NotExecuted
-    } else if request.metadata.resumption.is_some() {
+    } else if request.resumes_stream() {
         RefusalReason::NoSameVersion
     } else {
         RefusalReason::NoUpstream
--- a/crates/samphiregrade-gateway/src/exchange/relay.rs
+++ b/crates/samphiregrade-gateway/src/exchange/relay.rs
@@ -203,9 +203,10 @@
     /// Returns the name of the response's end, for the metrics.
     fn end_name(&self, result: &Result<(), RelayStop>) -> &'static str {
         match result {
-            Ok(()) if self.is_inside_event() => "open-event",
             Ok(()) => "complete",
-            Err(_) => "truncated",
+            Err(RelayStop::Upstream(_)) if self.is_inside_event() => "open-event",
+            Err(RelayStop::Upstream(_)) => "broken",
+            Err(_) => "abandoned",
         }
     }
 
--- a/crates/samphiregrade-gateway/src/exchange/request.rs
+++ b/crates/samphiregrade-gateway/src/exchange/request.rs
@@ -64,6 +64,12 @@
         Some(prompt.saturating_sub(place.tokens))
     }
 
+    /// Returns whether the request takes up a stream, which only upstreams of its software version may continue.
+    #[must_use]
+    pub fn resumes_stream(&self) -> bool {
+        self.route.resumable && self.metadata.resumption.is_some()
+    }
+
     /// Returns whether this is the first request of a program, according to its head.
     #[must_use]
     pub fn starts_program(&self) -> bool {
--- a/crates/samphiregrade-gateway/src/exchange/turn.rs
+++ b/crates/samphiregrade-gateway/src/exchange/turn.rs
@@ -20,6 +20,13 @@
 /// known.
 const BUDGET_RETENTION: Duration = Duration::from_mins(1);
 
+/// Number of times that the origin of a stream is looked up.
+const ORIGIN_LOOKUPS: usize = 3;
+
+/// Pause between two look-ups of an origin: a message between instances takes a few milliseconds, and a client that
+/// takes up its stream at once is hardly delayed.
+const ORIGIN_LOOKUP_PAUSE: Duration = Duration::from_millis(20);
+
 /// The budget, history and origin of a turn or of another stream that can be taken up again.
 #[derive(Clone, Debug)]
 pub struct TurnPlan {
@@ -131,8 +138,8 @@
     ) -> Result<PreparedTurn, RefusalReason> {
         let (reserved, chain) = tokio::join!(self.reserve(context, versions), self.chain(context));
         let chain = chain?;
-        let ledger = reserved?;
-        let (software, origin) = self.choose_software(ledger.as_ref(), versions)?;
+        let (ledger, software, origin) =
+            self.look_up_software(context, reserved?, versions).await?;
         let ledger = ledger.unwrap_or_default();
         let program_state = ProgramState {
             last_place: ledger.last_place(Some(&self.session)).cloned(),
@@ -162,7 +169,12 @@
         context: &EntryContext,
         versions: KnownVersions,
     ) -> Result<Option<ProgramLedger>, RefusalReason> {
-        if self.budget.is_none() && !self.is_tracked() {
+        let records = match &self.step {
+            StreamStep::Unresumable => false,
+            StreamStep::Begins => versions.serving.is_some(),
+            StreamStep::Resumes(_) => true,
+        };
+        if self.budget.is_none() && !records {
             return Ok(None);
         }
         let reserved = self.reserve_with_keepers(context, versions).await;
@@ -219,23 +231,49 @@
         self.budget.map_or(0, |_| self.max_tokens)
     }
 
+    /// Returns the program's records, the upstreams that may run the turn, and how the version of its stream is known. A
+    /// record that was written in the background may still be on its way, so it is looked up more than once.
+    async fn look_up_software(
+        &self,
+        context: &EntryContext,
+        mut ledger: Option<ProgramLedger>,
+        versions: KnownVersions,
+    ) -> Result<(Option<ProgramLedger>, SoftwareRule, Option<OriginSource>), RefusalReason> {
+        let names_attempt = matches!(self.step, StreamStep::Resumes(Some(_)));
+        let mut lookups = 1;
+        loop {
+            match self.choose_software(ledger.as_ref(), versions) {
+                Err(RefusalReason::UnknownOrigin) if names_attempt && lookups < ORIGIN_LOOKUPS => {
+                    tokio::time::sleep(ORIGIN_LOOKUP_PAUSE).await;
+                    ledger = self.reserve(context, versions).await?;
+                    lookups += 1;
+                }
+                Err(reason) => return Err(reason),
+                Ok((software, origin)) => return Ok((ledger, software, origin)),
+            }
+        }
+    }
+
     /// Returns the upstreams that may run the turn, and how the version of its stream is known; `ledger` is what the
-    /// keepers know of the program.
+    /// keepers know of the program, if a majority has replied.
     fn choose_software(
         &self,
         ledger: Option<&ProgramLedger>,
         versions: KnownVersions,
     ) -> Result<(SoftwareRule, Option<OriginSource>), RefusalReason> {
-        match (&self.step, ledger) {
-            (StreamStep::Begins, Some(_)) => Ok(match versions.serving {
-                Some(software) => (SoftwareRule::Only(software), Some(OriginSource::Reserved)),
-                None => (SoftwareRule::Any, Some(OriginSource::Noted)),
-            }),
-            (StreamStep::Resumes(first), Some(ledger)) => {
+        match (&self.step, versions.serving) {
+            (StreamStep::Unresumable, _) => Ok((SoftwareRule::Any, None)),
+            // Also without confirmation, a keeper may have recorded the version.
+            (StreamStep::Begins, Some(software)) => {
+                let source = ledger.map(|_| OriginSource::Reserved);
+                Ok((SoftwareRule::Only(software), source))
+            }
+            (StreamStep::Begins, None) => Ok((SoftwareRule::Any, Some(OriginSource::Noted))),
+            (StreamStep::Resumes(first), _) => {
+                let ledger = ledger.ok_or(RefusalReason::NoKeepers)?;
                 let (software, source) = find_origin(first.as_ref(), ledger, versions)?;
                 Ok((SoftwareRule::Only(software), Some(source)))
             }
-            _ => Ok((SoftwareRule::Any, None)),
         }
     }
 
