Query the origin of a stream without a budget without waiting for disks

What callers saw: none in a deployment.

Change: keepers answer a query for a program's records from memory; a majority has to reply, as before.

Evidence: ledger_query_returns_the_origins_of_every_majority_and_reserves_nothing.

--- a/crates/samphiregrade-gateway/src/exchange/turn.rs
+++ b/crates/samphiregrade-gateway/src/exchange/turn.rs
@@ -204,6 +204,10 @@
             .keepers
             .load_full()
             .ok_or(RefusalReason::NoKeepers)?;
+        if self.budget.is_none() && matches!(self.step, StreamStep::Resumes(_)) {
+            let querying = keepers.ledger(&self.program).await;
+            return querying.map_err(|_| RefusalReason::NoKeepers);
+        }
         let fact = match (&self.step, versions.serving) {
             (StreamStep::Begins, Some(software)) => self.stream_fact(software),
             _ => self.reservation(None, None),
--- a/crates/samphiregrade-gateway/src/fact/client.rs
+++ b/crates/samphiregrade-gateway/src/fact/client.rs
@@ -153,6 +153,21 @@
         })
     }
 
+    /// Queries what a majority of the program's keepers know of it. Unlike a reservation, the query waits for no disk.
+    ///
+    /// # Errors
+    ///
+    /// [`FactFailure`] if too few keepers reply.
+    pub async fn ledger(&self, program: &ProgramId) -> Result<ProgramLedger, FactFailure> {
+        let request = &KeeperRequest::Ledger(program.clone());
+        let querying = self.with_newest_placement(move |placement| async move {
+            let group = self.reachable_group(&placement, program)?;
+            let replies = self.call_group(&placement, &group, request);
+            collect_ledger(&placement, replies).await
+        });
+        querying.await
+    }
+
     /// Stores a fact on a majority of the program's keepers.
     ///
     /// The write waits for keepers that are briefly unavailable. If the placement changes meanwhile, the fact is stored
@@ -337,27 +352,33 @@
     }
 }
 
-/// Merges the ledgers of a program that keepers return, until a majority has stored the reservation and the complete
-/// keepers among them include a member of every majority.
+/// Merges the ledgers of a program that keepers return, until a majority has replied and the complete keepers among them
+/// include a member of every majority.
 async fn collect_ledger(
     placement: &KeeperPlacement,
     mut replies: mpsc::Receiver<Option<KeeperReply>>,
 ) -> Result<ProgramLedger, FactFailure> {
     let mut ledger = ProgramLedger::default();
-    let (mut stored, mut complete) = (0, 0);
+    let (mut known_by, mut complete) = (0, 0);
     while let Some(reply) = replies.recv().await {
-        let Some(KeeperReply::Reserved {
-            ledger: known,
-            complete: is_complete,
-            ..
-        }) = reply
+        let Some(
+            KeeperReply::Reserved {
+                ledger: known,
+                complete: is_complete,
+                ..
+            }
+            | KeeperReply::Ledger {
+                ledger: known,
+                complete: is_complete,
+            },
+        ) = reply
         else {
             continue;
         };
         ledger.merge(known);
-        stored += 1;
+        known_by += 1;
         complete += usize::from(is_complete);
-        if stored >= placement.majority() && complete >= placement.read_quorum() {
+        if known_by >= placement.majority() && complete >= placement.read_quorum() {
             return Ok(ledger);
         }
     }
--- a/crates/samphiregrade-gateway/src/fact/message.rs
+++ b/crates/samphiregrade-gateway/src/fact/message.rs
@@ -301,6 +301,8 @@
         /// The entry that sends the request.
         follower: HelperAddress,
     },
+    /// Queries a program's known reservations and origins.
+    Ledger(ProgramId),
 }
 
 /// A request with the generation of the placement that its sender knows.
@@ -423,4 +425,11 @@
     NewerPlacement(KeeperPlacement),
     /// The fact could not be written to disk, or facts could not be read from it.
     NotStored,
+    /// A program's known reservations and origins.
+    Ledger {
+        /// The reservations and origins.
+        ledger: ProgramLedger,
+        /// Whether the keeper has every fact that it has ever acknowledged.
+        complete: bool,
+    },
 }
--- a/crates/samphiregrade-gateway/src/fact/service.rs
+++ b/crates/samphiregrade-gateway/src/fact/service.rs
@@ -212,6 +212,10 @@
                 },
                 None => KeeperReply::NotStored,
             },
+            KeeperRequest::Ledger(program) => KeeperReply::Ledger {
+                ledger: self.with(|state| state.index.ledger(&program)),
+                complete: self.is_complete(),
+            },
             KeeperRequest::Probe => KeeperReply::Alive {
                 complete: self.is_complete(),
                 suspects: self.suspects(),
--- a/crates/samphiregrade-gateway/tests/suite/keepers.rs
+++ b/crates/samphiregrade-gateway/tests/suite/keepers.rs
@@ -212,6 +212,34 @@
     ));
 }
 
+// Guards against an origin of a stream that a majority of the keepers has and a query of another majority misses, and against a
+// query that counts as a reservation.
+#[tokio::test]
+async fn ledger_query_returns_the_origins_of_every_majority_and_reserves_nothing() {
+    let deployment = Deployment::start().await;
+    let FactRecord::Reservation {
+        program,
+        reservation,
+        keep,
+    } = reservation("t1", 60)
+    else {
+        unreachable!("a reservation");
+    };
+    let begun = FactRecord::Stream {
+        program: program.clone(),
+        reservation,
+        software: 7,
+        keep,
+    };
+    deployment.store_on(&[0, 1], &begun).await;
+    for domain in ["a", "b", "c"] {
+        let client = deployment.client(domain);
+        let ledger = client.ledger(&program).await.expect("a majority");
+        assert_eq!(ledger.origin(&"t1".into()), Some(7));
+        assert_eq!(ledger.reservations.len(), 1);
+    }
+}
+
 #[tokio::test]
 async fn keeper_that_lost_its_disk_is_complete_only_after_a_rebuild() {
     let mut deployment = Deployment::start().await;
