Log and count why an upstream broke off a request; tag the attempts of a request

Logs could not tell which attempts belong to one request, nor whether an upstream ended under a request or only broke off a run.

Change: request lines have request_tag; an upstream that breaks off a request is examined by a connection, which is logged (upstream-break) and counted (samphiregrade_upstream_breaks_total). Nothing is decided by either yet.

Measured: nothing yet; the examination takes a round trip and 5 ms, after which the process has closed its sockets.

--- a/crates/samphiregrade-gateway/src/exchange/connection.rs
+++ b/crates/samphiregrade-gateway/src/exchange/connection.rs
@@ -21,6 +21,7 @@
 use super::outcome::{ConnectionAge, OpenRecord, RequestRecord, SurveyRecord};
 use super::refusal::{Refusal, RefusalReason};
 use super::relay::{RelayClient, RelayEnd, relay_response};
+use super::repetition::request_tag;
 use super::request::RoutedRequest;
 use super::survey::{PlacementView, survey};
 use super::turn::{PreparedTurn, ProgramState, TurnPlan};
@@ -198,6 +199,7 @@
             route,
             service,
         };
+        record.tag = Some(request_tag(&request));
         let turn = if is_turn {
             TurnPlan::of(&request)
         } else {
--- a/crates/samphiregrade-gateway/src/exchange/dispatch.rs
+++ b/crates/samphiregrade-gateway/src/exchange/dispatch.rs
@@ -5,6 +5,7 @@
 
 use super::affinity::apply_affinity;
 use super::attempt::{AttemptOutcome, ChosenUpstream, LiveResponse, attempt, record_failure};
+use super::broken::{BreakStage, examine_break};
 use super::context::EntryContext;
 use super::origin::SoftwareRule;
 use super::outcome::RequestRecord;
@@ -97,6 +98,7 @@
                 record_failure(&upstream, false, &reason);
                 context.metrics.count_send("broken");
                 record.add_detail(&reason);
+                examine_break(context, record, &upstream, BreakStage::BeforeHead).await;
                 may_have_run = true;
             }
             AttemptOutcome::Unreachable(reason) => {
--- a/crates/samphiregrade-gateway/src/exchange/mod.rs
+++ b/crates/samphiregrade-gateway/src/exchange/mod.rs
@@ -3,6 +3,7 @@
 mod admission;
 mod affinity;
 mod attempt;
+mod broken;
 mod connection;
 mod context;
 mod dispatch;
@@ -12,6 +13,7 @@
 mod outcome;
 mod refusal;
 mod relay;
+mod repetition;
 mod request;
 mod slow_readers;
 mod survey;
--- a/crates/samphiregrade-gateway/src/exchange/outcome.rs
+++ b/crates/samphiregrade-gateway/src/exchange/outcome.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use serde::Serialize;
-use smol_str::SmolStr;
+use smol_str::{SmolStr, format_smolstr};
 
 use super::affinity::PlacedObject;
 use super::context::EntryContext;
@@ -13,7 +13,7 @@
 use super::origin::OriginSource;
 use crate::access::BootTime;
 use crate::limits::WindowUse;
-use crate::model::{RequestId, RequestKind, SoftwareVersion};
+use crate::model::{RequestId, RequestKind, RequestTag, SoftwareVersion};
 use crate::observe::{Logbook, RequestSample};
 
 /// The survey of upstream accounts before a request was placed.
@@ -39,6 +39,8 @@
 pub struct RequestRecord {
     /// Id of this attempt of the client.
     pub request: SmolStr,
+    /// Hash of what the client repeats with each attempt of the request; `None` before the request is routed.
+    pub tag: Option<RequestTag>,
     /// Age of the client connection.
     pub connection: ConnectionAge,
     /// Time from the signal to stop until the request arrived; `None` if it arrived before the signal.
@@ -104,6 +106,8 @@
 #[derive(Serialize)]
 struct RequestLine<'line> {
     request: &'line str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    request_tag: Option<SmolStr>,
     connection_ms: f64,
     earlier_requests: u32,
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -162,12 +166,18 @@
     (duration.as_secs_f64() * 10_000.0).round() / 10.0
 }
 
+/// Returns a hash as it is written to logs.
+pub(super) fn format_tag(tag: u64) -> SmolStr {
+    format_smolstr!("{tag:016x}")
+}
+
 impl RequestRecord {
     /// Creates the record of a request that has just arrived.
     #[must_use]
     pub fn new(request: SmolStr, started: Instant, connection: ConnectionAge) -> Self {
         Self {
             request,
+            tag: None,
             connection,
             stopping: None,
             program: SmolStr::default(),
@@ -221,6 +231,7 @@
         let age = self.started.duration_since(self.connection.accepted);
         let line = RequestLine {
             request: &self.request,
+            request_tag: self.tag.map(format_tag),
             connection_ms: milliseconds(age),
             earlier_requests: self.connection.earlier_requests,
             stopping_ms: self.stopping.map(milliseconds),
--- a/crates/samphiregrade-gateway/src/exchange/relay.rs
+++ b/crates/samphiregrade-gateway/src/exchange/relay.rs
@@ -10,6 +10,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::attempt::LiveResponse;
+use super::broken::{BreakStage, examine_break};
 use super::context::EntryContext;
 use super::events::EventParser;
 use super::outcome::RequestRecord;
@@ -151,6 +152,10 @@
         let upstream = response.guard.upstream().start_tag;
         context.outcomes.note(upstream, outcome, Instant::now());
     }
+    if let Err(RelayStop::Upstream(_)) = &result {
+        let upstream = response.guard.upstream();
+        examine_break(context, record, upstream, BreakStage::InResponse).await;
+    }
     let spent = relay.spent();
     if status == 200 && (result.is_ok() || spent > 0) {
         // Without a plan, the tokens of a response are not counted.
--- a/crates/samphiregrade-gateway/src/model/mod.rs
+++ b/crates/samphiregrade-gateway/src/model/mod.rs
@@ -49,6 +49,9 @@
 /// Id of one attempt of a client.
 pub type RequestId = SmolStr;
 
+/// Hash of what a client repeats with each attempt of a request, the same on every instance.
+pub type RequestTag = u64;
+
 /// Id of a program.
 pub type ProgramId = SmolStr;
 
--- a/crates/samphiregrade-gateway/src/observe/metrics.rs
+++ b/crates/samphiregrade-gateway/src/observe/metrics.rs
@@ -8,6 +8,7 @@
 use prometheus::{Encoder, Registry, TextEncoder};
 
 use crate::exchange::OriginSource;
+use crate::upstream::BreakCause;
 
 /// Bucket bounds of the latency histograms in milliseconds: from the overhead of relaying to the longest deadline.
 const LATENCY_BOUNDS: [f64; 12] = [
@@ -39,6 +40,7 @@
     sends: Counter<u64>,
     placements: Counter<u64>,
     responses: Counter<u64>,
+    breaks: Counter<u64>,
     origins: Counter<u64>,
     store_calls: Counter<u64>,
     keeper_calls: Counter<u64>,
@@ -88,6 +90,10 @@
                 .u64_counter("samphiregrade_upstream_responses")
                 .with_description("Responses of upstreams, by framing of the body and by end")
                 .build(),
+            breaks: meter
+                .u64_counter("samphiregrade_upstream_breaks")
+                .with_description("Requests that upstreams broke off, by cause")
+                .build(),
             origins: meter
                 .u64_counter("samphiregrade_stream_origins")
                 .with_description("Streams that can be taken up again, by source of their version")
@@ -152,6 +158,11 @@
         self.responses.add(1, &labels);
     }
 
+    /// Counts a request that its upstream broke off.
+    pub fn count_break(&self, cause: BreakCause) {
+        self.breaks.add(1, &[KeyValue::new("cause", cause.name())]);
+    }
+
     /// Counts a stream that can be taken up again, by how the version of its upstream is known.
     pub fn count_origin(&self, source: Option<OriginSource>) {
         if let Some(source) = source {
--- /dev/null
+++ b/crates/samphiregrade-gateway/src/upstream/break_cause.rs
@@ -0,0 +1,82 @@
+//! Finds out why an upstream broke off a request: whether its process has ended, or only the run or its connection.
+
+use std::io;
+use std::time::{Duration, Instant};
+
+use super::peer::Upstream;
+
+/// Time within which an upstream's host replies to a connection attempt; beyond it, the cause remains unknown.
+const EXAMINATION_TIMEOUT: Duration = Duration::from_millis(50);
+
+/// Time that a process takes to close all of its sockets when it ends.
+const CLOSING_TIME: Duration = Duration::from_millis(5);
+
+/// Number of connections that are opened to find out whether the process lives: the first one may be reset because the
+/// process is ending.
+const EXAMINATIONS: usize = 2;
+
+/// What is known of an upstream that broke off a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum BreakCause {
+    /// The process has ended without notice: nothing listens at its address, and no connection to it is open.
+    Ended,
+    /// The upstream was leaving: it had announced its end, or its record was gone.
+    Leaving,
+    /// The upstream accepts connections: only the run or its connection ended.
+    Serving,
+    /// The upstream's host does not reply: the network path may be interrupted.
+    Unreachable,
+}
+
+impl BreakCause {
+    /// Returns the name used in logs and metrics.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Ended => "ended",
+            Self::Leaving => "leaving",
+            Self::Serving => "serving",
+            Self::Unreachable => "unreachable",
+        }
+    }
+}
+
+impl Upstream {
+    /// Finds out why the upstream broke off a request at `broke_at`.
+    pub async fn examine_break(&self, broke_at: Instant) -> BreakCause {
+        if self.is_leaving() {
+            return BreakCause::Leaving;
+        }
+        let examining = tokio::time::timeout(EXAMINATION_TIMEOUT, self.examine_address(broke_at));
+        examining.await.unwrap_or(BreakCause::Unreachable)
+    }
+
+    async fn examine_address(&self, broke_at: Instant) -> BreakCause {
+        for _ in 0..EXAMINATIONS {
+            let connected = self.connect().await;
+            // The process may be closing its sockets at this moment.
+            tokio::time::sleep(CLOSING_TIME).await;
+            let mut socket = match connected {
+                Ok(socket) => socket,
+                Err(error) => return self.judge_failure(error.kind(), broke_at),
+            };
+            if socket.is_reusable() {
+                self.keep_idle(socket, None, Instant::now());
+                return BreakCause::Serving;
+            }
+        }
+        // A full upstream resets new connections.
+        BreakCause::Serving
+    }
+
+    /// Returns what a failure to connect says. A full upstream may refuse connections, too, while others are open.
+    fn judge_failure(&self, failure: io::ErrorKind, broke_at: Instant) -> BreakCause {
+        if failure != io::ErrorKind::ConnectionRefused {
+            return BreakCause::Unreachable;
+        }
+        if self.has_open_idle() || self.responded_since(broke_at) {
+            return BreakCause::Serving;
+        }
+        BreakCause::Ended
+    }
+}
--- a/crates/samphiregrade-gateway/src/upstream/mod.rs
+++ b/crates/samphiregrade-gateway/src/upstream/mod.rs
@@ -3,6 +3,7 @@
 mod affinity;
 mod affinity_board;
 mod balance;
+mod break_cause;
 mod breaker;
 mod cache;
 mod contention;
@@ -30,6 +31,7 @@
     Candidate, ContentionEstimate, ContentionView, LoadView, SLOW_UPSTREAM, WorkEstimate,
     choose_upstream, estimate_loads, mean_excess,
 };
+pub use break_cause::BreakCause;
 pub use breaker::{BreakerState, UpstreamBreaker};
 pub use cache::PrefixCache;
 pub use contention::UsualContention;
--- a/crates/samphiregrade-gateway/src/upstream/peer.rs
+++ b/crates/samphiregrade-gateway/src/upstream/peer.rs
@@ -134,6 +134,18 @@
         !self.draining.load(Ordering::Relaxed)
     }
 
+    /// Returns whether the upstream has announced its end, or its record was removed.
+    #[must_use]
+    pub fn is_leaving(&self) -> bool {
+        self.draining.load(Ordering::Relaxed) || self.departed.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether a response has begun after a time.
+    #[must_use]
+    pub fn responded_since(&self, time: Instant) -> bool {
+        lock_ignoring_poison(&self.monitor).responded_since(time)
+    }
+
     /// Returns whether the upstream's breaker is closed.
     #[must_use]
     pub fn is_breaker_closed(&self, now: Instant) -> bool {
@@ -369,6 +381,14 @@
             .any(|connection| now < connection.expires)
     }
 
+    /// Returns whether the upstream keeps an idle connection of this instance open.
+    #[must_use]
+    pub fn has_open_idle(&self) -> bool {
+        lock_ignoring_poison(&self.idle)
+            .iter_mut()
+            .any(|connection| connection.socket.is_reusable())
+    }
+
     /// Takes an idle connection that a request can use.
     pub fn take_idle(&self, now: Instant) -> Option<WireSocket> {
         let mut idle = lock_ignoring_poison(&self.idle);
