Bound the upstreams that end under one request over all attempts of its client

What callers saw: a request that ends its upstream was sent on to the next one with each attempt of its client, at any entry, and ended that one as well. Calls, calls that must not be repeated, turns that are begun again and streams that are taken up alike.

Cause: the limit on attempts holds within one attempt of a client. The next attempt has another id, and nothing was remembered of requests.

Change: a request is known by the hash of what its client repeats. Entries query the keepers for its tries before they send it, while the reservation of a turn is under way. Where an upstream has ended under it, each further try is recorded with a majority before it is sent, and sent to an upstream at random, so that requests which ran beside each other at an upstream that ended don't meet again. After three ended upstreams the request gets 502 at once, with the time until this is forgotten. A full answer voids the ends. An end is a refused connection after a break, with no other connection open; not a run that broke off, a reset, a cut, a drain, or a lapsed record. An entry without keepers counts what it has seen itself.

--- a/crates/samphiregrade-gateway/src/exchange/broken.rs
+++ b/crates/samphiregrade-gateway/src/exchange/broken.rs
@@ -1,5 +1,6 @@
-//! Examines upstreams that broke off a request, and reports the cause.
+//! Examines upstreams that broke off a request, and reports and records the cause.
 
+use std::sync::Arc;
 use std::time::Instant;
 
 use serde::Serialize;
@@ -7,6 +8,7 @@
 
 use super::context::EntryContext;
 use super::outcome::{RequestRecord, format_tag};
+use super::request::RoutedRequest;
 use crate::observe::Logbook;
 use crate::upstream::{BreakCause, Upstream};
 
@@ -39,11 +41,12 @@
     examined_ms: f64,
 }
 
-/// Finds out why an upstream broke off a request, logs and counts it.
-pub(super) async fn examine_break(
+/// Finds out why an upstream broke off a request, and records it for the next tries of the request.
+pub(super) async fn record_break(
     context: &EntryContext,
+    request: &RoutedRequest,
     record: &RequestRecord,
-    upstream: &Upstream,
+    upstream: &Arc<Upstream>,
     stage: BreakStage,
 ) -> BreakCause {
     let broke_at = Instant::now();
@@ -59,5 +62,6 @@
         examined_ms: broke_at.elapsed().as_secs_f64() * 1000.0,
     };
     Logbook::global().record("upstream-break", &line);
+    request.tries.end(upstream, cause).await;
     cause
 }
--- a/crates/samphiregrade-gateway/src/exchange/connection.rs
+++ b/crates/samphiregrade-gateway/src/exchange/connection.rs
@@ -24,6 +24,7 @@
 use super::repetition::request_tag;
 use super::request::RoutedRequest;
 use super::survey::{PlacementView, survey};
+use super::tries::RequestTries;
 use super::turn::{PreparedTurn, ProgramState, TurnPlan};
 use crate::access::BootTime;
 use crate::model::{ClientLimits, RequestKind, RequestMetadata};
@@ -181,7 +182,11 @@
             .deadline
             .map_or(route.timeout, |time| time.min(route.timeout));
         let is_turn = route.kind == RequestKind::Streaming;
+        let tag = request_tag(&caller, &head, &metadata, &body);
+        record.tag = Some(tag);
+        let tries = RequestTries::new(self.context.clone(), record.request.clone(), tag);
         let request = RoutedRequest {
+            tries: Arc::new(tries),
             id: record.request.clone(),
             due: record.started + allowed,
             started: record.started,
@@ -199,7 +204,6 @@
             route,
             service,
         };
-        record.tag = Some(request_tag(&request));
         let turn = if is_turn {
             TurnPlan::of(&request)
         } else {
@@ -233,7 +237,7 @@
                 false
             }
             Err(Some(refusal)) => {
-                if refusal.reason.may_have_run() {
+                if refusal.reason.may_have_run() && record.sends > 0 {
                     request.spend_token();
                 }
                 settle_turn(&context, turn.as_ref(), 0);
@@ -334,8 +338,14 @@
     } else {
         KnownVersions::default()
     };
-    let preparing = prepare_turn(context, turn, request.body.clone(), request.due, versions);
-    if let Some(prepared) = admit_while_preparing(context, request, record, preparing).await?? {
+    let tries = request.tries.clone();
+    let looking_up = Box::pin(tries.look_up());
+    let turn_input = request.body.clone();
+    let preparing = prepare_turn(context, turn, turn_input, request.due, versions, looking_up);
+    let prepared = admit_while_preparing(context, request, record, preparing).await?;
+    record.ended = tries.ended();
+    tries.check()?;
+    if let Some(prepared) = prepared? {
         request.body = prepared.body;
         request.program_state = prepared.program_state;
         request.software = prepared.software;
@@ -371,19 +381,24 @@
     }
 }
 
-/// Prepares a turn; resolves to `None` if the request is not a turn.
-async fn prepare_turn(
+/// Prepares a turn while `looking_up` runs; resolves to `None` if the request is not a turn.
+async fn prepare_turn<LookUp>(
     context: &EntryContext,
     turn: Option<&TurnPlan>,
     body: Bytes,
     due: Instant,
     versions: KnownVersions,
-) -> Result<Option<PreparedTurn>, RefusalReason> {
+    looking_up: LookUp,
+) -> Result<Option<PreparedTurn>, RefusalReason>
+where
+    LookUp: Future<Output = ()>,
+{
     let Some(plan) = turn else {
+        looking_up.await;
         return Ok(None);
     };
-    let preparing = plan.prepare(context, &body, versions);
-    let prepared = tokio::time::timeout_at(due.into(), preparing).await;
+    let preparing = tokio::time::timeout_at(due.into(), plan.prepare(context, &body, versions));
+    let (prepared, ()) = tokio::join!(preparing, looking_up);
     prepared.unwrap_or(Err(RefusalReason::LateUnsent)).map(Some)
 }
 
--- a/crates/samphiregrade-gateway/src/exchange/context.rs
+++ b/crates/samphiregrade-gateway/src/exchange/context.rs
@@ -9,6 +9,7 @@
 
 use super::limit_desk::EntryLimiter;
 use super::slow_readers::{MemoryMegabytes, SlowReaders};
+use super::suspects::SuspectTable;
 use super::turn_cache::TurnCache;
 use crate::access::{BootTime, KeyFreshness};
 use crate::dialect::Dialect;
@@ -50,6 +51,8 @@
     pub turns: TurnCache,
     /// Outcomes of requests, by upstream.
     pub outcomes: Arc<OutcomeTracker>,
+    /// Requests under which upstreams have ended.
+    pub suspects: SuspectTable,
     /// Speeds of upstreams.
     pub speeds: Arc<SpeedBoard>,
     /// Whether speeds are learned from response times of upstreams that don't report how long work takes.
@@ -97,6 +100,7 @@
             prefix_shares: PrefixShares::default(),
             turns,
             outcomes: Arc::default(),
+            suspects: SuspectTable::default(),
             speeds: Arc::default(),
             learns_speeds: false,
             shares: ShareBoard::default(),
--- a/crates/samphiregrade-gateway/src/exchange/dispatch.rs
+++ b/crates/samphiregrade-gateway/src/exchange/dispatch.rs
@@ -3,9 +3,11 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use rand::seq::IndexedRandom;
+
 use super::affinity::apply_affinity;
 use super::attempt::{AttemptOutcome, ChosenUpstream, LiveResponse, attempt, record_failure};
-use super::broken::{BreakStage, examine_break};
+use super::broken::{BreakStage, record_break};
 use super::context::EntryContext;
 use super::origin::SoftwareRule;
 use super::outcome::RequestRecord;
@@ -14,8 +16,8 @@
 use super::survey::PlacementView;
 use crate::model::UpstreamTag;
 use crate::upstream::{
-    Candidate, ContentionEstimate, ContentionView, LoadView, Outcome, SLOW_UPSTREAM, Upstream,
-    WorkEstimate, choose_upstream, estimate_loads, mean_excess,
+    BreakCause, Candidate, ContentionEstimate, ContentionView, LoadView, Outcome, SLOW_UPSTREAM,
+    Upstream, WorkEstimate, choose_upstream, estimate_loads, mean_excess,
 };
 
 /// Number of failed connections after which a request is refused: each costs no more than a round trip.
@@ -55,6 +57,7 @@
         tried.push(upstream.clone());
         record.upstream = upstream.record.id.clone();
         record.software = upstream.record.software.clone();
+        begin_try(request, &upstream, may_have_run).await?;
         let sends_before = record.sends;
         let sending = attempt(context, request, &chosen, record);
         let Ok(outcome) = tokio::time::timeout_at(request.due.into(), sending).await else {
@@ -72,17 +75,23 @@
         match outcome {
             AttemptOutcome::Responded(response) => return Ok(response),
             AttemptOutcome::NotSent(reason) => {
+                request.tries.settle();
                 connect_failures += 1;
                 record_failure(&upstream, true, &reason);
                 context.metrics.count_send("not-sent");
                 record.add_detail(&reason);
             }
             AttemptOutcome::Withdrawn(reason) if may_have_run => {
+                request.tries.settle();
                 record.add_detail(reason.name());
                 return Err(RefusalReason::Broken.into());
             }
-            AttemptOutcome::Withdrawn(reason) => return Err(reason.into()),
+            AttemptOutcome::Withdrawn(reason) => {
+                request.tries.settle();
+                return Err(reason.into());
+            }
             AttemptOutcome::NotExecuted(status, wait) => {
+                request.tries.settle();
                 context.metrics.count_send("not-executed");
                 record.add_detail(&format!(
                     "{} reports status {status}, not executed",
@@ -95,19 +104,25 @@
                 context
                     .outcomes
                     .note(upstream.start_tag, Outcome::Failure, now);
-                record_failure(&upstream, false, &reason);
                 context.metrics.count_send("broken");
                 record.add_detail(&reason);
-                examine_break(context, record, &upstream, BreakStage::BeforeHead).await;
+                let stage = BreakStage::BeforeHead;
+                let ending = record_break(context, request, record, &upstream, stage);
+                let cause = Box::pin(ending).await;
+                record_failure(&upstream, cause == BreakCause::Ended, &reason);
                 may_have_run = true;
             }
             AttemptOutcome::Unreachable(reason) => {
                 record_failure(&upstream, false, &reason);
                 context.metrics.count_send("unreachable");
                 record.add_detail(&reason);
+                request.tries.examine_later(&upstream);
                 may_have_run = true;
             }
         }
+        if may_have_run {
+            check_exhausted(request)?;
+        }
         if may_have_run && !request.route.may_repeat() {
             return Err(RefusalReason::Broken.into());
         }
@@ -115,6 +130,32 @@
     Err(final_refusal(request, record, may_have_run, retry_after))
 }
 
+/// Records a try of a suspected request before the request is sent; fails if the request must not be sent.
+async fn begin_try(
+    request: &RoutedRequest,
+    upstream: &Arc<Upstream>,
+    may_have_run: bool,
+) -> Result<(), Refusal> {
+    if !request.tries.is_suspected() {
+        return Ok(());
+    }
+    let beginning = Box::pin(request.tries.begin(upstream));
+    beginning.await.map_err(|refusal| {
+        if may_have_run && !refusal.reason.may_have_run() {
+            return RefusalReason::Broken.into();
+        }
+        refusal
+    })
+}
+
+/// Fails if so many upstreams have ended under the request that it is not sent again, by any attempt.
+fn check_exhausted(request: &RoutedRequest) -> Result<(), Refusal> {
+    match request.tries.check() {
+        Err(refusal) if refusal.reason == RefusalReason::UpstreamsEnded => Err(refusal),
+        _ => Ok(()),
+    }
+}
+
 fn final_refusal(
     request: &RoutedRequest,
     record: &RequestRecord,
@@ -151,6 +192,9 @@
     let upstreams = directory.of(&request.service.name);
     let eligible = eligible_upstreams(upstreams, request.software, tried, now);
     record.affinity = None;
+    if request.tries.is_suspected() {
+        return select_at_random(&eligible, now);
+    }
     if let Some(probed) = select_probe(context, request, &eligible, now) {
         return Some(probed);
     }
@@ -183,6 +227,22 @@
     })
 }
 
+/// Chooses an upstream for a request under which upstreams have ended: any one with room, so that requests that ran beside
+/// each other at an upstream that ended don't meet again at the next one.
+fn select_at_random(eligible: &[&Arc<Upstream>], now: Instant) -> Option<ChosenUpstream> {
+    let has_room =
+        |upstream: &&&Arc<Upstream>| upstream.load(now) < f64::from(upstream.record.slots);
+    let free: Vec<&&Arc<Upstream>> = eligible.iter().filter(has_room).collect();
+    let chosen = match free.choose(&mut rand::rng()) {
+        Some(chosen) => chosen,
+        None => eligible.choose(&mut rand::rng())?,
+    };
+    Some(ChosenUpstream {
+        upstream: (*chosen).clone(),
+        is_probe: false,
+    })
+}
+
 /// Returns the untried upstreams that may run the request; only those with a closed circuit breaker if there are any.
 fn eligible_upstreams<'directory>(
     upstreams: &'directory [Arc<Upstream>],
--- a/crates/samphiregrade-gateway/src/exchange/outcome.rs
+++ b/crates/samphiregrade-gateway/src/exchange/outcome.rs
@@ -69,6 +69,8 @@
     pub origin: Option<OriginSource>,
     /// Number of times that the request was sent to an upstream.
     pub sends: u32,
+    /// Number of upstreams that were known to have ended under the request before its first send.
+    pub ended: usize,
     /// Estimated load of the chosen upstream.
     pub load: f64,
     /// Estimated prompt tokens that the chosen upstream did not have in its cache.
@@ -132,6 +134,8 @@
     #[serde(skip_serializing_if = "Option::is_none")]
     origin: Option<&'static str>,
     sends: u32,
+    #[serde(skip_serializing_if = "is_zero")]
+    ended: usize,
     load: f64,
     uncached: u32,
     slowdown: f64,
@@ -166,6 +170,12 @@
     (duration.as_secs_f64() * 10_000.0).round() / 10.0
 }
 
+/// Returns whether a count is left out of the log line.
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes references")]
+fn is_zero(count: &usize) -> bool {
+    *count == 0
+}
+
 /// Returns a hash as it is written to logs.
 pub(super) fn format_tag(tag: u64) -> SmolStr {
     format_smolstr!("{tag:016x}")
@@ -192,6 +202,7 @@
             resumes: None,
             origin: None,
             sends: 0,
+            ended: 0,
             load: 0.0,
             uncached: 0,
             slowdown: 1.0,
@@ -247,6 +258,7 @@
             resumes: self.resumes.as_deref(),
             origin: self.origin.map(OriginSource::name),
             sends: self.sends,
+            ended: self.ended,
             load: (self.load * 10.0).round() / 10.0,
             uncached: self.uncached,
             slowdown: (self.slowdown * 100.0).round() / 100.0,
--- a/crates/samphiregrade-gateway/src/exchange/refusal.rs
+++ b/crates/samphiregrade-gateway/src/exchange/refusal.rs
@@ -64,6 +64,10 @@
     NoSameVersion,
     /// The program's token budget does not cover the turn.
     OverBudget,
+    /// As many upstreams have ended under the request as may. This attempt may have run, or an earlier one.
+    UpstreamsEnded,
+    /// Other attempts of a request under which upstreams have ended are running; this one has not run.
+    TriesInFlight,
     /// The instance is stopping and accepts no more work; the request has not run.
     Stopping,
     /// The request timed out before anything was sent to an upstream.
@@ -97,6 +101,8 @@
             Self::NoSameVersion => "no-same-version",
             Self::OverBudget => "over-budget",
             Self::Stopping => "stopping",
+            Self::UpstreamsEnded => "upstreams-ended",
+            Self::TriesInFlight => "tries-in-flight",
             Self::LateUnsent => "late-unsent",
             Self::Late => "late",
             Self::Broken => "broken",
@@ -123,17 +129,18 @@
             | Self::NoKeepers
             | Self::UnknownOrigin
             | Self::NoSameVersion
+            | Self::TriesInFlight
             | Self::Stopping
             | Self::LateUnsent => 503,
             Self::Late => 504,
-            Self::Broken => 502,
+            Self::Broken | Self::UpstreamsEnded => 502,
         }
     }
 
     /// Returns whether a request refused for this reason may have run.
     #[must_use]
     pub fn may_have_run(self) -> bool {
-        matches!(self, Self::Late | Self::Broken)
+        matches!(self, Self::Late | Self::Broken | Self::UpstreamsEnded)
     }
 
     fn default_retry_after(self) -> Option<Duration> {
@@ -146,6 +153,7 @@
             | Self::NotExecuted
             | Self::UnknownOrigin
             | Self::NoSameVersion
+            | Self::TriesInFlight
             | Self::Stopping
             | Self::LateUnsent => Some(UPSTREAM_RETRY_AFTER),
             _ => None,
--- a/crates/samphiregrade-gateway/src/exchange/relay.rs
+++ b/crates/samphiregrade-gateway/src/exchange/relay.rs
@@ -10,7 +10,7 @@
 use tokio_util::sync::CancellationToken;
 
 use super::attempt::LiveResponse;
-use super::broken::{BreakStage, examine_break};
+use super::broken::{BreakStage, record_break};
 use super::context::EntryContext;
 use super::events::EventParser;
 use super::outcome::RequestRecord;
@@ -152,9 +152,15 @@
         let upstream = response.guard.upstream().start_tag;
         context.outcomes.note(upstream, outcome, Instant::now());
     }
-    if let Err(RelayStop::Upstream(_)) = &result {
-        let upstream = response.guard.upstream();
-        examine_break(context, record, upstream, BreakStage::InResponse).await;
+    match &result {
+        Ok(()) => request.tries.complete(),
+        Err(RelayStop::Upstream(_)) => {
+            let upstream = response.guard.upstream();
+            let stage = BreakStage::InResponse;
+            Box::pin(record_break(context, request, record, upstream, stage)).await;
+        }
+        // What becomes of the upstream is examined when the request is dropped.
+        Err(_) => {}
     }
     let spent = relay.spent();
     if status == 200 && (result.is_ok() || spent > 0) {
--- a/crates/samphiregrade-gateway/src/exchange/request.rs
+++ b/crates/samphiregrade-gateway/src/exchange/request.rs
@@ -14,6 +14,7 @@
 use super::limit_desk::LimitToken;
 use super::origin::SoftwareRule;
 use super::survey::PlacementView;
+use super::tries::RequestTries;
 use super::turn::ProgramState;
 
 /// A request whose route and service are known, with its complete body.
@@ -40,6 +41,8 @@
     pub view: PlacementView,
     /// Position of the request's priority among all priorities of the service.
     pub urgency: UrgencyClass,
+    /// Tries of the request over all attempts of its client.
+    pub tries: Arc<RequestTries>,
     /// Route of the request.
     pub route: Arc<RouteRecord>,
     /// Service of the request.
--- a/crates/samphiregrade-gateway/src/fact/book.rs
+++ b/crates/samphiregrade-gateway/src/fact/book.rs
@@ -13,6 +13,7 @@
     ExportRequest, FactRecord, ProgramLedger, Reservation, StreamOrigin, TurnFact, TurnPlace,
 };
 use super::placement::KeeperPlacement;
+use super::tries::{KnownTries, TryEntry, TryFact, TryKey};
 use crate::model::{ProgramId, TurnId};
 
 /// Number of parts into which facts are divided for export to a rebuilding keeper: one part of a small disk is well
@@ -114,6 +115,8 @@
 pub struct FactIndex {
     programs: HashMap<ProgramId, ProgramEntry>,
     turns: HashMap<TurnId, TurnEntry>,
+    /// Tries of requests under which upstreams have ended.
+    tries: HashMap<TryKey, TryEntry>,
     live_bytes: usize,
 }
 
@@ -141,6 +144,11 @@
                 is_new | entry.is_some_and(|entry| entry.ledger.add_origin(origin))
             }
             FactRecord::Turn(turn) => self.insert_turn(turn, now),
+            FactRecord::Tries(fact) => {
+                let entry = self.tries.entry(fact.key.clone());
+                let entry = entry.or_insert_with(|| TryEntry::new(now));
+                entry.add(&fact.tries, now)
+            }
             FactRecord::LimitUses { .. }
             | FactRecord::LimitReservations { .. }
             | FactRecord::LimitSnapshot { .. } => false,
@@ -230,6 +238,15 @@
         entry.map(|entry| entry.ledger.clone()).unwrap_or_default()
     }
 
+    /// Returns the known tries of a request, and the time after which they are forgotten.
+    #[must_use]
+    pub fn tries(&self, key: &TryKey, now: Instant) -> (KnownTries, Duration) {
+        let entry = self.tries.get(key);
+        entry
+            .map(|entry| (entry.tries(now), entry.kept_for(now)))
+            .unwrap_or_default()
+    }
+
     /// Returns the known part of the chain that ends with a turn; `None` if the turn itself is unknown.
     pub fn chain(&mut self, turn: &TurnId, now: Instant) -> Option<KnownChain> {
         let mut turns = Vec::new();
@@ -286,6 +303,9 @@
                 exported.facts.extend(streams);
             }
         }
+        exported
+            .facts
+            .extend(self.export_tries(request.part, wanted));
         for (turn, entry) in &self.turns {
             let digest = digest_of(turn);
             let known = digest.part != request.part || request.known.contains(&digest.number);
@@ -311,6 +331,23 @@
         exported
     }
 
+    /// Returns the tries of one part whose keys are wanted.
+    fn export_tries<Choice>(&self, part: u8, wanted: Choice) -> Vec<FactRecord>
+    where
+        Choice: Fn(&str) -> bool,
+    {
+        let now = Instant::now();
+        let mut facts = Vec::new();
+        for (key, entry) in &self.tries {
+            if digest_of(key).part != part || !wanted(key) || entry.is_forgotten(now) {
+                continue;
+            }
+            let fact = TryFact::new(key.clone(), entry.tries(now), entry.age(now));
+            facts.push(FactRecord::Tries(fact));
+        }
+        facts
+    }
+
     fn place_of(&self, program: &ProgramId, turn: &TurnId) -> Option<TurnPlace> {
         let ledger = &self.programs.get(program)?.ledger;
         let known = ledger
@@ -327,6 +364,7 @@
         };
         self.programs
             .retain(|_, entry| !is_expired(entry.last_used, entry.keep));
+        self.tries.retain(|_, entry| !entry.is_forgotten(now));
         let mut released = 0;
         self.turns.retain(|_, entry| {
             let retained = !is_expired(entry.last_used, entry.keep);
--- a/crates/samphiregrade-gateway/src/fact/client.rs
+++ b/crates/samphiregrade-gateway/src/fact/client.rs
@@ -1,6 +1,7 @@
 //! Client of the keepers: reservations, durable writes and chain look-ups by majorities.
 
 mod asking;
+mod tries;
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -21,6 +22,8 @@
 use crate::observe::GatewayMetrics;
 use crate::upstream::{OutcomeTracker, SpeedBoard};
 
+pub use tries::ReportedTries;
+
 /// Timeout of a request to one keeper: dozens of round trips and syncs, and short compared with a client's deadline.
 pub(super) const REQUEST_TIMEOUT: Duration = Duration::from_millis(400);
 
--- a/crates/samphiregrade-gateway/src/fact/disk.rs
+++ b/crates/samphiregrade-gateway/src/fact/disk.rs
@@ -506,6 +506,7 @@
                 recovered.limit_uses.clear();
                 recovered.add_limits(at, uses, reservations);
             }
+            Ok(FactRecord::Tries(fact)) if fact.is_outdated() => {}
             Ok(fact) => {
                 recovered.facts += 1;
                 recovered.index.insert(&fact, now);
--- a/crates/samphiregrade-gateway/src/fact/message.rs
+++ b/crates/samphiregrade-gateway/src/fact/message.rs
@@ -7,6 +7,7 @@
 
 use super::helper::HelperAddress;
 use super::placement::{KeeperPlacement, PlacementGeneration};
+use super::tries::{KnownTries, TryFact, TryKey};
 use crate::dialect::StoreRevision;
 use crate::limits::{
     AllowanceGrant, AllowanceRequest, InstanceTag, LedgerTime, LimitReservation, TokenUse,
@@ -227,6 +228,8 @@
         /// Retention time after the program's last use.
         keep: Duration,
     },
+    /// Tries to run a request under which an upstream has ended.
+    Tries(TryFact),
 }
 
 impl FactRecord {
@@ -252,6 +255,7 @@
                 uses, reservations, ..
             } => 20 + 20 * (uses.len() + reservations.len()),
             Self::Turn(turn) => turn.input.len() + turn.output.len() + 160,
+            Self::Tries(fact) => 40 + 20 * fact.tries.iter().count(),
         }
     }
 }
@@ -303,6 +307,10 @@
     },
     /// Queries a program's known reservations and origins.
     Ledger(ProgramId),
+    /// Queries the tries of a suspected request.
+    Tries(TryKey),
+    /// Records tries of a suspected request; the reply doesn't wait until they are durable.
+    RecordTries(TryFact),
 }
 
 /// A request with the generation of the placement that its sender knows.
@@ -432,4 +440,13 @@
         /// Whether the keeper has every fact that it has ever acknowledged.
         complete: bool,
     },
+    /// The known tries of a request.
+    Tries {
+        /// The tries.
+        tries: KnownTries,
+        /// Time after which they are forgotten.
+        kept_for: Duration,
+        /// Whether the keeper has every fact that it has ever acknowledged.
+        complete: bool,
+    },
 }
--- a/crates/samphiregrade-gateway/src/fact/mod.rs
+++ b/crates/samphiregrade-gateway/src/fact/mod.rs
@@ -21,10 +21,11 @@
 mod rebuild;
 mod service;
 mod stream;
+mod tries;
 
 pub use accounts::AccountReplies;
 pub use book::{FactIndex, FactPart, FrameLocation, KnownChain, TurnContent};
-pub use client::{ChainLookup, FactFailure, KeeperClient, ReserveOutcome};
+pub use client::{ChainLookup, FactFailure, KeeperClient, ReportedTries, ReserveOutcome};
 pub use disk::{DiskState, FactDisk, FactDiskError, RecoveredFacts};
 pub use health::KeeperHealth;
 pub use helper::{
@@ -41,3 +42,7 @@
 pub use reader::FactReader;
 pub use rebuild::rebuild_from_others;
 pub use service::KeeperService;
+pub use tries::{
+    KnownTries, MAX_ENDED_UPSTREAMS, RequestTry, TRY_RETENTION, TryDecision, TryEntry, TryFact,
+    TryKey, TryNumber, TryState, try_key,
+};
--- a/crates/samphiregrade-gateway/src/fact/service.rs
+++ b/crates/samphiregrade-gateway/src/fact/service.rs
@@ -15,6 +15,7 @@
     KeeperRequest, ProgramLedger,
 };
 use super::placement::{KeeperPlacement, PlacementGeneration};
+use super::tries::{TryFact, TryKey};
 use crate::limits::{LedgerTime, LimitLedger, LimitReservation, LimitRule, LimitUse, TokenUse};
 use crate::model::TurnId;
 use crate::observe::Logbook;
@@ -200,8 +201,7 @@
                 None => KeeperReply::NotStored,
             },
             KeeperRequest::Note(fact) => {
-                self.with(|state| state.insert(&fact, now));
-                self.disk.append_later(fact);
+                self.note(fact, now);
                 KeeperReply::Stored
             }
             KeeperRequest::Chain(turn) => KeeperReply::Chain(self.chain(&turn, now).await),
@@ -216,6 +216,8 @@
                 ledger: self.with(|state| state.index.ledger(&program)),
                 complete: self.is_complete(),
             },
+            KeeperRequest::Tries(key) => self.known_tries(&key, now),
+            KeeperRequest::RecordTries(fact) => self.record_tries(fact, now),
             KeeperRequest::Probe => KeeperReply::Alive {
                 complete: self.is_complete(),
                 suspects: self.suspects(),
@@ -258,6 +260,31 @@
         }
     }
 
+    /// Stores a fact without waiting until it is durable.
+    fn note(&self, fact: FactRecord, now: Instant) {
+        let fact = match fact {
+            FactRecord::Tries(fact) => FactRecord::Tries(fact.received_now()),
+            other => other,
+        };
+        self.with(|state| state.insert(&fact, now));
+        self.disk.append_later(fact);
+    }
+
+    fn known_tries(&self, key: &TryKey, now: Instant) -> KeeperReply {
+        let (tries, kept_for) = self.with(|state| state.index.tries(key, now));
+        KeeperReply::Tries {
+            tries,
+            kept_for,
+            complete: self.is_complete(),
+        }
+    }
+
+    fn record_tries(&self, fact: TryFact, now: Instant) -> KeeperReply {
+        let key = fact.key.clone();
+        self.note(FactRecord::Tries(fact), now);
+        self.known_tries(&key, now)
+    }
+
     fn suspects(&self) -> Vec<UpstreamSuspect> {
         self.with(|state| {
             let keepers = state.disk_state.placement.slots.len();
@@ -585,6 +612,7 @@
     match fact {
         FactRecord::Reservation { program, .. } | FactRecord::Stream { program, .. } => program,
         FactRecord::Turn(turn) => &turn.program,
+        FactRecord::Tries(fact) => &fact.key,
         FactRecord::LimitUses { .. }
         | FactRecord::LimitReservations { .. }
         | FactRecord::LimitSnapshot { .. } => "",
--- /dev/null
+++ b/crates/samphiregrade-gateway/src/fact/tries.rs
@@ -0,0 +1,276 @@
+//! Tries to run a request under which upstreams have ended, and the decision on a further one: pure.
+//!
+//! A request that ends its upstream is sent again by its client, mostly at another entry and always under a new id. Entries
+//! therefore record with the keepers what became of the upstreams that ran it. Nothing is recorded of a request under
+//! which no upstream has ended.
+
+use std::collections::HashSet;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use serde::{Deserialize, Serialize};
+use smol_str::{SmolStr, format_smolstr};
+
+use crate::model::{RequestTag, UpstreamTag};
+
+/// Number of upstreams that may end under one request. An upstream may also end because of another request that it ran.
+pub const MAX_ENDED_UPSTREAMS: usize = 3;
+
+/// Time for which the tries of a request are kept after the last change: clients send a failed request again within
+/// seconds.
+pub const TRY_RETENTION: Duration = Duration::from_mins(1);
+
+/// Number of tries of one request above which harmless ones are dropped.
+const KEPT_TRIES: usize = 32;
+
+/// Number of a try, drawn by the entry that makes it.
+pub type TryNumber = u64;
+
+/// Seconds since the Unix epoch.
+type EpochSeconds = u64;
+
+/// Key under which keepers hold the tries of a request.
+pub type TryKey = SmolStr;
+
+/// Returns the key under which keepers hold the tries of a request.
+#[must_use]
+pub fn try_key(request: RequestTag) -> TryKey {
+    // No id in a header contains the first character.
+    format_smolstr!("\u{1}{request:016x}")
+}
+
+/// What became of the upstream of a try. Of two reports on one try the later value holds.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub enum TryState {
+    /// The request may be running.
+    Open,
+    /// The upstream has ended while it ran the request.
+    Ended,
+    /// The upstream has not ended, or a later try has shown that the request does not end upstreams.
+    Harmless,
+}
+
+/// A try to run a request.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RequestTry {
+    /// Number of the try.
+    pub number: TryNumber,
+    /// Tag of the upstream's start.
+    pub upstream: UpstreamTag,
+    /// What became of the upstream.
+    pub state: TryState,
+}
+
+/// Whether a request may be sent once more.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum TryDecision {
+    /// No upstream has ended under the request, so that nothing has to be recorded.
+    Unsuspected,
+    /// The request may be sent once more if that is recorded before.
+    Permitted,
+    /// Tries in flight may use up the upstreams that may still end.
+    Occupied,
+    /// As many upstreams have ended as may.
+    Exhausted,
+}
+
+/// The known tries of one request.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct KnownTries(Vec<RequestTry>);
+
+impl KnownTries {
+    /// Returns whether no try is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Returns the tries, in no particular order.
+    pub fn iter(&self) -> impl Iterator<Item = &RequestTry> {
+        self.0.iter()
+    }
+
+    /// Adds a try, or what became of a known one; returns whether anything changed.
+    pub fn add(&mut self, added: RequestTry) -> bool {
+        let known = self.0.iter_mut().find(|known| known.number == added.number);
+        if let Some(known) = known {
+            let before = known.state;
+            known.state = before.max(added.state);
+            return known.state != before;
+        }
+        self.0.push(added);
+        if self.0.len() > KEPT_TRIES {
+            self.0.retain(|known| known.state != TryState::Harmless);
+        }
+        true
+    }
+
+    /// Adds tries; returns whether anything changed.
+    pub fn merge(&mut self, others: &Self) -> bool {
+        let changes = others.0.iter().map(|other| self.add(*other));
+        changes.fold(false, |any, changed| any | changed)
+    }
+
+    /// Returns the number of upstreams that have ended under the request.
+    #[must_use]
+    pub fn ended(&self) -> usize {
+        self.count_upstreams(|known| known.state == TryState::Ended)
+    }
+
+    /// Returns the number of tries in flight.
+    #[must_use]
+    pub fn open(&self) -> usize {
+        let open = self.0.iter().filter(|known| known.state == TryState::Open);
+        open.count()
+    }
+
+    /// Decides on a further try; `own` is its number if it has been recorded already.
+    ///
+    /// Of two tries that are recorded at the same time, at least one knows of the other; possibly both wait.
+    #[must_use]
+    pub fn decide(&self, own: Option<TryNumber>) -> TryDecision {
+        let ended = self.ended();
+        if ended == 0 {
+            return TryDecision::Unsuspected;
+        }
+        if ended >= MAX_ENDED_UPSTREAMS {
+            return TryDecision::Exhausted;
+        }
+        let in_danger =
+            self.count_upstreams(|known| known.state == TryState::Ended || is_other(known, own));
+        if in_danger >= MAX_ENDED_UPSTREAMS {
+            return TryDecision::Occupied;
+        }
+        TryDecision::Permitted
+    }
+
+    /// Returns the tries that ended upstreams as harmless ones: the request has run without ending its upstream.
+    #[must_use]
+    pub fn acquitted(&self) -> Self {
+        let ended = self.0.iter().filter(|known| known.state == TryState::Ended);
+        let acquitted = ended.map(|known| RequestTry {
+            state: TryState::Harmless,
+            ..*known
+        });
+        Self(acquitted.collect())
+    }
+
+    /// Counts the upstreams of the tries for which `counts` holds.
+    fn count_upstreams<Choice>(&self, counts: Choice) -> usize
+    where
+        Choice: Fn(&RequestTry) -> bool,
+    {
+        let counted = self.0.iter().filter(|known| counts(known));
+        let upstreams: HashSet<UpstreamTag> = counted.map(|known| known.upstream).collect();
+        upstreams.len()
+    }
+}
+
+impl From<RequestTry> for KnownTries {
+    fn from(known: RequestTry) -> Self {
+        Self(vec![known])
+    }
+}
+
+fn is_other(known: &RequestTry, own: Option<TryNumber>) -> bool {
+    known.state == TryState::Open && Some(known.number) != own
+}
+
+/// Tries of a request with the time of their record, as stored on disk and exported to a rebuilding keeper.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TryFact {
+    /// The request.
+    pub key: TryKey,
+    /// The tries.
+    pub tries: KnownTries,
+    /// Time of the record, which tells a restarted keeper whether the record still holds.
+    recorded: EpochSeconds,
+}
+
+impl TryFact {
+    /// Returns the record of tries that were last changed a time ago.
+    #[must_use]
+    pub fn new(key: TryKey, tries: KnownTries, age: Duration) -> Self {
+        Self {
+            key,
+            tries,
+            recorded: epoch_seconds().saturating_sub(age.as_secs()),
+        }
+    }
+
+    /// Returns the record with the time at which it arrived, by the clock of the keeper that stores it.
+    #[must_use]
+    pub fn received_now(self) -> Self {
+        Self {
+            recorded: epoch_seconds(),
+            ..self
+        }
+    }
+
+    /// Returns whether the record is too old to hold, as far as the clock tells.
+    #[must_use]
+    pub fn is_outdated(&self) -> bool {
+        epoch_seconds().abs_diff(self.recorded) > TRY_RETENTION.as_secs()
+    }
+}
+
+fn epoch_seconds() -> EpochSeconds {
+    let time = SystemTime::now().duration_since(UNIX_EPOCH);
+    time.unwrap_or_default().as_secs()
+}
+
+/// The tries of a request at a keeper or an entry.
+#[derive(Clone, Debug)]
+pub struct TryEntry {
+    tries: KnownTries,
+    changed: Instant,
+}
+
+impl TryEntry {
+    /// Returns an entry without tries.
+    #[must_use]
+    pub fn new(now: Instant) -> Self {
+        Self {
+            tries: KnownTries::default(),
+            changed: now,
+        }
+    }
+
+    /// Adds tries to those that have not been forgotten; returns whether anything changed.
+    pub fn add(&mut self, tries: &KnownTries, now: Instant) -> bool {
+        if self.is_forgotten(now) {
+            self.tries = KnownTries::default();
+        }
+        let changed = self.tries.merge(tries);
+        if changed {
+            self.changed = now;
+        }
+        changed
+    }
+
+    /// Returns the tries, or none if they are forgotten.
+    #[must_use]
+    pub fn tries(&self, now: Instant) -> KnownTries {
+        if self.is_forgotten(now) {
+            return KnownTries::default();
+        }
+        self.tries.clone()
+    }
+
+    /// Returns the time since the last change.
+    #[must_use]
+    pub fn age(&self, now: Instant) -> Duration {
+        now.saturating_duration_since(self.changed)
+    }
+
+    /// Returns the time after which the tries are forgotten if nothing changes.
+    #[must_use]
+    pub fn kept_for(&self, now: Instant) -> Duration {
+        TRY_RETENTION.saturating_sub(self.age(now))
+    }
+
+    /// Returns whether the tries are forgotten.
+    #[must_use]
+    pub fn is_forgotten(&self, now: Instant) -> bool {
+        self.kept_for(now).is_zero()
+    }
+}
--- a/crates/samphiregrade-gateway/src/observe/metrics.rs
+++ b/crates/samphiregrade-gateway/src/observe/metrics.rs
@@ -41,6 +41,7 @@
     placements: Counter<u64>,
     responses: Counter<u64>,
     breaks: Counter<u64>,
+    tries: Counter<u64>,
     origins: Counter<u64>,
     store_calls: Counter<u64>,
     keeper_calls: Counter<u64>,
@@ -94,6 +95,10 @@
                 .u64_counter("samphiregrade_upstream_breaks")
                 .with_description("Requests that upstreams broke off, by cause")
                 .build(),
+            tries: meter
+                .u64_counter("samphiregrade_request_tries")
+                .with_description("Decisions on requests under which upstreams have ended")
+                .build(),
             origins: meter
                 .u64_counter("samphiregrade_stream_origins")
                 .with_description("Streams that can be taken up again, by source of their version")
@@ -163,6 +168,11 @@
         self.breaks.add(1, &[KeyValue::new("cause", cause.name())]);
     }
 
+    /// Counts a decision on a request under which upstreams have ended.
+    pub fn count_try(&self, decision: &'static str) {
+        self.tries.add(1, &[KeyValue::new("decision", decision)]);
+    }
+
     /// Counts a stream that can be taken up again, by how the version of its upstream is known.
     pub fn count_origin(&self, source: Option<OriginSource>) {
         if let Some(source) = source {
--- a/crates/samphiregrade-gateway/tests/suite/keepers_model.rs
+++ b/crates/samphiregrade-gateway/tests/suite/keepers_model.rs
@@ -2,13 +2,14 @@
 //!
 //! The model uses the product's placement arithmetic and fact index. Invariants, as long as no more disks are lost at
 //! once than the placement tolerates: an acknowledged turn is never reported as absent, and a ledger on which a
-//! decision is based includes every acknowledged reservation and origin of a stream.
+//! decision is based includes every acknowledged reservation, origin of a stream and try of a request.
 
 use std::time::{Duration, Instant};
 
 use quickcheck::{Arbitrary, Gen, quickcheck};
 use samphiregrade_gateway::fact::{
-    FactIndex, FactRecord, KeeperPlacement, KeeperSlot, Reservation,
+    FactIndex, FactRecord, KeeperPlacement, KeeperSlot, KnownTries, RequestTry, Reservation,
+    TryFact, TryState, try_key,
 };
 
 use crate::facts::{export_all, turn};
@@ -21,6 +22,8 @@
     Reserve(u8),
     /// A reservation is written with the origin of its stream; the bits select the keepers that it reaches.
     Begin(u8),
+    /// A try of a request is recorded with a state; the bits select the keepers that it reaches.
+    Try(u8, TryState),
     /// A keeper loses its disk, if one more loss is tolerated.
     Wipe(u8),
     /// A keeper that lost its disk reads the other reachable keepers, selected by the bits.
@@ -32,12 +35,16 @@
 impl Arbitrary for Step {
     fn arbitrary(source: &mut Gen) -> Self {
         let (one, two) = (u8::arbitrary(source), u8::arbitrary(source));
-        match u8::arbitrary(source) % 7 {
+        match u8::arbitrary(source) % 8 {
             0 | 1 => Self::Write(one),
             2 => Self::Reserve(one),
             3 => Self::Wipe(one),
             4 => Self::Rebuild(one, two),
             5 => Self::Begin(one),
+            6 => {
+                let states = [TryState::Open, TryState::Ended, TryState::Harmless];
+                Self::Try(one, states[usize::from(two) % states.len()])
+            }
             _ => Self::Read(one),
         }
     }
@@ -131,6 +138,16 @@
                 };
                 self.store(fact, bits);
             }
+            Step::Try(bits, state) => {
+                self.written += 1;
+                let tries = KnownTries::from(RequestTry {
+                    number: u64::from(bits) % 5,
+                    upstream: self.written as u64,
+                    state,
+                });
+                let fact = TryFact::new(try_key(1), tries, Duration::ZERO);
+                self.store(FactRecord::Tries(fact), bits);
+            }
             Step::Wipe(which) => self.wipe(which),
             Step::Rebuild(which, bits) => self.rebuild(which, bits),
             Step::Read(bits) => return self.reads_are_correct(bits),
@@ -203,6 +220,14 @@
                     let ledger = self.keepers[index].facts.ledger("p");
                     ledger.origin(&reservation.turn) == Some(*software)
                 }
+                FactRecord::Tries(fact) => {
+                    let (tries, _) = self.keepers[index].facts.tries(&fact.key, self.now);
+                    fact.tries.iter().all(|stored| {
+                        tries.iter().any(|known| {
+                            known.number == stored.number && known.state >= stored.state
+                        })
+                    })
+                }
                 FactRecord::LimitUses { .. }
                 | FactRecord::LimitReservations { .. }
                 | FactRecord::LimitSnapshot { .. } => {
@@ -211,9 +236,9 @@
             });
             let quorum = match &fact {
                 FactRecord::Turn(_) => self.placement.global_read_quorum(),
-                FactRecord::Reservation { .. } | FactRecord::Stream { .. } => {
-                    self.placement.read_quorum()
-                }
+                FactRecord::Reservation { .. }
+                | FactRecord::Stream { .. }
+                | FactRecord::Tries(_) => self.placement.read_quorum(),
                 FactRecord::LimitUses { .. }
                 | FactRecord::LimitReservations { .. }
                 | FactRecord::LimitSnapshot { .. } => {
--- a/crates/samphiregrade-gateway/tests/suite/main.rs
+++ b/crates/samphiregrade-gateway/tests/suite/main.rs
@@ -31,6 +31,7 @@
 mod silence;
 mod slow_readers;
 mod speed;
+mod tries;
 mod turn_cache;
 mod upstreams;
 mod waiting;
--- /dev/null
+++ b/crates/samphiregrade-gateway/tests/suite/tries.rs
@@ -0,0 +1,276 @@
+//! Tests of the decision on a further try of a request under which upstreams have ended.
+
+use std::time::{Duration, Instant};
+
+use quickcheck::{Arbitrary, Gen, quickcheck};
+use samphiregrade_gateway::exchange::SuspectTable;
+use samphiregrade_gateway::fact::{
+    FactIndex, FactRecord, KnownTries, MAX_ENDED_UPSTREAMS, RequestTry, TRY_RETENTION, TryDecision,
+    TryEntry, TryFact, TryState, try_key,
+};
+
+use crate::facts::export_all;
+
+/// Number of keepers, of which two are a majority.
+const KEEPERS: usize = 3;
+
+fn try_of(number: u64, upstream: u64, state: TryState) -> RequestTry {
+    RequestTry {
+        number,
+        upstream,
+        state,
+    }
+}
+
+fn known(rows: &[(u64, u64, TryState)]) -> KnownTries {
+    let mut tries = KnownTries::default();
+    for &(number, upstream, state) in rows {
+        tries.add(try_of(number, upstream, state));
+    }
+    tries
+}
+
+#[test]
+fn request_is_not_sent_again_after_three_upstreams_have_ended() {
+    let mut tries = KnownTries::default();
+    assert_eq!(tries.decide(None), TryDecision::Unsuspected);
+    for upstream in 0..MAX_ENDED_UPSTREAMS as u64 {
+        assert_ne!(tries.decide(None), TryDecision::Exhausted);
+        tries.add(try_of(upstream, upstream, TryState::Ended));
+    }
+    assert_eq!(tries.decide(None), TryDecision::Exhausted);
+}
+
+#[test]
+fn upstream_counts_once_however_many_tries_saw_its_end() {
+    let rows: Vec<_> = (0..9).map(|number| (number, 7, TryState::Ended)).collect();
+    let tries = known(&rows);
+    assert_eq!(tries.ended(), 1);
+    assert_eq!(tries.decide(None), TryDecision::Permitted);
+}
+
+#[test]
+fn tries_in_flight_count_until_their_results_are_known() {
+    let mut tries = known(&[
+        (1, 1, TryState::Ended),
+        (2, 2, TryState::Open),
+        (3, 3, TryState::Open),
+    ]);
+    assert_eq!(tries.decide(None), TryDecision::Occupied);
+    assert_eq!(tries.decide(Some(2)), TryDecision::Permitted);
+    tries.add(try_of(2, 2, TryState::Harmless));
+    assert_eq!(tries.decide(None), TryDecision::Permitted);
+}
+
+// Guards against a frequent request that is refused because several of the upstreams that ran it have ended for other reasons.
+#[test]
+fn request_that_has_run_is_no_longer_suspected() {
+    let mut tries = known(&[(1, 1, TryState::Ended), (2, 2, TryState::Ended)]);
+    let acquitted = tries.acquitted();
+    tries.merge(&acquitted);
+    assert_eq!(tries.decide(None), TryDecision::Unsuspected);
+    // A late report of an end does not undo it.
+    tries.add(try_of(1, 1, TryState::Ended));
+    assert_eq!(tries.ended(), 0);
+}
+
+#[test]
+fn tries_are_forgotten_after_their_retention() {
+    let now = Instant::now();
+    let mut entry = TryEntry::new(now);
+    entry.add(&known(&[(1, 1, TryState::Ended)]), now);
+    let later = now + TRY_RETENTION;
+    assert_eq!(
+        entry
+            .tries(later.checked_sub(Duration::from_millis(1)).expect("a time"))
+            .ended(),
+        1
+    );
+    assert!(entry.tries(later).is_empty());
+    entry.add(&known(&[(2, 2, TryState::Ended)]), later);
+    assert_eq!(entry.tries(later).ended(), 1, "the first end is forgotten");
+}
+
+#[test]
+fn known_tries_are_bounded() {
+    let mut tries = KnownTries::default();
+    for number in 0..1000 {
+        tries.add(try_of(number, number, TryState::Harmless));
+    }
+    tries.add(try_of(1000, 1000, TryState::Ended));
+    assert!(tries.iter().count() < 100);
+    assert_eq!(tries.ended(), 1);
+}
+
+#[test]
+fn table_of_suspected_requests_is_bounded_and_keeps_the_newest() {
+    let now = Instant::now();
+    let table = SuspectTable::default();
+    let ended = known(&[(1, 1, TryState::Ended)]);
+    for request in 0..10_000 {
+        let at = now + Duration::from_millis(request);
+        table.add(&try_key(request), &ended, at);
+    }
+    assert!(table.len() <= 4096);
+    let end = now + Duration::from_secs(10);
+    assert_eq!(table.known(&try_key(9_999), end).tries.ended(), 1);
+    assert_eq!(table.known(&try_key(0), end).tries.ended(), 0);
+}
+
+#[test]
+fn expired_tries_leave_the_index_and_are_not_exported() {
+    let now = Instant::now();
+    let mut index = FactIndex::default();
+    let fact = TryFact::new(
+        try_key(1),
+        known(&[(1, 1, TryState::Ended)]),
+        Duration::ZERO,
+    );
+    index.insert(&FactRecord::Tries(fact), now);
+    let exported = |index: &FactIndex| -> usize {
+        let parts = (0..=u8::MAX).map(|part| export_all(index, part).facts.len());
+        parts.sum()
+    };
+    // Parts repeat beyond their number, so only whether there is any counts.
+    assert!(exported(&index) > 0);
+    assert_eq!(index.tries(&try_key(1), now).0.ended(), 1);
+    index.expire(now + TRY_RETENTION);
+    assert_eq!(exported(&index), 0);
+    assert!(index.tries(&try_key(1), now).0.is_empty());
+}
+
+#[test]
+fn record_of_an_earlier_minute_does_not_hold_after_a_restart() {
+    let tries = known(&[(1, 1, TryState::Ended)]);
+    let recent = TryFact::new(try_key(1), tries.clone(), TRY_RETENTION / 2);
+    let old = TryFact::new(try_key(1), tries, TRY_RETENTION * 2);
+    assert!(!recent.is_outdated());
+    assert!(old.is_outdated());
+    assert!(!old.received_now().is_outdated());
+}
+
+/// A step of entries that send one deadly request.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    /// An entry looks up the tries of the request at one keeper and, if it may, records a try on two others or fewer; the
+    /// bits select the keepers.
+    Begin(u8, u8),
+    /// A try in flight ends its upstream, which is recorded on keepers that the bits select, a majority at least.
+    End(u8, u8),
+    /// A try in flight leaves its upstream running.
+    Survive(u8, u8),
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(source: &mut Gen) -> Self {
+        let (one, two) = (u8::arbitrary(source), u8::arbitrary(source));
+        match u8::arbitrary(source) % 5 {
+            0 | 1 => Self::Begin(one, two),
+            2 | 3 => Self::End(one, two),
+            _ => Self::Survive(one, two),
+        }
+    }
+}
+
+/// Keepers of one request and the entries that send it.
+struct World {
+    keepers: Vec<KnownTries>,
+    in_flight: Vec<RequestTry>,
+    ended: usize,
+    next: u64,
+}
+
+impl World {
+    /// Returns the world after a first, unrecorded try has ended its upstream.
+    fn after_the_first_end() -> Self {
+        let first = KnownTries::from(try_of(0, 0, TryState::Ended));
+        Self {
+            keepers: vec![first; KEEPERS],
+            in_flight: Vec::new(),
+            ended: 1,
+            next: 1,
+        }
+    }
+
+    /// Returns a majority of the keepers.
+    fn majority(bits: u8) -> Vec<usize> {
+        let left_out = usize::from(bits) % (KEEPERS + 1);
+        (0..KEEPERS).filter(|&index| index != left_out).collect()
+    }
+
+    fn record(&mut self, recorded: RequestTry, bits: u8) -> KnownTries {
+        let mut replied = KnownTries::default();
+        for index in Self::majority(bits) {
+            self.keepers[index].add(recorded);
+            replied.merge(&self.keepers[index].clone());
+        }
+        replied
+    }
+
+    fn step(&mut self, step: Step) {
+        match step {
+            Step::Begin(nearest, bits) => {
+                let nearest = &self.keepers[usize::from(nearest) % KEEPERS];
+                if nearest.decide(None) == TryDecision::Exhausted {
+                    return;
+                }
+                self.next += 1;
+                let begun = try_of(self.next, self.next, TryState::Open);
+                let replied = self.record(begun, bits);
+                if replied.decide(Some(begun.number)) == TryDecision::Permitted {
+                    self.in_flight.push(begun);
+                } else {
+                    self.record(
+                        try_of(begun.number, begun.upstream, TryState::Harmless),
+                        bits,
+                    );
+                }
+            }
+            Step::End(which, bits) => self.finish(which, bits, TryState::Ended),
+            Step::Survive(which, bits) => self.finish(which, bits, TryState::Harmless),
+        }
+    }
+
+    fn finish(&mut self, which: u8, bits: u8, state: TryState) {
+        if self.in_flight.is_empty() {
+            return;
+        }
+        let index = usize::from(which) % self.in_flight.len();
+        let finished = self.in_flight.remove(index);
+        self.ended += usize::from(state == TryState::Ended);
+        self.record(RequestTry { state, ..finished }, bits);
+    }
+}
+
+quickcheck! {
+    // Guards against tries at several entries that are each permitted, and together end more upstreams than allowed.
+    fn no_interleaving_ends_more_than_three_upstreams(steps: Vec<Step>) -> bool {
+        let mut world = World::after_the_first_end();
+        for step in steps {
+            world.step(step);
+        }
+        world.ended <= MAX_ENDED_UPSTREAMS
+    }
+
+    fn merge_of_tries_is_commutative(left: Vec<(u8, u8)>, right: Vec<(u8, u8)>) -> bool {
+        let states = [TryState::Open, TryState::Ended, TryState::Harmless];
+        let tries = |rows: &[(u8, u8)]| {
+            let mut tries = KnownTries::default();
+            for &(number, state) in rows {
+                let number = u64::from(number) % 16;
+                tries.add(try_of(number, number, states[usize::from(state) % states.len()]));
+            }
+            tries
+        };
+        let mut one = tries(&left);
+        one.merge(&tries(&right));
+        let mut other = tries(&right);
+        other.merge(&tries(&left));
+        let sorted = |tries: &KnownTries| {
+            let mut rows: Vec<RequestTry> = tries.iter().copied().collect();
+            rows.sort_by_key(|row| row.number);
+            rows
+        };
+        sorted(&one) == sorted(&other)
+    }
+}
