Count upstreams whose hosts fall silent under a request until they reply

Change: such a try is unresolved. It counts like one in flight until the host replies, which is examined five times in 15 s; with three of them the request gets 503 and has not run. An upstream that breaks off many requests at once is examined once.

Evidence: unresolved_tries_use_up_the_bound_until_their_upstreams_reply; the model of the keepers has unresolved tries.

--- a/crates/samphiregrade-gateway/src/exchange/dispatch.rs
+++ b/crates/samphiregrade-gateway/src/exchange/dispatch.rs
@@ -116,7 +116,7 @@
                 record_failure(&upstream, false, &reason);
                 context.metrics.count_send("unreachable");
                 record.add_detail(&reason);
-                request.tries.examine_later(&upstream);
+                request.tries.leave_unresolved(&upstream);
                 may_have_run = true;
             }
         }
--- a/crates/samphiregrade-gateway/src/exchange/relay.rs
+++ b/crates/samphiregrade-gateway/src/exchange/relay.rs
@@ -159,6 +159,7 @@
             let stage = BreakStage::InResponse;
             Box::pin(record_break(context, request, record, upstream, stage)).await;
         }
+        Err(RelayStop::Path) => request.tries.leave_unresolved(response.guard.upstream()),
         // What becomes of the upstream is examined when the request is dropped.
         Err(_) => {}
     }
--- a/crates/samphiregrade-gateway/src/exchange/tries.rs
+++ b/crates/samphiregrade-gateway/src/exchange/tries.rs
@@ -21,10 +21,19 @@
 use crate::observe::Logbook;
 use crate::upstream::{BreakCause, Upstream};
 
-/// Time after which the upstream of a try is examined whose end was not seen: an upstream that the request ends has ended by
-/// then, or has dropped the request because its connection was closed.
+/// Time after which the upstream of a try is examined whose result was not seen: an upstream that the request ends has ended
+/// by then, or has dropped the request because its connection was closed. The pause doubles while its host does not reply.
 const EXAMINATION_DELAY: Duration = Duration::from_millis(500);
 
+/// Number of examinations of one try: together they take longer than most interruptions of a path.
+const EXAMINATIONS: u32 = 5;
+
+/// Age up to which the result of an examination is used for other tries at the same upstream.
+const EXAMINATION_AGE: Duration = Duration::from_millis(250);
+
+/// Retry-After time of a request whose earlier tries are unresolved.
+const UNRESOLVED_RETRY_AFTER: Duration = Duration::from_secs(1);
+
 /// A recorded try that is in flight.
 struct OpenTry {
     upstream: Arc<Upstream>,
@@ -79,10 +88,10 @@
         self.accept(&self.context.suspects.known(&self.key, Instant::now()));
     }
 
-    /// Returns whether an upstream has ended under the request.
+    /// Returns whether an upstream has ended under the request, or may have.
     #[must_use]
     pub fn is_suspected(&self) -> bool {
-        self.ended() > 0
+        lock_ignoring_poison(&self.known).tries.is_suspected()
     }
 
     /// Returns the number of upstreams that have ended under the request.
@@ -99,7 +108,7 @@
     pub fn check(&self) -> Result<(), Refusal> {
         match self.decide() {
             TryDecision::Unsuspected | TryDecision::Permitted => Ok(()),
-            TryDecision::Occupied => Err(self.refuse("occupied", RefusalReason::TriesInFlight)),
+            TryDecision::Occupied => Err(self.refuse_occupied()),
             TryDecision::Exhausted => {
                 let kept_for = lock_ignoring_poison(&self.known).kept_for;
                 Err(Refusal {
@@ -145,19 +154,25 @@
         match cause {
             BreakCause::Ended => {}
             BreakCause::Leaving | BreakCause::Serving => return self.settle(),
-            BreakCause::Unreachable => return self.examine_later(upstream),
+            BreakCause::Unreachable => return self.leave_unresolved(upstream),
         }
-        let open = lock_ignoring_poison(&self.open).take();
-        let number = open.map_or_else(rand::random, |open| open.recorded.number);
-        let ended = RequestTry {
-            number,
-            upstream: upstream.start_tag,
-            state: TryState::Ended,
-        };
+        let ended = self.take_open(upstream, TryState::Ended);
         self.record(ended.into()).await;
         self.log("ended", Some(upstream));
     }
 
+    /// Records that the host of an upstream stopped replying while the upstream ran the request, and examines it until it
+    /// replies.
+    pub fn leave_unresolved(&self, upstream: &Arc<Upstream>) {
+        let unresolved = self.take_open(upstream, TryState::Unresolved);
+        self.record_in_background(&unresolved.into());
+        self.log("unresolved", Some(upstream));
+        self.examine_later(OpenTry {
+            upstream: upstream.clone(),
+            recorded: unresolved,
+        });
+    }
+
     /// Records that the try in flight, if there is one, has not ended its upstream.
     pub fn settle(&self) {
         if let Some(open) = lock_ignoring_poison(&self.open).take() {
@@ -219,26 +234,49 @@
         }
     }
 
-    /// Examines an upstream whose end was not seen, and records the result. If its host does not reply, the try stays open
-    /// until it is forgotten.
-    pub fn examine_later(&self, upstream: &Arc<Upstream>) {
-        let upstream = upstream.clone();
+    /// Ends the try in flight, or makes one up for a request that was not suspected when it was sent.
+    fn take_open(&self, upstream: &Arc<Upstream>, state: TryState) -> RequestTry {
         let open = lock_ignoring_poison(&self.open).take();
+        RequestTry {
+            number: open.map_or_else(rand::random, |open| open.recorded.number),
+            upstream: upstream.start_tag,
+            state,
+        }
+    }
+
+    /// Examines the upstream of a try later, and records the result. While its host does not reply, the try is left as it is.
+    fn examine_later(&self, open: OpenTry) {
         let later = Self::new(self.context.clone(), self.request.clone(), self.tag);
         later.accept(&lock_ignoring_poison(&self.known));
         tokio::spawn(async move {
-            *lock_ignoring_poison(&later.open) = open;
-            tokio::time::sleep(EXAMINATION_DELAY).await;
-            let cause = upstream.examine_break(Instant::now()).await;
-            later.context.metrics.count_break(cause);
-            if cause == BreakCause::Unreachable {
-                lock_ignoring_poison(&later.open).take();
-                return;
+            let upstream = open.upstream.clone();
+            *lock_ignoring_poison(&later.open) = Some(open);
+            for round in 0..EXAMINATIONS {
+                tokio::time::sleep(EXAMINATION_DELAY * 2_u32.pow(round)).await;
+                let now = Instant::now();
+                let since = now.checked_sub(EXAMINATION_AGE).unwrap_or(now);
+                let cause = upstream.examine_break(since).await;
+                if cause != BreakCause::Unreachable {
+                    later.context.metrics.count_break(cause);
+                    return later.end(&upstream, cause).await;
+                }
             }
-            later.end(&upstream, cause).await;
+            // Otherwise, dropping the tries would examine the upstream again.
+            lock_ignoring_poison(&later.open).take();
         });
     }
 
+    fn refuse_occupied(&self) -> Refusal {
+        let refusal = self.refuse("occupied", RefusalReason::TriesInFlight);
+        if lock_ignoring_poison(&self.known).tries.open() > 0 {
+            return refusal;
+        }
+        Refusal {
+            retry_after: Some(UNRESOLVED_RETRY_AFTER),
+            ..refusal
+        }
+    }
+
     fn refuse(&self, decision: &'static str, reason: RefusalReason) -> Refusal {
         self.log(decision, None);
         reason.into()
@@ -263,11 +301,9 @@
 impl Drop for RequestTries {
     /// Sees to a try whose result was not seen, because the client has left or the deadline has passed.
     fn drop(&mut self) {
-        let upstream = lock_ignoring_poison(&self.open)
-            .as_ref()
-            .map(|open| open.upstream.clone());
-        if let Some(upstream) = upstream {
-            self.examine_later(&upstream);
+        let open = lock_ignoring_poison(&self.open).take();
+        if let Some(open) = open {
+            self.examine_later(open);
         }
     }
 }
--- a/crates/samphiregrade-gateway/src/fact/tries.rs
+++ b/crates/samphiregrade-gateway/src/fact/tries.rs
@@ -43,6 +43,8 @@
 pub enum TryState {
     /// The request may be running.
     Open,
+    /// The upstream's host has stopped replying: the upstream may have ended, or the path to it is interrupted.
+    Unresolved,
     /// The upstream has ended while it ran the request.
     Ended,
     /// The upstream has not ended, or a later try has shown that the request does not end upstreams.
@@ -67,7 +69,7 @@
     Unsuspected,
     /// The request may be sent once more if that is recorded before.
     Permitted,
-    /// Tries in flight may use up the upstreams that may still end.
+    /// Tries in flight, or unresolved ones, may use up the upstreams that may still end.
     Occupied,
     /// As many upstreams have ended as may.
     Exhausted,
@@ -116,6 +118,12 @@
         self.count_upstreams(|known| known.state == TryState::Ended)
     }
 
+    /// Returns whether an upstream has ended under the request, or may have.
+    #[must_use]
+    pub fn is_suspected(&self) -> bool {
+        self.0.iter().any(is_suspicious)
+    }
+
     /// Returns the number of tries in flight.
     #[must_use]
     pub fn open(&self) -> usize {
@@ -128,26 +136,24 @@
     /// Of two tries that are recorded at the same time, at least one knows of the other; possibly both wait.
     #[must_use]
     pub fn decide(&self, own: Option<TryNumber>) -> TryDecision {
-        let ended = self.ended();
-        if ended == 0 {
+        if !self.is_suspected() {
             return TryDecision::Unsuspected;
         }
-        if ended >= MAX_ENDED_UPSTREAMS {
+        if self.ended() >= MAX_ENDED_UPSTREAMS {
             return TryDecision::Exhausted;
         }
-        let in_danger =
-            self.count_upstreams(|known| known.state == TryState::Ended || is_other(known, own));
+        let in_danger = self.count_upstreams(|known| is_suspicious(known) || is_other(known, own));
         if in_danger >= MAX_ENDED_UPSTREAMS {
             return TryDecision::Occupied;
         }
         TryDecision::Permitted
     }
 
-    /// Returns the tries that ended upstreams as harmless ones: the request has run without ending its upstream.
+    /// Returns the suspicious tries as harmless ones: the request has run without ending its upstream.
     #[must_use]
     pub fn acquitted(&self) -> Self {
-        let ended = self.0.iter().filter(|known| known.state == TryState::Ended);
-        let acquitted = ended.map(|known| RequestTry {
+        let suspicious = self.0.iter().filter(|known| is_suspicious(known));
+        let acquitted = suspicious.map(|known| RequestTry {
             state: TryState::Harmless,
             ..*known
         });
@@ -171,6 +177,10 @@
     }
 }
 
+fn is_suspicious(known: &RequestTry) -> bool {
+    matches!(known.state, TryState::Ended | TryState::Unresolved)
+}
+
 fn is_other(known: &RequestTry, own: Option<TryNumber>) -> bool {
     known.state == TryState::Open && Some(known.number) != own
 }
--- a/crates/samphiregrade-gateway/src/upstream/break_cause.rs
+++ b/crates/samphiregrade-gateway/src/upstream/break_cause.rs
@@ -28,6 +28,13 @@
     Unreachable,
 }
 
+/// An examination of an upstream.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Examination {
+    began: Instant,
+    cause: BreakCause,
+}
+
 impl BreakCause {
     /// Returns the name used in logs and metrics.
     #[must_use]
@@ -42,13 +49,21 @@
 }
 
 impl Upstream {
-    /// Finds out why the upstream broke off a request at `broke_at`.
+    /// Finds out why the upstream broke off a request at `broke_at`. An upstream that breaks off many requests at once is
+    /// examined once.
     pub async fn examine_break(&self, broke_at: Instant) -> BreakCause {
         if self.is_leaving() {
             return BreakCause::Leaving;
         }
+        let mut newest = self.examination().lock().await;
+        if let Some(known) = newest.filter(|known| known.began >= broke_at) {
+            return known.cause;
+        }
+        let began = Instant::now();
         let examining = tokio::time::timeout(EXAMINATION_TIMEOUT, self.examine_address(broke_at));
-        examining.await.unwrap_or(BreakCause::Unreachable)
+        let cause = examining.await.unwrap_or(BreakCause::Unreachable);
+        *newest = Some(Examination { began, cause });
+        cause
     }
 
     async fn examine_address(&self, broke_at: Instant) -> BreakCause {
--- a/crates/samphiregrade-gateway/src/upstream/peer.rs
+++ b/crates/samphiregrade-gateway/src/upstream/peer.rs
@@ -8,6 +8,7 @@
 use samphiregrade_http::wire::{SocketLimits, WireSocket};
 
 use super::balance::{Candidate, ContentionView, LoadView};
+use super::break_cause::Examination;
 use super::breaker::{BreakerState, UpstreamBreaker};
 use super::cache::PrefixCache;
 use super::contention::UsualContention;
@@ -87,6 +88,8 @@
     cache: Mutex<PrefixCache>,
     monitor: Mutex<ResponseMonitor>,
     domain_monitor: Arc<DomainMonitor>,
+    /// Newest examination after a request was broken off; locked while one is under way.
+    examination: tokio::sync::Mutex<Option<Examination>>,
 }
 
 /// Response monitor that all upstreams of a failure domain share: if none of them responds, the network path to the
@@ -115,9 +118,14 @@
             cache: Mutex::default(),
             monitor: Mutex::default(),
             domain_monitor,
+            examination: tokio::sync::Mutex::default(),
         }
     }
 
+    pub(super) fn examination(&self) -> &tokio::sync::Mutex<Option<Examination>> {
+        &self.examination
+    }
+
     /// Sets whether the upstream is draining.
     pub fn set_draining(&self, draining: bool) {
         self.draining.store(draining, Ordering::Relaxed);
--- a/crates/samphiregrade-gateway/tests/suite/keepers_model.rs
+++ b/crates/samphiregrade-gateway/tests/suite/keepers_model.rs
@@ -42,7 +42,12 @@
             4 => Self::Rebuild(one, two),
             5 => Self::Begin(one),
             6 => {
-                let states = [TryState::Open, TryState::Ended, TryState::Harmless];
+                let states = [
+                    TryState::Open,
+                    TryState::Unresolved,
+                    TryState::Ended,
+                    TryState::Harmless,
+                ];
                 Self::Try(one, states[usize::from(two) % states.len()])
             }
             _ => Self::Read(one),
--- a/crates/samphiregrade-gateway/tests/suite/tries.rs
+++ b/crates/samphiregrade-gateway/tests/suite/tries.rs
@@ -62,6 +62,21 @@
     assert_eq!(tries.decide(None), TryDecision::Permitted);
 }
 
+// Guards against upstreams that fall silent under a request, one after another, and are never counted.
+#[test]
+fn unresolved_tries_use_up_the_bound_until_their_upstreams_reply() {
+    let mut tries = known(&[(1, 1, TryState::Unresolved)]);
+    assert_eq!(tries.decide(None), TryDecision::Permitted);
+    tries.add(try_of(2, 2, TryState::Unresolved));
+    tries.add(try_of(3, 3, TryState::Unresolved));
+    assert_eq!(tries.decide(None), TryDecision::Occupied);
+    assert_eq!(tries.ended(), 0);
+    for number in 1..=3 {
+        tries.add(try_of(number, number, TryState::Harmless));
+    }
+    assert_eq!(tries.decide(None), TryDecision::Unsuspected);
+}
+
 // Guards against a frequent request that is refused because several of the upstreams that ran it have ended for other reasons.
 #[test]
 fn request_that_has_run_is_no_longer_suspected() {
@@ -253,7 +268,7 @@
     }
 
     fn merge_of_tries_is_commutative(left: Vec<(u8, u8)>, right: Vec<(u8, u8)>) -> bool {
-        let states = [TryState::Open, TryState::Ended, TryState::Harmless];
+        let states = [TryState::Open, TryState::Unresolved, TryState::Ended, TryState::Harmless];
         let tries = |rows: &[(u8, u8)]| {
             let mut tries = KnownTries::default();
             for &(number, state) in rows {
