Don't take a connection that was closed without a response for a request that was not sent

What callers would see: with samphiregrade serve, a call that must not run twice, and that its service read and closed in an orderly way without a response, was sent again.

Cause: ntex reports a connection that ends before the head of a response as a failure to connect, and the client took each failure to connect for a request of which no byte was sent.

Change: that failure without a system error is an interruption: whether the request ran is unknown.

Evidence: request_that_was_read_and_closed_without_a_response_may_have_run failed before (orderly close; a reset was reported rightly) and passes; request_to_a_closed_port_was_not_sent passes before and after.

--- a/crates/samphiregrade-http/src/client.rs
+++ b/crates/samphiregrade-http/src/client.rs
@@ -6,7 +6,7 @@
 
 use futures_util::StreamExt;
 use ntex::SharedCfg;
-use ntex::client::error::ClientError;
+use ntex::client::error::{ClientError, ConnectError};
 use ntex::client::{Client, ClientResponse};
 use ntex::http::Version;
 use ntex::http::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
@@ -268,6 +268,10 @@
 fn classify(error: &ClientError) -> HttpError {
     match error {
         ClientError::Timeout => HttpError::TimedOut,
+        // `ntex` also reports a connection in this way that was closed after the request had been sent.
+        ClientError::Connect(ConnectError::Disconnected(None)) => {
+            HttpError::Interrupted("the connection was closed without a response".to_owned())
+        }
         ClientError::Url(_) | ClientError::Connect(_) => HttpError::NotSent(error.to_string()),
         _ => HttpError::Interrupted(error.to_string()),
     }
--- a/crates/samphiregrade-http/tests/client.rs
+++ b/crates/samphiregrade-http/tests/client.rs
@@ -86,3 +86,33 @@
         assert_eq!(fetch(chunked, resets), None, "chunks, resets: {resets}");
     }
 }
+
+/// Returns whether the client reports that a request was not sent.
+fn is_not_sent(address: SocketAddr) -> bool {
+    run_system(async move {
+        let pool = HttpPool::start(1);
+        let request = OutgoingRequest::post_json(&format!("http://{address}/"), &"x")
+            .with_fresh_connection(true)
+            .with_timeout(TIMEOUT);
+        let error = pool.send(request).await.expect_err("a failure");
+        error.not_sent()
+    })
+}
+
+// Guards against a call that its service has read and closed without a response, and that counted as not sent: it was sent again
+// although it must not run twice.
+#[test]
+fn request_that_was_read_and_closed_without_a_response_may_have_run() {
+    for resets in [false, true] {
+        let address = serve("", resets);
+        assert!(!is_not_sent(address), "resets: {resets}");
+    }
+}
+
+#[test]
+fn request_to_a_closed_port_was_not_sent() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    drop(listener);
+    assert!(is_not_sent(address));
+}
