samphiregrade serve: bound the upstreams that end under one call

What callers would see: an engine that ends under a call was followed by the next one, up to 12 failures; a takeover of the call's shard began the count anew.

Cause: failures were counted by the process that dispatches, and ends of upstreams like refused connections.

Change: a connection that breaks off is followed by a request for the upstream's load. If nothing listens any more, and the upstream was not leaving, the shard's log records the end before the call is sent again. The third one is the call's outcome (upstream-failed, may have run). Calls that must not be repeated are sent once, as before.

--- a/src/instance/metrics.rs
+++ b/src/instance/metrics.rs
@@ -20,7 +20,7 @@
 type MetricReader = fn(&InstanceState) -> u64;
 
 /// Counters: name, description, and the function that reads the value.
-const COUNTERS: [(&str, &str, MetricReader); 15] = [
+const COUNTERS: [(&str, &str, MetricReader); 16] = [
     (
         "samphiregrade_requests_served",
         "Requests of callers",
@@ -84,6 +84,11 @@
         "Calls sent again",
         |state| state.runner.counters().retried.load(Ordering::Relaxed),
     ),
+    (
+        "samphiregrade_upstream_ended",
+        "Upstreams that ended while they ran a call",
+        |state| state.runner.counters().ended.load(Ordering::Relaxed),
+    ),
     (
         "samphiregrade_prompt_tokens",
         "Prompt tokens of answers",
--- a/src/program/book.rs
+++ b/src/program/book.rs
@@ -8,14 +8,17 @@
 
 use super::budget::BudgetAccount;
 use super::entry::{
-    BodyDigest, CallIntent, CallResult, EndReason, LogEntry, ProgramBegin, ProgramEnd,
+    BodyDigest, CallIntent, CallResult, EndReason, LogEntry, ProgramBegin, ProgramEnd, UpstreamEnd,
 };
 use super::outcome::CallOutcome;
-use crate::contract::{CallSpec, ChatMessage};
+use crate::contract::{CallSpec, ChatMessage, Refusal, RefusalKind};
 use crate::ids::{
     ClassName, OrganisationId, ProgramId, SequenceNumber, ShardEpoch, TokenCount, UpstreamName,
 };
 
+/// Number of upstreams that may end while they run one call. An upstream may also end because of another call that it runs.
+pub const MAX_ENDED_UPSTREAMS: usize = 3;
+
 /// The progress of a call.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum CallPhase {
@@ -30,6 +33,59 @@
     },
     /// The call has its final outcome.
     Finished(CallOutcome),
+    /// As `Intended`, and upstreams have ended while they ran the call.
+    Suspected {
+        /// Tokens reserved.
+        reserved: TokenCount,
+        /// Epoch of the shard in which the call was accepted.
+        epoch: ShardEpoch,
+        /// Time at which the call was accepted.
+        accepted: SystemTime,
+        /// Number of the upstreams.
+        ended: usize,
+    },
+}
+
+impl CallPhase {
+    /// Returns the tokens reserved; `None` if the call has its outcome.
+    #[must_use]
+    pub fn reserved(&self) -> Option<TokenCount> {
+        match self {
+            Self::Intended { reserved, .. } | Self::Suspected { reserved, .. } => Some(*reserved),
+            Self::Finished(_) => None,
+        }
+    }
+
+    /// Returns the phase after one more upstream has ended while it ran the call: a call that has ended as many as it may
+    /// gets its final outcome.
+    fn after_upstream_end(&self) -> Self {
+        let (reserved, epoch, accepted, ended) = match self {
+            Self::Finished(_) => return self.clone(),
+            Self::Intended {
+                reserved,
+                epoch,
+                accepted,
+            } => (*reserved, *epoch, *accepted, 0),
+            Self::Suspected {
+                reserved,
+                epoch,
+                accepted,
+                ended,
+            } => (*reserved, *epoch, *accepted, *ended),
+        };
+        let ended = ended + 1;
+        if ended >= MAX_ENDED_UPSTREAMS {
+            let detail = format!("{ended} upstreams ended while they ran the call");
+            let refusal = Refusal::unknown(RefusalKind::UpstreamFailed, detail);
+            return Self::Finished(CallOutcome::Refused(refusal));
+        }
+        Self::Suspected {
+            reserved,
+            epoch,
+            accepted,
+            ended,
+        }
+    }
 }
 
 /// One call of a program.
@@ -99,7 +155,7 @@
     pub fn is_busy(&self) -> bool {
         self.calls
             .last()
-            .is_some_and(|call| matches!(call.phase, CallPhase::Intended { .. }))
+            .is_some_and(|call| call.phase.reserved().is_some())
     }
 
     /// Returns whether the program accepts calls.
@@ -206,6 +262,7 @@
             LogEntry::Forget(program) => {
                 self.programs.remove(program);
             }
+            LogEntry::UpstreamEnded(end) => self.apply_upstream_end(end),
         }
     }
 
@@ -271,13 +328,10 @@
         let Some(program) = self.programs.get_mut(&result.program) else {
             return;
         };
-        let index = usize::try_from(result.sequence)
-            .unwrap_or(0)
-            .wrapping_sub(1);
-        let Some(call) = program.calls.get_mut(index) else {
+        let Some(call) = program.calls.get_mut(call_index(result.sequence)) else {
             return;
         };
-        let CallPhase::Intended { reserved, .. } = call.phase else {
+        let Some(reserved) = call.phase.reserved() else {
             return;
         };
         call.phase = CallPhase::Finished(result.outcome.clone());
@@ -290,6 +344,34 @@
         subtract_tokens(self.classes.get_mut(&class), unused);
     }
 
+    fn apply_upstream_end(&mut self, end: &UpstreamEnd) {
+        let call = self
+            .programs
+            .get(&end.program)
+            .and_then(|program| program.call(end.sequence));
+        let Some((call, reserved)) = call.and_then(|call| Some((call, call.phase.reserved()?)))
+        else {
+            return;
+        };
+        let phase = call.phase.after_upstream_end();
+        if let CallPhase::Finished(outcome) = phase {
+            let result = CallResult {
+                program: end.program.clone(),
+                sequence: end.sequence,
+                outcome,
+                used: reserved,
+                finished: end.ended,
+            };
+            return self.apply_result(&result);
+        }
+        let index = call_index(end.sequence);
+        if let Some(program) = self.programs.get_mut(&end.program)
+            && let Some(call) = program.calls.get_mut(index)
+        {
+            call.phase = phase;
+        }
+    }
+
     fn apply_end(&mut self, end: &ProgramEnd) {
         let Some(program) = self.programs.get_mut(&end.program) else {
             return;
@@ -332,6 +414,11 @@
     }
 }
 
+/// Returns the index of a call among its program's calls.
+fn call_index(sequence: SequenceNumber) -> usize {
+    usize::try_from(sequence).unwrap_or(0).wrapping_sub(1)
+}
+
 fn subtract_tokens(total: Option<&mut TokenCount>, tokens: TokenCount) {
     if let Some(used) = total {
         *used = used.saturating_sub(tokens);
--- a/src/program/decide.rs
+++ b/src/program/decide.rs
@@ -162,11 +162,17 @@
         }
         return match &known.phase {
             CallPhase::Finished(outcome) => CallDecision::Replay(outcome.clone()),
-            CallPhase::Intended { .. } if arrival.running_here => CallDecision::Join,
+            _ if arrival.running_here => CallDecision::Join,
             CallPhase::Intended {
                 reserved,
                 epoch,
                 accepted,
+            }
+            | CallPhase::Suspected {
+                reserved,
+                epoch,
+                accepted,
+                ..
             } => {
                 let intent = CallIntent {
                     spec: known.spec.clone(),
--- a/src/program/entry.rs
+++ b/src/program/entry.rs
@@ -82,6 +82,17 @@
     pub finished: SystemTime,
 }
 
+/// Records that an upstream ended while it ran a call.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct UpstreamEnd {
+    /// The program.
+    pub program: ProgramId,
+    /// Number of the call.
+    pub sequence: SequenceNumber,
+    /// Time at which the end was known.
+    pub ended: SystemTime,
+}
+
 /// A hold: an engine's promise to keep a program's prefix in its cache during a pause.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct EngineHold {
@@ -132,6 +143,8 @@
     End(ProgramEnd),
     /// The retention time of an ended program has passed; the program is removed.
     Forget(ProgramId),
+    /// An upstream ended while it ran a call.
+    UpstreamEnded(UpstreamEnd),
 }
 
 impl LogEntry {
@@ -145,6 +158,7 @@
             Self::Hold(hold) | Self::Release(hold) => &hold.program,
             Self::End(end) => &end.program,
             Self::Forget(program) => program,
+            Self::UpstreamEnded(end) => &end.program,
         }
     }
 }
--- a/src/program/mod.rs
+++ b/src/program/mod.rs
@@ -10,7 +10,10 @@
 mod entry;
 mod outcome;
 
-pub use book::{CallPhase, CallRecord, ProgramRecord, ProgramStatus, ProgramTable, TableSummary};
+pub use book::{
+    CallPhase, CallRecord, MAX_ENDED_UPSTREAMS, ProgramRecord, ProgramStatus, ProgramTable,
+    TableSummary,
+};
 pub use budget::{BudgetAccount, BudgetExceeded, ProgramLimits};
 pub use decide::{
     BeginDecision, CallArrival, CallDecision, EndDecision, decide_begin, decide_call, decide_end,
@@ -18,6 +21,6 @@
 };
 pub use entry::{
     BodyDigest, CallIntent, CallResult, EndReason, EngineHold, LogEntry, ProgramBegin, ProgramEnd,
-    body_digest, idempotency_key,
+    UpstreamEnd, body_digest, idempotency_key,
 };
 pub use outcome::CallOutcome;
--- a/src/scheduler/queue.rs
+++ b/src/scheduler/queue.rs
@@ -131,12 +131,12 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Enqueues a call; `avoid` names an upstream on which it has just failed.
-    pub fn push(&self, job: DispatchJob, config: &ConfigView, avoid: Option<UpstreamName>) {
+    /// Enqueues a call.
+    pub fn push(&self, job: DispatchJob, config: &ConfigView) {
         let mut state = self.state();
         state.arrivals += 1;
         let arrival = state.arrivals;
-        if avoid.is_none() && job.intent.sequence > 1 && !job.redispatch {
+        if job.avoid.is_none() && job.intent.sequence > 1 && !job.redispatch {
             state.learner.record_return(&job.class, job.pause);
         }
         let view = state.job_view(&job, config, arrival);
@@ -145,7 +145,6 @@
             view,
             job,
             queued: Instant::now(),
-            avoid,
         });
     }
 
@@ -423,6 +422,15 @@
         state.set_program_cache(program, None);
     }
 
+    /// Returns whether the upstream has reported that it is leaving.
+    #[must_use]
+    pub fn is_leaving(&self, upstream: &str) -> bool {
+        let state = self.state();
+        let entry = state.upstreams.get(upstream);
+        let report = entry.and_then(|entry| entry.report.as_ref());
+        report.is_some_and(|(report, _)| report.leaving)
+    }
+
     /// Returns whether a recent report of the engine is known.
     #[must_use]
     pub fn has_report(&self, upstream: &str) -> bool {
--- a/src/scheduler/queue/state.rs
+++ b/src/scheduler/queue/state.rs
@@ -28,7 +28,6 @@
     /// Result of `prefix_hash`.
     pub prefix: u64,
     pub queued: Instant,
-    pub avoid: Option<UpstreamName>,
 }
 
 /// Where a program's prefix is probably cached.
@@ -130,7 +129,7 @@
         domain: &DomainId,
         now: Instant,
     ) -> Option<(UpstreamName, Arc<UpstreamSpec>)> {
-        let avoid = self.waiting[index].avoid.as_ref();
+        let avoid = self.waiting[index].job.avoid.as_ref();
         config
             .upstreams()
             .filter(|(_, spec)| spec.kind == UpstreamKind::Service && spec.service == *service)
@@ -174,7 +173,7 @@
             .collect();
         let others: Vec<_> = candidates
             .iter()
-            .filter(|(name, _)| waiting.avoid.as_ref() != Some(name))
+            .filter(|(name, _)| waiting.job.avoid.as_ref() != Some(name))
             .cloned()
             .collect();
         let candidates = if others.is_empty() {
--- a/src/shard/actor.rs
+++ b/src/shard/actor.rs
@@ -464,6 +464,7 @@
         }
         ShardCommand::Query(..)
         | ShardCommand::DispatchFinished(_)
+        | ShardCommand::UpstreamEnded(_)
         | ShardCommand::Released(..)
         | ShardCommand::AuditHold(..)
         | ShardCommand::Drain
--- a/src/shard/command.rs
+++ b/src/shard/command.rs
@@ -5,6 +5,7 @@
 use smol_str::SmolStr;
 use tokio::sync::oneshot;
 
+use super::context::DispatchJob;
 use super::copy::{AppendReply, AppendRequest, InstallRequest};
 use super::stream::StreamBuffer;
 use crate::contract::{BeginReply, CallSpec, HistoryReply, ProgramReply, Refusal};
@@ -111,6 +112,8 @@
     ),
     /// Reports the result of a dispatch.
     DispatchFinished(Box<DispatchResult>),
+    /// Reports that an upstream ended while it ran a call that may be sent again.
+    UpstreamEnded(Box<DispatchJob>),
     /// Reports a hold that an engine lists; it is released unless the program's record has it.
     AuditHold(ProgramId, UpstreamName),
     /// Reports that an engine has confirmed the release of a program's prefix.
--- a/src/shard/context.rs
+++ b/src/shard/context.rs
@@ -84,6 +84,8 @@
     pub holding_upstream: Option<UpstreamName>,
     /// Number of failed attempts in this process.
     pub failures: u32,
+    /// Upstream at which the call has just failed.
+    pub avoid: Option<UpstreamName>,
     /// Whether the call may have been dispatched before.
     pub redispatch: bool,
     /// Whether the upstream is only queried for the outcome because the call must not be dispatched twice.
--- a/src/shard/primary/stage.rs
+++ b/src/shard/primary/stage.rs
@@ -10,8 +10,8 @@
 use crate::ids::{OrganisationId, ProgramId, SequenceNumber, TokenCount, UpstreamName};
 use crate::program::{
     BeginDecision, CallArrival, CallDecision, CallIntent, CallOutcome, CallPhase, CallResult,
-    EndDecision, EngineHold, LogEntry, ProgramBegin, ProgramRecord, decide_begin, decide_call,
-    decide_end,
+    EndDecision, EngineHold, LogEntry, ProgramBegin, ProgramRecord, UpstreamEnd, decide_begin,
+    decide_call, decide_end,
 };
 use crate::shard::actor::reject_command;
 use crate::shard::command::{CallCommand, CallReply, DispatchResult, ProgramQuery, ShardCommand};
@@ -130,6 +130,7 @@
                 self.answer_query(&program, &organisation, query);
             }
             ShardCommand::DispatchFinished(result) => self.stage_result(*result, now, batch),
+            ShardCommand::UpstreamEnded(job) => self.stage_upstream_end(job, now, batch),
             ShardCommand::Released(program, upstream) => {
                 self.holds.remove(&(program.clone(), upstream.clone()));
                 let known = self.copy.table().program(&program);
@@ -438,6 +439,7 @@
                     .unwrap_or_default(),
                 holding_upstream: record.holds.first().cloned(),
                 failures: 0,
+                avoid: None,
                 redispatch,
                 resolve_only: redispatch && !idempotent,
                 stream: stream.clone(),
@@ -470,6 +472,35 @@
             .push(StagedAction::Finish(running.stream, result.outcome));
     }
 
+    /// Records that an upstream ended while it ran a call, then sends the call to another one if it may.
+    fn stage_upstream_end(
+        &mut self,
+        job: Box<DispatchJob>,
+        now: SystemTime,
+        batch: &mut StagedBatch,
+    ) {
+        let key = (job.intent.program.clone(), job.intent.sequence);
+        if !self.running.contains_key(&key) {
+            return;
+        }
+        let end = UpstreamEnd {
+            program: key.0.clone(),
+            sequence: key.1,
+            ended: now,
+        };
+        self.write(LogEntry::UpstreamEnded(end), batch);
+        let record = self.copy.table().program(&key.0);
+        let phase = record.and_then(|record| Some(&record.call(key.1)?.phase));
+        if let Some(CallPhase::Finished(outcome)) = phase {
+            let outcome = outcome.clone();
+            let running = self.running.remove(&key);
+            let streams = running.map(|running| StagedAction::Finish(running.stream, outcome));
+            batch.actions.extend(streams);
+            return;
+        }
+        batch.actions.push(StagedAction::Dispatch(job));
+    }
+
     /// Decides whether the engine that has just served a program should hold its prefix.
     fn stage_hold(&mut self, result: &DispatchResult, batch: &mut StagedBatch) {
         let Some(record) = self.copy.table().program(&result.program) else {
--- a/src/upstream/engine.rs
+++ b/src/upstream/engine.rs
@@ -71,6 +71,8 @@
 /// Reason why an engine returned no complete response.
 #[derive(Clone, Debug)]
 pub enum EngineFailure {
+    /// The connection ended while the engine may have been running the call.
+    Interrupted(SmolStr),
     /// The engine could not be reached, returned an error or sent an invalid or incomplete response; another engine may
     /// serve the call.
     Failed(SmolStr),
@@ -80,7 +82,11 @@
 
 impl From<HttpError> for EngineFailure {
     fn from(error: HttpError) -> Self {
-        Self::Failed(format_smolstr!("{error}"))
+        let detail = format_smolstr!("{error}");
+        if matches!(error, HttpError::Interrupted(_)) {
+            return Self::Interrupted(detail);
+        }
+        Self::Failed(detail)
     }
 }
 
@@ -164,7 +170,7 @@
             usage = chunk.usage.or(usage);
         }
     }
-    Err(EngineFailure::Failed("the answer broke off".into()))
+    Err(EngineFailure::Interrupted("the answer broke off".into()))
 }
 
 fn finish(
--- a/src/upstream/runner.rs
+++ b/src/upstream/runner.rs
@@ -7,7 +7,7 @@
 use arc_swap::ArcSwap;
 use futures_util::FutureExt;
 use futures_util::future::BoxFuture;
-use samphiregrade_http::{HttpPool, OutgoingRequest};
+use samphiregrade_http::{HttpError, HttpPool, OutgoingRequest};
 use serde_json::json;
 use smol_str::format_smolstr;
 use tokio::sync::Notify;
@@ -18,7 +18,7 @@
 use crate::contract::{CallSpec, Refusal, RefusalKind, ServiceCall};
 use crate::ids::{ClassName, ProgramId, ShardId, TokenCount, UpstreamName};
 use crate::program::CallOutcome;
-use crate::record::{ConfigView, UpstreamKind};
+use crate::record::{ConfigView, UpstreamKind, UpstreamSpec};
 use crate::scheduler::{CallEnd, CallQueue, ChosenJob};
 use crate::shard::{DispatchJob, DispatchResult, DispatchSink, ShardCommand};
 
@@ -50,6 +50,16 @@
 /// Number of failures after which a call is refused.
 const FAILURE_LIMIT: u32 = 12;
 
+/// Time that a process takes to close all of its sockets when it ends.
+const CLOSING_TIME: Duration = Duration::from_millis(5);
+
+/// Number of requests that find out whether an upstream has ended: a connection may be accepted and reset while the process
+/// is ending.
+const EXAMINATIONS: usize = 2;
+
+/// Timeout of a request that finds out whether an upstream has ended: one that doesn't reply may be behind a cut.
+const EXAMINATION_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Pause of a call while the retry budget is exhausted; each pause adds to the budget, so that the call is retried
 /// eventually.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
@@ -63,6 +73,8 @@
     pub answered: AtomicU64,
     /// Calls retried.
     pub retried: AtomicU64,
+    /// Calls under which an upstream ended.
+    pub ended: AtomicU64,
     /// Calls whose outcome remained unknown.
     pub unknown: AtomicU64,
     /// Prompt tokens of all responses.
@@ -240,6 +252,11 @@
                 self.inner.queue.record_end(&upstream, CallEnd::Failed);
                 self.retry(job, upstream).await;
             }
+            Err(EngineFailure::Interrupted(detail)) => {
+                log::debug!("engine broke off the call upstream={upstream} error={detail}");
+                self.inner.queue.record_end(&upstream, CallEnd::Failed);
+                self.retry_interrupted(job, upstream, &spec).await;
+            }
         }
     }
 
@@ -268,6 +285,52 @@
         self.finish(job, outcome, used, Some(upstream));
     }
 
+    /// Sends a call again whose connection ended. If its upstream has ended, too, the shard records that first, and refuses the
+    /// call if it has ended too many.
+    async fn retry_interrupted(
+        &self,
+        mut job: DispatchJob,
+        upstream: UpstreamName,
+        spec: &UpstreamSpec,
+    ) {
+        let leaving = spec.leaving || self.inner.queue.is_leaving(&upstream);
+        if leaving || !self.has_ended(spec).await {
+            return self.retry(job, upstream).await;
+        }
+        self.inner.counters.ended.fetch_add(1, Ordering::Relaxed);
+        log::info!(
+            "upstream ended while it ran a call upstream={upstream} program={} call={}",
+            job.intent.program,
+            job.intent.sequence
+        );
+        self.await_retry_budget().await;
+        job.stream.restart();
+        job.avoid = Some(upstream);
+        let sender = job.done.clone();
+        // If the shard's task has ended, the shard's next primary handles the call.
+        let _ = sender
+            .send(ShardCommand::UpstreamEnded(Box::new(job)))
+            .await;
+    }
+
+    /// Returns whether nothing listens at an upstream's address any more.
+    async fn has_ended(&self, spec: &UpstreamSpec) -> bool {
+        let url = format_smolstr!("{}/load", spec.address);
+        for _ in 0..EXAMINATIONS {
+            // The process may be closing its sockets at this moment.
+            tokio::time::sleep(CLOSING_TIME).await;
+            let request = OutgoingRequest::get(&url)
+                .with_fresh_connection(true)
+                .with_timeout(EXAMINATION_TIMEOUT);
+            match self.inner.pool.send(request).await {
+                Err(HttpError::NotSent(_)) => return true,
+                Err(HttpError::Interrupted(_)) => {}
+                _ => return false,
+            }
+        }
+        false
+    }
+
     /// Enqueues a failed call again as soon as the retry budget allows, or refuses it after too many failures.
     async fn retry(&self, mut job: DispatchJob, avoid: UpstreamName) {
         job.failures += 1;
@@ -277,15 +340,18 @@
             let reserved = job.intent.reserved;
             return self.finish(job, CallOutcome::Refused(refusal), reserved, None);
         }
+        self.await_retry_budget().await;
+        job.stream.restart();
+        job.avoid = Some(avoid);
+        self.dispatch(job);
+    }
+
+    async fn await_retry_budget(&self) {
         while !self.spend_retry() {
             tokio::time::sleep(RETRY_PAUSE).await;
             self.earn_retry();
         }
         self.inner.counters.retried.fetch_add(1, Ordering::Relaxed);
-        job.stream.restart();
-        let config = self.inner.config.load_full();
-        self.inner.queue.push(job, &config, Some(avoid));
-        self.inner.wakeup.notify_one();
     }
 
     fn earn_retry(&self) {
@@ -324,7 +390,9 @@
         };
         let end = match &outcome {
             _ if job.resolve_only => CallEnd::Withdrawn,
-            ServiceOutcome::NotRun(_) | ServiceOutcome::Unknown(_) => CallEnd::Failed,
+            ServiceOutcome::NotRun(_)
+            | ServiceOutcome::Unknown(_)
+            | ServiceOutcome::Interrupted(_) => CallEnd::Failed,
             ServiceOutcome::Reply(..) | ServiceOutcome::Fenced => CallEnd::Answered,
         };
         self.inner.queue.record_end(&upstream, end);
@@ -340,7 +408,10 @@
                 self.retry(job, upstream).await;
             }
             ServiceOutcome::Unknown(_) if call.idempotent => self.retry(job, upstream).await,
-            ServiceOutcome::Unknown(detail) => {
+            ServiceOutcome::Interrupted(_) if call.idempotent => {
+                self.retry_interrupted(job, upstream, &spec).await;
+            }
+            ServiceOutcome::Unknown(detail) | ServiceOutcome::Interrupted(detail) => {
                 log::info!("outcome of the call is unknown upstream={upstream} error={detail}");
                 self.resolve(job, call).await;
             }
@@ -398,7 +469,7 @@
     }
 
     fn dispatch(&self, job: DispatchJob) {
-        self.inner.queue.push(job, &self.inner.config.load(), None);
+        self.inner.queue.push(job, &self.inner.config.load());
         self.inner.wakeup.notify_one();
     }
 
--- a/src/upstream/service.rs
+++ b/src/upstream/service.rs
@@ -16,6 +16,8 @@
     NotRun(SmolStr),
     /// The call may have run.
     Unknown(SmolStr),
+    /// The connection ended while the service may have been running the call.
+    Interrupted(SmolStr),
     /// The service rejected this primary's fencing number, because another primary has taken over.
     Fenced,
 }
@@ -58,10 +60,10 @@
 
 fn failed_outcome(error: &HttpError) -> ServiceOutcome {
     let detail = format_smolstr!("{error}");
-    if error.not_sent() {
-        ServiceOutcome::NotRun(detail)
-    } else {
-        ServiceOutcome::Unknown(detail)
+    match error {
+        HttpError::NotSent(_) => ServiceOutcome::NotRun(detail),
+        HttpError::Interrupted(_) => ServiceOutcome::Interrupted(detail),
+        HttpError::TimedOut | HttpError::Unreadable(_) => ServiceOutcome::Unknown(detail),
     }
 }
 
--- a/tests/testsuite/programs.rs
+++ b/tests/testsuite/programs.rs
@@ -1,11 +1,13 @@
-//! Decisions on the begin of programs.
+//! Decisions on the begin of programs, and on calls under which upstreams end.
 
 use std::time::{Duration, SystemTime};
 
-use samphiregrade::contract::RefusalKind;
-use samphiregrade::ids::ProgramId;
+use samphiregrade::contract::{CallSpec, RanState, RefusalKind, ServiceCall};
+use samphiregrade::ids::{ProgramId, ShardEpoch};
 use samphiregrade::program::{
-    BeginDecision, LogEntry, ProgramBegin, ProgramLimits, ProgramTable, decide_begin,
+    BeginDecision, CallArrival, CallDecision, CallIntent, CallOutcome, LogEntry,
+    MAX_ENDED_UPSTREAMS, ProgramBegin, ProgramLimits, ProgramTable, UpstreamEnd, decide_begin,
+    decide_call,
 };
 
 fn begin(program: &str, organisation: &str, parent: Option<&str>) -> ProgramBegin {
@@ -39,3 +41,67 @@
         assert_eq!(refusal.kind, RefusalKind::UnknownProgram, "{program}");
     }
 }
+
+/// Returns a call that may be repeated.
+fn service_call() -> CallSpec {
+    CallSpec::Service(ServiceCall {
+        service: "s".into(),
+        tool: "look".into(),
+        arguments: "{}".into(),
+        idempotent: true,
+    })
+}
+
+/// Returns the first call of a program, as it arrives at the primary of an epoch.
+fn arrival(epoch: ShardEpoch) -> CallArrival {
+    CallArrival {
+        program: "p".into(),
+        sequence: 1,
+        digest: [1; 16],
+        spec: service_call(),
+        organisation: "one".into(),
+        organisation_left: 100,
+        class_left: 100,
+        epoch,
+        running_here: false,
+        now: SystemTime::UNIX_EPOCH,
+    }
+}
+
+// Guards against a takeover after which a call ends upstreams as if none had ended under it.
+#[test]
+fn upstreams_that_ended_under_a_call_are_remembered_over_takeovers() {
+    let mut table = ProgramTable::default();
+    table.apply(&LogEntry::Begin(begin("p", "one", None)));
+    table.apply(&LogEntry::Intent(CallIntent {
+        program: "p".into(),
+        sequence: 1,
+        digest: [1; 16],
+        spec: service_call(),
+        reserved: 0,
+        epoch: 1,
+        accepted: SystemTime::UNIX_EPOCH,
+    }));
+    let end = LogEntry::UpstreamEnded(UpstreamEnd {
+        program: "p".into(),
+        sequence: 1,
+        ended: SystemTime::UNIX_EPOCH,
+    });
+    for epoch in 1..=MAX_ENDED_UPSTREAMS as u64 {
+        // Each primary finds the call without an outcome, and one more upstream ends.
+        let decision = decide_call(&table, &arrival(epoch));
+        assert!(
+            matches!(decision, CallDecision::Redispatch(_)),
+            "{decision:?}"
+        );
+        table.apply(&end);
+    }
+    let CallDecision::Replay(CallOutcome::Refused(refusal)) = decide_call(&table, &arrival(9))
+    else {
+        panic!("the call has no final refusal");
+    };
+    assert_eq!(refusal.kind, RefusalKind::UpstreamFailed);
+    assert_eq!(refusal.ran, RanState::Unknown);
+    let program = table.program("p").expect("a program");
+    assert!(!program.is_busy(), "the program goes on with its next call");
+}
--- a/tests/testsuite/support.rs
+++ b/tests/testsuite/support.rs
@@ -1,5 +1,6 @@
 //! Functions that start clusters and send single requests.
 
+pub mod deadly;
 pub mod raw;
 
 use std::future::Future;
--- a/tests/testsuite/upstreams.rs
+++ b/tests/testsuite/upstreams.rs
@@ -1,15 +1,24 @@
 //! Failing upstreams: a call is abandoned after a bounded number of attempts, and the program continues.
 
+use samphiregrade::record::{CURRENT_SCHEMA, RecordEnvelope, RecordKind};
+use samphiregrade_bench::cluster::Cluster;
 use samphiregrade_standins::proxy::LinkFaults;
 use samphiregrade_standins::service::ServiceFaults;
-use serde_json::json;
+use serde_json::{Value, json};
 
+use crate::support::deadly::{DeadlyUpstreams, deadly_record};
 use crate::support::{
-    begin_program, caller_post, executed_calls, send, small_settings, with_cluster,
+    begin_program, caller_post, eventually, executed_calls, send, small_settings, with_cluster,
 };
 
 const ENTRY: &str = "bilbao-a-0";
 
+/// Number of upstreams that end under a call: more than a call may end.
+const DEADLY_UPSTREAMS: usize = 8;
+
+/// Largest number of upstreams that may end under one call.
+const ALLOWED_ENDS: usize = 3;
+
 #[test]
 fn call_that_always_fails_is_refused_and_the_program_continues() {
     with_cluster(small_settings(), |cluster| async move {
@@ -117,3 +126,57 @@
         assert!(open > 0, "no circuit breaker is open");
     });
 }
+
+/// Starts upstreams that end under each call, registers them and waits until every instance knows them.
+async fn add_deadly_upstreams(cluster: &Cluster, kind: &str) -> DeadlyUpstreams {
+    let deadly = DeadlyUpstreams::default();
+    let model = RecordEnvelope {
+        schema: CURRENT_SCHEMA,
+        kind: RecordKind::Model,
+        name: "deadly".into(),
+        spec: json!({"version": "1"}),
+    };
+    let mut revision = cluster.put_record(&model).await.expect("a stored record");
+    for number in 0..DEADLY_UPSTREAMS {
+        let record = deadly_record(&format!("deadly-{number}"), kind, "deadly", &deadly.start());
+        revision = cluster.put_record(&record).await.expect("a stored record");
+    }
+    for name in cluster.instances.keys() {
+        eventually("the records are applied", || async {
+            let dump = cluster.dump(name).await.unwrap_or_default();
+            dump["configuration-revision"].as_u64() >= Some(revision)
+        })
+        .await;
+    }
+    deadly
+}
+
+/// Returns the body of a call of upstreams that end.
+fn deadly_call(kind: &str) -> Value {
+    if kind == "engine" {
+        return json!({
+            "model": "deadly", "messages": [{"role": "user", "content": "one"}], "max_tokens": 40});
+    }
+    json!({"service": "deadly", "tool": "look", "arguments": {}, "idempotent": true})
+}
+
+// Guards against a call that ended a dozen engines or services one after another.
+#[test]
+fn call_ends_no_more_than_three_upstreams() {
+    for kind in ["engine", "service"] {
+        with_cluster(small_settings(), move |cluster| async move {
+            let deadly = add_deadly_upstreams(&cluster, kind).await;
+            let begin = json!({"key": "k", "class": "dossier"});
+            let program = begin_program(&cluster, ENTRY, &begin).await;
+            let path = format!("/v1/programs/{program}/calls/1");
+            let call = caller_post(&cluster, ENTRY, &path, &deadly_call(kind));
+            let mut refused = send(&cluster.pool, call.clone()).await;
+            while refused.json()["transient"] == true {
+                refused = send(&cluster.pool, call.clone()).await;
+            }
+            assert_eq!(deadly.ended(), ALLOWED_ENDS, "{}", refused.text());
+            assert_eq!(refused.json()["type"], "upstream-failed");
+            assert_eq!(refused.json()["ran"], "unknown");
+        });
+    }
+}
