Notice the end of an upstream whose other connections close a moment later

Cause: a response that arrived after the break, on another connection, counted as a sign of life, as did an idle connection that was still open 5 ms after the port was closed. Connections of a process that ends break in any order, and bytes that it sent before arrive after.

Change: responses no longer count; an idle connection counts if it stays open for 20 ms.

Evidence: process_that_closes_its_connections_one_after_another_has_ended and response_that_arrives_after_the_break_does_not_hide_an_end failed before and pass; what an upstream does that refuses connections while others are open, leaves, or serves is tested beside them.

--- a/crates/samphiregrade-gateway/src/upstream/break_cause.rs
+++ b/crates/samphiregrade-gateway/src/upstream/break_cause.rs
@@ -15,6 +15,10 @@
 /// process is ending.
 const EXAMINATIONS: usize = 2;
 
+/// Number of checks whether the idle connections to an upstream that refuses new ones stay open: on different connections, the
+/// end of a process is noticed at different times.
+const IDLE_CHECKS: usize = 4;
+
 /// What is known of an upstream that broke off a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum BreakCause {
@@ -60,20 +64,23 @@
             return known.cause;
         }
         let began = Instant::now();
-        let examining = tokio::time::timeout(EXAMINATION_TIMEOUT, self.examine_address(broke_at));
+        let examining = tokio::time::timeout(EXAMINATION_TIMEOUT, self.examine_address());
         let cause = examining.await.unwrap_or(BreakCause::Unreachable);
         *newest = Some(Examination { began, cause });
         cause
     }
 
-    async fn examine_address(&self, broke_at: Instant) -> BreakCause {
+    async fn examine_address(&self) -> BreakCause {
         for _ in 0..EXAMINATIONS {
             let connected = self.connect().await;
             // The process may be closing its sockets at this moment.
             tokio::time::sleep(CLOSING_TIME).await;
             let mut socket = match connected {
                 Ok(socket) => socket,
-                Err(error) => return self.judge_failure(error.kind(), broke_at),
+                Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                    return self.examine_idle().await;
+                }
+                Err(_) => return BreakCause::Unreachable,
             };
             if socket.is_reusable() {
                 self.keep_idle(socket, None, Instant::now());
@@ -84,14 +91,15 @@
         BreakCause::Serving
     }
 
-    /// Returns what a failure to connect says. A full upstream may refuse connections, too, while others are open.
-    fn judge_failure(&self, failure: io::ErrorKind, broke_at: Instant) -> BreakCause {
-        if failure != io::ErrorKind::ConnectionRefused {
-            return BreakCause::Unreachable;
-        }
-        if self.has_open_idle() || self.responded_since(broke_at) {
-            return BreakCause::Serving;
+    /// Finds out why the upstream refuses connections: a full one may do so while others are open, and a process that ends
+    /// closes them all.
+    async fn examine_idle(&self) -> BreakCause {
+        for _ in 0..IDLE_CHECKS {
+            if !self.has_open_idle() {
+                return BreakCause::Ended;
+            }
+            tokio::time::sleep(CLOSING_TIME).await;
         }
-        BreakCause::Ended
+        BreakCause::Serving
     }
 }
--- a/crates/samphiregrade-gateway/src/upstream/peer.rs
+++ b/crates/samphiregrade-gateway/src/upstream/peer.rs
@@ -148,12 +148,6 @@
         self.draining.load(Ordering::Relaxed) || self.departed.load(Ordering::Relaxed)
     }
 
-    /// Returns whether a response has begun after a time.
-    #[must_use]
-    pub fn responded_since(&self, time: Instant) -> bool {
-        lock_ignoring_poison(&self.monitor).responded_since(time)
-    }
-
     /// Returns whether the upstream's breaker is closed.
     #[must_use]
     pub fn is_breaker_closed(&self, now: Instant) -> bool {
--- a/crates/samphiregrade-gateway/src/upstream/silence.rs
+++ b/crates/samphiregrade-gateway/src/upstream/silence.rs
@@ -72,13 +72,6 @@
             .is_some_and(|last_response| now.saturating_duration_since(last_response) < time)
     }
 
-    /// Returns whether anything arrived after a time.
-    #[must_use]
-    pub fn responded_since(&self, time: Instant) -> bool {
-        self.last_response
-            .is_some_and(|last_response| last_response > time)
-    }
-
     /// Records that the upstream was found to be unreachable.
     pub fn mark_unreachable(&mut self, now: Instant) {
         self.unreachable_since = Some(now);
--- a/crates/samphiregrade-gateway/tests/suite/main.rs
+++ b/crates/samphiregrade-gateway/tests/suite/main.rs
@@ -3,6 +3,7 @@
 mod access;
 mod affinity;
 mod balance;
+mod break_cause;
 mod disk;
 mod events;
 mod facts;
