Bound the tries that are examined later, and what is kept of a request that is retried for ever

Read in the code, not seen: each try whose host stopped replying was examined by a task of its own for up to 15 s, without a bound on tasks; and of a request that is sent to one dark upstream again and again each try was kept.

Change: an entry examines at most 1,024 tries; others stay as they are until they are forgotten. Above 32 tries of a request one is kept for each upstream.

Evidence: later_examinations_are_bounded is new; known_tries_are_bounded plays a thousand tries at one dark upstream, which it kept before.

Measured: the 31 tests of tries, of causes and of the keepers' model pass.

--- a/crates/samphiregrade-gateway/src/exchange/mod.rs
+++ b/crates/samphiregrade-gateway/src/exchange/mod.rs
@@ -30,6 +30,6 @@
 pub use origin::{KnownVersions, OriginSource, SoftwareRule, StreamStep, find_origin};
 pub use refusal::{Refusal, RefusalReason, proof_retry_after};
 pub use slow_readers::{MemoryMegabytes, SlowReaders, WaitingWrites};
-pub use suspects::SuspectTable;
+pub use suspects::{ExaminationSlot, SuspectTable};
 pub use turn_cache::TurnCache;
 pub use waiting::drain_backlog;
--- a/crates/samphiregrade-gateway/src/exchange/suspects.rs
+++ b/crates/samphiregrade-gateway/src/exchange/suspects.rs
@@ -1,7 +1,8 @@
 //! Requests under which upstreams have ended, as far as this instance has seen them: what is known without the keepers.
 
 use std::collections::HashMap;
-use std::sync::Mutex;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
 use crate::fact::{KnownTries, ReportedTries, TryEntry, TryKey};
@@ -10,10 +11,26 @@
 /// Maximum number of requests; the one that has been unchanged for longest makes room.
 const SUSPECT_LIMIT: usize = 4096;
 
+/// Maximum number of tries whose upstreams are examined later; those beyond it stay as they are until they are forgotten.
+const EXAMINATION_LIMIT: usize = 1024;
+
 /// Table of the suspected requests that this instance has sent.
 #[derive(Debug, Default)]
 pub struct SuspectTable {
     entries: Mutex<HashMap<TryKey, TryEntry>>,
+    examinations: Arc<AtomicUsize>,
+}
+
+/// Counts a later examination as pending until it is dropped.
+#[derive(Debug)]
+pub struct ExaminationSlot {
+    pending: Arc<AtomicUsize>,
+}
+
+impl Drop for ExaminationSlot {
+    fn drop(&mut self) {
+        self.pending.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 impl SuspectTable {
@@ -41,6 +58,17 @@
             .unwrap_or_default()
     }
 
+    /// Takes a slot for a later examination; `None` if too many are pending.
+    #[must_use]
+    pub fn take_examination_slot(&self) -> Option<ExaminationSlot> {
+        let slot = ExaminationSlot {
+            pending: self.examinations.clone(),
+        };
+        // A slot beyond the limit is returned when it is dropped.
+        let pending = self.examinations.fetch_add(1, Ordering::Relaxed);
+        (pending < EXAMINATION_LIMIT).then_some(slot)
+    }
+
     /// Returns the number of requests in the table.
     #[must_use]
     pub fn len(&self) -> usize {
--- a/crates/samphiregrade-gateway/src/exchange/tries.rs
+++ b/crates/samphiregrade-gateway/src/exchange/tries.rs
@@ -43,10 +43,13 @@
 /// The tries of one request at this and other entries.
 pub struct RequestTries {
     context: Arc<EntryContext>,
+    /// Id of this attempt.
     request: RequestId,
     tag: RequestTag,
     key: TryKey,
+    /// What keepers have reported and this instance has seen.
     known: Mutex<ReportedTries>,
+    /// The try of this attempt.
     open: Mutex<Option<OpenTry>>,
 }
 
@@ -246,9 +249,13 @@
 
     /// Examines the upstream of a try later, and records the result. While its host does not reply, the try is left as it is.
     fn examine_later(&self, open: OpenTry) {
+        let Some(slot) = self.context.suspects.take_examination_slot() else {
+            return;
+        };
         let later = Self::new(self.context.clone(), self.request.clone(), self.tag);
         later.accept(&lock_ignoring_poison(&self.known));
         tokio::spawn(async move {
+            let _slot = slot;
             let upstream = open.upstream.clone();
             *lock_ignoring_poison(&later.open) = Some(open);
             for round in 0..EXAMINATIONS {
@@ -299,7 +306,7 @@
 }
 
 impl Drop for RequestTries {
-    /// Sees to a try whose result was not seen, because the client has left or the deadline has passed.
+    /// Examines the upstream of a try whose result was not seen, because the client has left or the deadline has passed.
     fn drop(&mut self) {
         let open = lock_ignoring_poison(&self.open).take();
         if let Some(open) = open {
--- a/crates/samphiregrade-gateway/src/fact/tries.rs
+++ b/crates/samphiregrade-gateway/src/fact/tries.rs
@@ -19,7 +19,7 @@
 /// seconds.
 pub const TRY_RETENTION: Duration = Duration::from_mins(1);
 
-/// Number of tries of one request above which harmless ones are dropped.
+/// Number of tries of one request above which those that no decision needs are dropped.
 const KEPT_TRIES: usize = 32;
 
 /// Number of a try, drawn by the entry that makes it.
@@ -101,11 +101,19 @@
         }
         self.0.push(added);
         if self.0.len() > KEPT_TRIES {
-            self.0.retain(|known| known.state != TryState::Harmless);
+            self.compact();
         }
         true
     }
 
+    /// Drops the tries that no decision needs: harmless ones, and all but one of each upstream.
+    fn compact(&mut self) {
+        self.0.sort_by_key(|known| std::cmp::Reverse(known.state));
+        let mut upstreams = HashSet::new();
+        self.0
+            .retain(|known| known.state != TryState::Harmless && upstreams.insert(known.upstream));
+    }
+
     /// Adds tries; returns whether anything changed.
     pub fn merge(&mut self, others: &Self) -> bool {
         let changes = others.0.iter().map(|other| self.add(*other));
--- a/crates/samphiregrade-gateway/tests/suite/tries.rs
+++ b/crates/samphiregrade-gateway/tests/suite/tries.rs
@@ -113,8 +113,24 @@
         tries.add(try_of(number, number, TryState::Harmless));
     }
     tries.add(try_of(1000, 1000, TryState::Ended));
+    for number in 2000..3000 {
+        tries.add(try_of(number, 7, TryState::Unresolved));
+    }
     assert!(tries.iter().count() < 100);
     assert_eq!(tries.ended(), 1);
+    assert_eq!(tries.decide(None), TryDecision::Permitted);
+}
+
+#[test]
+fn later_examinations_are_bounded() {
+    let table = SuspectTable::default();
+    let slots: Vec<_> = (0..3000)
+        .map_while(|_| table.take_examination_slot())
+        .collect();
+    assert!(!slots.is_empty() && slots.len() < 3000);
+    assert!(table.take_examination_slot().is_none());
+    drop(slots);
+    assert!(table.take_examination_slot().is_some());
 }
 
 #[test]
