Void the ends of a request only by a response that names it

Logs: after the first end an entry sent the request to the address of an ended upstream whose record was still there. Another server had taken the port; its 404 was relayed, and counted as a full run (request-try, acquitted).

Cause: any full response voided the ends, whoever sent it.

Change: it has to have the id of the request, as responses of upstreams do that ran one. Such a try is harmless, but proves nothing.

Evidence: response_of_another_server_does_not_void_ends ends 4 upstreams without the change, 3 with it.

Measured: the 13 other tests of ended_upstreams pass.

--- a/crates/samphiregrade-gateway/src/exchange/attempt.rs
+++ b/crates/samphiregrade-gateway/src/exchange/attempt.rs
@@ -45,6 +45,8 @@
     pub reusable: bool,
     /// Whether the request probes a suspected upstream.
     pub is_probe: bool,
+    /// Whether the response has the id of the request, as all responses of upstreams that ran one do.
+    pub names_request: bool,
     /// When the request was sent.
     pub sent_at: Instant,
     /// Time from sending the request to receiving the head of the response.
@@ -258,6 +260,7 @@
             head,
             socket: self.socket,
             is_probe: self.is_probe,
+            names_request: metadata.request.is_some(),
             sent_at,
             time_to_head: now.saturating_duration_since(sent_at),
             load: metadata.load,
--- a/crates/samphiregrade-gateway/src/exchange/relay.rs
+++ b/crates/samphiregrade-gateway/src/exchange/relay.rs
@@ -153,7 +153,9 @@
         context.outcomes.note(upstream, outcome, Instant::now());
     }
     match &result {
-        Ok(()) => request.tries.complete(),
+        Ok(()) if response.names_request => request.tries.complete(),
+        // Another server may have the address of an upstream that has ended.
+        Ok(()) => request.tries.settle(),
         Err(RelayStop::Upstream(_)) => {
             let upstream = response.guard.upstream();
             let stage = BreakStage::InResponse;
