Query the next keeper for a request's tries if the nearest one is late

Cause: suspected, not shown: one keeper was asked, for 20 ms, and a request without a reply is sent as unknown. Nothing in the log tells.

One function reads the replies of queries and records.

Evidence: tries_are_queried_from_another_keeper_if_the_nearest_does_not_reply; it passes before, too, since a keeper that was never reached fails at once.

--- a/crates/samphiregrade-gateway/src/exchange/outcome.rs
+++ b/crates/samphiregrade-gateway/src/exchange/outcome.rs
@@ -71,6 +71,8 @@
     pub sends: u32,
     /// Number of upstreams that were known to have ended under the request before its first send.
     pub ended: usize,
+    /// Whether no keeper replied whether upstreams have ended under the request.
+    pub tries_unknown: bool,
     /// Estimated load of the chosen upstream.
     pub load: f64,
     /// Estimated prompt tokens that the chosen upstream did not have in its cache.
@@ -136,6 +138,8 @@
     sends: u32,
     #[serde(skip_serializing_if = "is_zero")]
     ended: usize,
+    #[serde(skip_serializing_if = "std::ops::Not::not")]
+    tries_unknown: bool,
     load: f64,
     uncached: u32,
     slowdown: f64,
@@ -203,6 +207,7 @@
             origin: None,
             sends: 0,
             ended: 0,
+            tries_unknown: false,
             load: 0.0,
             uncached: 0,
             slowdown: 1.0,
@@ -259,6 +264,7 @@
             origin: self.origin.map(OriginSource::name),
             sends: self.sends,
             ended: self.ended,
+            tries_unknown: self.tries_unknown,
             load: (self.load * 10.0).round() / 10.0,
             uncached: self.uncached,
             slowdown: (self.slowdown * 100.0).round() / 100.0,
--- a/crates/samphiregrade-gateway/src/exchange/tries.rs
+++ b/crates/samphiregrade-gateway/src/exchange/tries.rs
@@ -4,6 +4,7 @@
 //! with the keepers before the request is sent, and its result after. The response of a client waits for the record of an end,
 //! so that its next attempt, at any entry, is decided with the record.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -49,6 +50,7 @@
     key: TryKey,
     /// What keepers have reported and this instance has seen.
     known: Mutex<ReportedTries>,
+    is_answered: AtomicBool,
     /// The try of this attempt.
     open: Mutex<Option<OpenTry>>,
 }
@@ -75,6 +77,7 @@
             tag,
             key: try_key(tag),
             known: Mutex::default(),
+            is_answered: AtomicBool::new(false),
             open: Mutex::default(),
         }
     }
@@ -87,10 +90,19 @@
             && let Some(reported) = keepers.query_tries(&self.key).await
         {
             self.accept(&reported);
+            self.is_answered.store(true, Ordering::Relaxed);
+        } else {
+            self.context.metrics.count_try("unanswered");
         }
         self.accept(&self.context.suspects.known(&self.key, Instant::now()));
     }
 
+    /// Returns whether a keeper has replied to the look-up.
+    #[must_use]
+    pub fn is_answered(&self) -> bool {
+        self.is_answered.load(Ordering::Relaxed)
+    }
+
     /// Returns whether an upstream has ended under the request, or may have.
     #[must_use]
     pub fn is_suspected(&self) -> bool {
--- a/crates/samphiregrade-gateway/src/fact/client/tries.rs
+++ b/crates/samphiregrade-gateway/src/fact/client/tries.rs
@@ -8,9 +8,12 @@
 use crate::fact::tries::{KnownTries, TryFact, TryKey};
 use tokio::sync::mpsc;
 
-/// Timeout of a query: several round trips within a region. A keeper that has just become unreachable delays a request by no
-/// more than this.
-const QUERY_TIMEOUT: Duration = Duration::from_millis(20);
+/// Time after which a query goes to the next keeper: several round trips within a region.
+const QUERY_TIMEOUT: Duration = Duration::from_millis(25);
+
+/// Longest time of the queries for one request. Keepers that have just become unreachable delay a request by no more than this;
+/// without a reply, a request may end an upstream more than allowed.
+const LOOK_UP_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// Timeout of a record: dozens of round trips. Keepers reply without waiting for their disks.
 const RECORD_TIMEOUT: Duration = Duration::from_millis(60);
@@ -46,23 +49,17 @@
             for slot in group {
                 let request = KeeperRequest::Tries(key.clone());
                 let reply = self.call(slot, &placement, request, QUERY_TIMEOUT).await;
-                let Some(KeeperReply::Tries {
-                    tries,
-                    kept_for,
-                    complete,
-                }) = reply
-                else {
+                let Some((known, complete)) = reply.and_then(reported_tries) else {
                     continue;
                 };
-                let replied = ReportedTries { tries, kept_for };
-                reported.get_or_insert_default().merge(&replied);
+                reported.get_or_insert_default().merge(&known);
                 if complete {
                     return;
                 }
             }
         };
         // A keeper that does not reply in time leaves what others have replied.
-        let _ = tokio::time::timeout(QUERY_TIMEOUT, querying).await;
+        let _ = tokio::time::timeout(LOOK_UP_TIMEOUT, querying).await;
         reported
     }
 
@@ -90,9 +87,7 @@
         }
         recorded
     }
-}
 
-impl KeeperClient {
     /// Records tries on the request's keepers in the background.
     pub fn note_tries(&self, key: &TryKey, tries: &KnownTries) {
         let fact = TryFact::new(key.clone(), tries.clone(), Duration::ZERO);
@@ -100,6 +95,18 @@
     }
 }
 
+/// Returns the tries that a reply reports, and whether its keeper has every fact.
+fn reported_tries(reply: KeeperReply) -> Option<(ReportedTries, bool)> {
+    match reply {
+        KeeperReply::Tries {
+            tries,
+            kept_for,
+            complete,
+        } => Some((ReportedTries { tries, kept_for }, complete)),
+        _ => None,
+    }
+}
+
 /// Merges the tries that keepers report, until a majority has replied and the complete keepers among them include a member of
 /// every majority.
 async fn collect_tries(
@@ -109,15 +116,10 @@
     let mut reported = ReportedTries::default();
     let (mut known_by, mut complete_replies) = (0, 0);
     while let Some(reply) = replies.recv().await {
-        let Some(KeeperReply::Tries {
-            tries,
-            kept_for,
-            complete,
-        }) = reply
-        else {
+        let Some((known, complete)) = reply.and_then(reported_tries) else {
             continue;
         };
-        reported.merge(&ReportedTries { tries, kept_for });
+        reported.merge(&known);
         known_by += 1;
         complete_replies += usize::from(complete);
         if known_by >= placement.majority() && complete_replies >= placement.read_quorum() {
--- a/crates/samphiregrade-gateway/tests/suite/keepers.rs
+++ b/crates/samphiregrade-gateway/tests/suite/keepers.rs
@@ -10,7 +10,8 @@
 use samphiregrade_gateway::fact::{
     ChainAnswer, ChainLookup, FactDisk, FactFailure, FactRecord, HelperAddress, KeeperClient,
     KeeperEnvelope, KeeperPlacement, KeeperReply, KeeperRequest, KeeperService, KeeperSlot,
-    Reservation, ReserveOutcome, rebuild_from_others,
+    KnownTries, ReportedTries, RequestTry, Reservation, ReserveOutcome, TryKey, TryState,
+    rebuild_from_others, try_key,
 };
 use samphiregrade_gateway::identity::{make_authority, make_identity};
 use samphiregrade_gateway::limits::LimitRule;
@@ -641,3 +642,46 @@
         () = expect_running(&placing, 1) => {}
     }
 }
+
+#[tokio::test]
+async fn tries_are_queried_from_another_keeper_if_the_nearest_does_not_reply() {
+    let mut deployment = Deployment::start().await;
+    let key = try_key(7);
+    let ended = KnownTries::from(RequestTry {
+        number: 1,
+        upstream: 1,
+        state: TryState::Ended,
+    });
+    let recorded = eventually_recorded(&deployment.client("b"), &key, &ended).await;
+    assert_eq!(recorded.tries.ended(), 1);
+    let silent = std::net::UdpSocket::bind("127.0.0.1:0").expect("a free port");
+    deployment.placement.slots[0].address = silent.local_addr().expect("an address");
+    let client = deployment.client("a");
+    let reported = tokio::time::timeout(TEST_TIMEOUT, async {
+        // A first connection to a keeper takes longer than a query may.
+        loop {
+            if let Some(reported) = client.query_tries(&key).await {
+                return reported;
+            }
+        }
+    });
+    assert_eq!(reported.await.expect("a reply").tries.ended(), 1);
+}
+
+/// Records tries, again while keepers confirm too late.
+async fn eventually_recorded(
+    client: &KeeperClient,
+    key: &TryKey,
+    tries: &KnownTries,
+) -> ReportedTries {
+    let recording = async {
+        loop {
+            if let Ok(recorded) = client.record_tries(key, tries.clone()).await {
+                return recorded;
+            }
+        }
+    };
+    tokio::time::timeout(TEST_TIMEOUT, recording)
+        .await
+        .expect("a confirmed record")
+}
