Log which process answers where an upstream broke a request off, and how many keepers a look-up heard

What callers saw: a request under which three upstreams had ended was sent to more. The logs told that an upstream is 'serving', not which process accepted the connection, and a look-up that heard one keeper looked like one that heard all.

Upstreams' responses are read for the id of the process, and a second after a break a health request asks who serves at the address (event 'upstream-survival': lives, replaced, refused or unknown). 'request' lines tell how many keepers reported (tries_heard, in place of tries_unknown). No decision rests on it yet.

--- a/crates/samphiregrade-gateway/src/exchange/attempt.rs
+++ b/crates/samphiregrade-gateway/src/exchange/attempt.rs
@@ -172,6 +172,9 @@
                 .map_err(SendFailure::upstream("sent an invalid response"))?;
             let metadata = self.context.dialect.response_metadata(&head);
             let own = &self.request.id;
+            let ran = !metadata.not_executed && head.status != 421;
+            let is_own_run = ran && metadata.request.as_ref() == Some(own);
+            self.upstream.record_sender(&metadata, is_own_run, sent_at);
             if metadata.request.as_ref().is_none_or(|id| id == own) {
                 return Ok(self.finish(head, &metadata, framing, sent_at));
             }
--- a/crates/samphiregrade-gateway/src/exchange/connection.rs
+++ b/crates/samphiregrade-gateway/src/exchange/connection.rs
@@ -344,7 +344,7 @@
     let preparing = prepare_turn(context, turn, turn_input, request.due, versions, looking_up);
     let prepared = admit_while_preparing(context, request, record, preparing).await?;
     record.ended = tries.ended();
-    record.tries_unknown = !tries.is_answered();
+    record.tries_heard = Some(tries.heard());
     tries.check()?;
     if let Some(prepared) = prepared? {
         request.body = prepared.body;
--- a/crates/samphiregrade-gateway/src/exchange/outcome.rs
+++ b/crates/samphiregrade-gateway/src/exchange/outcome.rs
@@ -71,8 +71,8 @@
     pub sends: u32,
     /// Number of upstreams that were known to have ended under the request before its first send.
     pub ended: usize,
-    /// Whether no keeper replied whether upstreams have ended under the request.
-    pub tries_unknown: bool,
+    /// Number of keepers that reported whether upstreams have ended under the request; `None` if none was queried.
+    pub tries_heard: Option<usize>,
     /// Estimated load of the chosen upstream.
     pub load: f64,
     /// Estimated prompt tokens that the chosen upstream did not have in its cache.
@@ -138,8 +138,8 @@
     sends: u32,
     #[serde(skip_serializing_if = "is_zero")]
     ended: usize,
-    #[serde(skip_serializing_if = "std::ops::Not::not")]
-    tries_unknown: bool,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    tries_heard: Option<usize>,
     load: f64,
     uncached: u32,
     slowdown: f64,
@@ -207,7 +207,7 @@
             origin: None,
             sends: 0,
             ended: 0,
-            tries_unknown: false,
+            tries_heard: None,
             load: 0.0,
             uncached: 0,
             slowdown: 1.0,
@@ -264,7 +264,7 @@
             origin: self.origin.map(OriginSource::name),
             sends: self.sends,
             ended: self.ended,
-            tries_unknown: self.tries_unknown,
+            tries_heard: self.tries_heard,
             load: (self.load * 10.0).round() / 10.0,
             uncached: self.uncached,
             slowdown: (self.slowdown * 100.0).round() / 100.0,
--- a/crates/samphiregrade-gateway/src/exchange/suspects.rs
+++ b/crates/samphiregrade-gateway/src/exchange/suspects.rs
@@ -54,6 +54,7 @@
             .map(|entry| ReportedTries {
                 tries: entry.tries(now),
                 kept_for: entry.kept_for(now),
+                heard: 0,
             })
             .unwrap_or_default()
     }
--- a/crates/samphiregrade-gateway/src/exchange/tries.rs
+++ b/crates/samphiregrade-gateway/src/exchange/tries.rs
@@ -4,7 +4,7 @@
 //! with the keepers before the request is sent, and its result after. The response of a client waits for the record of an end,
 //! so that its next attempt, at any entry, is decided with the record.
 
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -50,7 +50,8 @@
     key: TryKey,
     /// What keepers have reported and this instance has seen.
     known: Mutex<ReportedTries>,
-    is_answered: AtomicBool,
+    /// Number of keepers that have replied to the look-up.
+    heard: AtomicUsize,
     /// The try of this attempt.
     open: Mutex<Option<OpenTry>>,
 }
@@ -77,7 +78,7 @@
             tag,
             key: try_key(tag),
             known: Mutex::default(),
-            is_answered: AtomicBool::new(false),
+            heard: AtomicUsize::new(0),
             open: Mutex::default(),
         }
     }
@@ -89,18 +90,30 @@
         if let Some(keepers) = keepers
             && let Some(reported) = keepers.query_tries(&self.key).await
         {
+            self.heard.store(reported.heard, Ordering::Relaxed);
             self.accept(&reported);
-            self.is_answered.store(true, Ordering::Relaxed);
         } else {
             self.context.metrics.count_try("unanswered");
         }
         self.accept(&self.context.suspects.known(&self.key, Instant::now()));
     }
 
-    /// Returns whether a keeper has replied to the look-up.
+    /// Returns the state of the instance.
     #[must_use]
-    pub fn is_answered(&self) -> bool {
-        self.is_answered.load(Ordering::Relaxed)
+    pub fn context(&self) -> &Arc<EntryContext> {
+        &self.context
+    }
+
+    /// Returns the hash of what the client repeats with each attempt.
+    #[must_use]
+    pub fn tag(&self) -> RequestTag {
+        self.tag
+    }
+
+    /// Returns the number of keepers that have replied to the look-up.
+    #[must_use]
+    pub fn heard(&self) -> usize {
+        self.heard.load(Ordering::Relaxed)
     }
 
     /// Returns whether an upstream has ended under the request, or may have.
@@ -224,6 +237,7 @@
         let noted = ReportedTries {
             tries: tries.clone(),
             kept_for: TRY_RETENTION,
+            heard: 0,
         };
         self.accept(&noted);
         self.context.suspects.add(&self.key, tries, Instant::now());
--- a/crates/samphiregrade-gateway/src/fact/client/tries.rs
+++ b/crates/samphiregrade-gateway/src/fact/client/tries.rs
@@ -25,6 +25,8 @@
     pub tries: KnownTries,
     /// Time after which they are forgotten.
     pub kept_for: Duration,
+    /// Number of keepers that have replied.
+    pub heard: usize,
 }
 
 impl ReportedTries {
@@ -32,6 +34,7 @@
     pub fn merge(&mut self, other: &Self) {
         self.tries.merge(&other.tries);
         self.kept_for = self.kept_for.max(other.kept_for);
+        self.heard += other.heard;
     }
 }
 
@@ -102,7 +105,14 @@
             tries,
             kept_for,
             complete,
-        } => Some((ReportedTries { tries, kept_for }, complete)),
+        } => {
+            let reported = ReportedTries {
+                tries,
+                kept_for,
+                heard: 1,
+            };
+            Some((reported, complete))
+        }
         _ => None,
     }
 }
--- a/crates/samphiregrade-gateway/src/model/configuration.rs
+++ b/crates/samphiregrade-gateway/src/model/configuration.rs
@@ -101,6 +101,8 @@
     pub name: ServiceName,
     /// Maximum number of connections that one upstream accepts, from all callers together.
     pub connection_limit: u32,
+    /// Path at which an upstream responds with its id; `None` if it has none.
+    pub health_path: Option<SmolStr>,
     /// Set if the upstreams are engines.
     pub engine: Option<EngineRecord>,
 }
--- a/crates/samphiregrade-gateway/src/model/metadata.rs
+++ b/crates/samphiregrade-gateway/src/model/metadata.rs
@@ -79,6 +79,8 @@
 pub struct ResponseMetadata {
     /// Id of the request.
     pub request: Option<RequestId>,
+    /// Id of the upstream that responds, if it states it.
+    pub upstream: Option<UpstreamId>,
     /// Whether the upstream states that it did not run the request.
     pub not_executed: bool,
     /// Load of the upstream.
--- a/crates/samphiregrade-gateway/src/upstream/mod.rs
+++ b/crates/samphiregrade-gateway/src/upstream/mod.rs
@@ -21,6 +21,7 @@
 mod speed;
 mod speed_board;
 mod speed_estimate;
+mod survival;
 
 pub use affinity::{
     AffinityGain, AffinityPlan, AffinityRole, AffinitySample, MAX_GAIN, ObjectTag, UnixSeconds,
@@ -50,3 +51,4 @@
 pub use silence::{ResponseMonitor, WaitNumber};
 pub use speed::{KnownSpeed, SampleSource, SpeedReport, SpeedSample, SpeedTable, UpstreamSpeed};
 pub use speed_board::SpeedBoard;
+pub use survival::{LifeEvidence, LifeQuery, LifeSign};
--- a/crates/samphiregrade-gateway/src/upstream/peer.rs
+++ b/crates/samphiregrade-gateway/src/upstream/peer.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use samphiregrade_http::wire::{SocketLimits, WireSocket};
@@ -15,6 +15,7 @@
 use super::outcome_board::OutcomeTracker;
 use super::outcomes::Outcome;
 use super::silence::{ResponseMonitor, WaitNumber};
+use super::survival::LifeEvidence;
 use crate::hold::lock_ignoring_poison;
 use crate::model::{
     DomainId, PromptPart, ReportedLoad, SoftwareTag, UpstreamRecord, UpstreamTag, name_tag,
@@ -90,6 +91,8 @@
     domain_monitor: Arc<DomainMonitor>,
     /// Newest examination after a request was broken off; locked while one is under way.
     examination: tokio::sync::Mutex<Option<Examination>>,
+    /// What responses have shown of the process.
+    evidence: Mutex<LifeEvidence>,
 }
 
 /// Response monitor that all upstreams of a failure domain share: if none of them responds, the network path to the
@@ -119,6 +122,7 @@
             monitor: Mutex::default(),
             domain_monitor,
             examination: tokio::sync::Mutex::default(),
+            evidence: Mutex::default(),
         }
     }
 
@@ -126,6 +130,10 @@
         &self.examination
     }
 
+    pub(super) fn evidence(&self) -> MutexGuard<'_, LifeEvidence> {
+        lock_ignoring_poison(&self.evidence)
+    }
+
     /// Sets whether the upstream is draining.
     pub fn set_draining(&self, draining: bool) {
         self.draining.store(draining, Ordering::Relaxed);
