Settle a doubt about an upstream only by a response that names its process

What callers saw: a request under which three upstreams had ended was sent to more.

Cause: an upstream that broke off a request counted as one that lives if its address accepted a connection some milliseconds later, or if its record was gone. A successor accepts connections too, a process may end after it has closed one, and records lapse when a process has ended.

Change: such a try is 'doubted', recorded before the client's response ends, and counts. From a second later on the upstream is examined: a response that names the process, or one to a request that was addressed to it, shows that it lives; one that names another process, or a refusal of connections, that it has ended. An end is planned only if it was announced at least half the drain time before.

--- a/crates/samphiregrade-gateway/src/exchange/broken.rs
+++ b/crates/samphiregrade-gateway/src/exchange/broken.rs
@@ -1,7 +1,7 @@
 //! Examines upstreams that broke off a request, and reports and records the cause.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use serde::Serialize;
 use smol_str::SmolStr;
@@ -10,10 +10,7 @@
 use super::outcome::{RequestRecord, format_tag};
 use super::request::RoutedRequest;
 use crate::observe::Logbook;
-use crate::upstream::{BreakCause, LifeQuery, Upstream};
-
-/// Time after which it is looked up whether an upstream that broke off a request lives.
-const SURVIVAL_DELAY: Duration = Duration::from_secs(1);
+use crate::upstream::{BreakCause, Upstream};
 
 /// How far a request had come when its upstream broke it off.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -44,16 +41,6 @@
     examined_ms: f64,
 }
 
-#[derive(Serialize)]
-struct SurvivalLine<'line> {
-    request: &'line str,
-    request_tag: SmolStr,
-    upstream: &'line str,
-    cause: &'static str,
-    sign: &'static str,
-    after_ms: u128,
-}
-
 /// Finds out why an upstream broke off a request, and records it for the next tries of the request.
 pub(super) async fn record_break(
     context: &EntryContext,
@@ -75,44 +62,6 @@
         examined_ms: broke_at.elapsed().as_secs_f64() * 1000.0,
     };
     Logbook::global().record("upstream-break", &line);
-    request.tries.end(upstream, cause).await;
-    if cause != BreakCause::Ended {
-        log_survival_later(request, upstream, cause, broke_at);
-    }
+    request.tries.end(upstream, cause, broke_at).await;
     cause
 }
-
-/// Logs after a while whether the process of an upstream that broke off a request lives.
-fn log_survival_later(
-    request: &RoutedRequest,
-    upstream: &Arc<Upstream>,
-    cause: BreakCause,
-    broke_at: Instant,
-) {
-    let context = request.tries.context().clone();
-    let Some(slot) = context.suspects.take_examination_slot() else {
-        return;
-    };
-    let (id, tag) = (request.id.clone(), request.tries.tag());
-    let service = request.service.clone();
-    let upstream = upstream.clone();
-    tokio::spawn(async move {
-        tokio::time::sleep(SURVIVAL_DELAY).await;
-        let _slot = slot;
-        let query = LifeQuery {
-            dialect: &*context.dialect,
-            health_path: service.health_path.as_deref(),
-            since: broke_at + SURVIVAL_DELAY,
-        };
-        let sign = upstream.query_life(&query).await;
-        let line = SurvivalLine {
-            request: &id,
-            request_tag: format_tag(tag),
-            upstream: &upstream.record.id,
-            cause: cause.name(),
-            sign: sign.name(),
-            after_ms: broke_at.elapsed().as_millis(),
-        };
-        Logbook::global().record("upstream-survival", &line);
-    });
-}
--- a/crates/samphiregrade-gateway/src/exchange/connection.rs
+++ b/crates/samphiregrade-gateway/src/exchange/connection.rs
@@ -184,7 +184,12 @@
         let is_turn = route.kind == RequestKind::Streaming;
         let tag = request_tag(&caller, &head, &metadata, &body);
         record.tag = Some(tag);
-        let tries = RequestTries::new(self.context.clone(), record.request.clone(), tag);
+        let tries = RequestTries::new(
+            self.context.clone(),
+            record.request.clone(),
+            tag,
+            service.clone(),
+        );
         let request = RoutedRequest {
             tries: Arc::new(tries),
             id: record.request.clone(),
--- a/crates/samphiregrade-gateway/src/exchange/dispatch.rs
+++ b/crates/samphiregrade-gateway/src/exchange/dispatch.rs
@@ -116,7 +116,10 @@
                 record_failure(&upstream, false, &reason);
                 context.metrics.count_send("unreachable");
                 record.add_detail(&reason);
-                request.tries.leave_unresolved(&upstream);
+                let ending = request
+                    .tries
+                    .end(&upstream, BreakCause::Unreachable, Instant::now());
+                Box::pin(ending).await;
                 may_have_run = true;
             }
         }
@@ -130,15 +133,12 @@
     Err(final_refusal(request, record, may_have_run, retry_after))
 }
 
-/// Records a try of a suspected request before the request is sent; fails if the request must not be sent.
+/// Begins a try before the request is sent; fails if the request must not be sent.
 async fn begin_try(
     request: &RoutedRequest,
     upstream: &Arc<Upstream>,
     may_have_run: bool,
 ) -> Result<(), Refusal> {
-    if !request.tries.is_suspected() {
-        return Ok(());
-    }
     let beginning = Box::pin(request.tries.begin(upstream));
     beginning.await.map_err(|refusal| {
         if may_have_run && !refusal.reason.may_have_run() {
--- a/crates/samphiregrade-gateway/src/exchange/relay.rs
+++ b/crates/samphiregrade-gateway/src/exchange/relay.rs
@@ -18,7 +18,7 @@
 use super::request::RoutedRequest;
 use super::turn::TurnPlan;
 use crate::model::{RequestKind, UpstreamRecord};
-use crate::upstream::{AnsweredRequest, Outcome, SampleSource, SpeedSample, run_work};
+use crate::upstream::{AnsweredRequest, BreakCause, Outcome, SampleSource, SpeedSample, run_work};
 
 /// Time without data after which a response is abandoned if the network path to its upstream was found to be broken: a
 /// lost packet is resent within this time, and callers wait about two seconds before they disconnect.
@@ -161,7 +161,13 @@
             let stage = BreakStage::InResponse;
             Box::pin(record_break(context, request, record, upstream, stage)).await;
         }
-        Err(RelayStop::Path) => request.tries.leave_unresolved(response.guard.upstream()),
+        Err(RelayStop::Path) => {
+            let upstream = response.guard.upstream();
+            let ending = request
+                .tries
+                .end(upstream, BreakCause::Unreachable, Instant::now());
+            Box::pin(ending).await;
+        }
         // What becomes of the upstream is examined when the request is dropped.
         Err(_) => {}
     }
--- a/crates/samphiregrade-gateway/src/exchange/tries.rs
+++ b/crates/samphiregrade-gateway/src/exchange/tries.rs
@@ -8,34 +8,19 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use serde::Serialize;
-use smol_str::SmolStr;
-
 use super::context::EntryContext;
-use super::outcome::format_tag;
+use super::examination::TryExamination;
 use super::refusal::{Refusal, RefusalReason};
-use crate::fact::{
-    KnownTries, ReportedTries, RequestTry, TRY_RETENTION, TryDecision, TryKey, TryState, try_key,
-};
+use super::try_record::TryRecorder;
+use crate::fact::{KnownTries, ReportedTries, RequestTry, TRY_RETENTION, TryDecision, TryState};
 use crate::hold::lock_ignoring_poison;
-use crate::model::{RequestId, RequestTag};
-use crate::observe::Logbook;
+use crate::model::{RequestId, RequestTag, ServiceRecord};
 use crate::upstream::{BreakCause, Upstream};
 
-/// Time after which the upstream of a try is examined whose result was not seen: an upstream that the request ends has ended
-/// by then, or has dropped the request because its connection was closed. The pause doubles while its host does not reply.
-const EXAMINATION_DELAY: Duration = Duration::from_millis(500);
-
-/// Number of examinations of one try: together they take longer than most interruptions of a path.
-const EXAMINATIONS: u32 = 5;
-
-/// Age up to which the result of an examination is used for other tries at the same upstream.
-const EXAMINATION_AGE: Duration = Duration::from_millis(250);
-
 /// Retry-After time of a request whose earlier tries are unresolved.
 const UNRESOLVED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// A recorded try that is in flight.
+/// A try that is in flight.
 struct OpenTry {
     upstream: Arc<Upstream>,
     recorded: RequestTry,
@@ -43,11 +28,9 @@
 
 /// The tries of one request at this and other entries.
 pub struct RequestTries {
-    context: Arc<EntryContext>,
-    /// Id of this attempt.
-    request: RequestId,
-    tag: RequestTag,
-    key: TryKey,
+    recorder: TryRecorder,
+    /// Service of the request.
+    service: Arc<ServiceRecord>,
     /// What keepers have reported and this instance has seen.
     known: Mutex<ReportedTries>,
     /// Number of keepers that have replied to the look-up.
@@ -56,27 +39,18 @@
     open: Mutex<Option<OpenTry>>,
 }
 
-#[derive(Serialize)]
-struct TryLine<'line> {
-    request: &'line str,
-    request_tag: SmolStr,
-    #[serde(skip_serializing_if = "Option::is_none")]
-    upstream: Option<&'line str>,
-    decision: &'static str,
-    ended: usize,
-    open: usize,
-    kept_ms: u128,
-}
-
 impl RequestTries {
     /// Returns the tries of a request of which nothing has been looked up yet.
     #[must_use]
-    pub fn new(context: Arc<EntryContext>, request: RequestId, tag: RequestTag) -> Self {
+    pub fn new(
+        context: Arc<EntryContext>,
+        request: RequestId,
+        tag: RequestTag,
+        service: Arc<ServiceRecord>,
+    ) -> Self {
         Self {
-            context,
-            request,
-            tag,
-            key: try_key(tag),
+            recorder: TryRecorder::new(context, request, tag),
+            service,
             known: Mutex::default(),
             heard: AtomicUsize::new(0),
             open: Mutex::default(),
@@ -86,28 +60,17 @@
     /// Looks up which upstreams have ended under the request. Without a reply of a keeper, what this instance has seen itself
     /// counts.
     pub async fn look_up(&self) {
-        let keepers = self.context.keepers.load_full();
+        let TryRecorder { context, key, .. } = &self.recorder;
+        let keepers = context.keepers.load_full();
         if let Some(keepers) = keepers
-            && let Some(reported) = keepers.query_tries(&self.key).await
+            && let Some(reported) = keepers.query_tries(key).await
         {
             self.heard.store(reported.heard, Ordering::Relaxed);
             self.accept(&reported);
         } else {
-            self.context.metrics.count_try("unanswered");
+            context.metrics.count_try("unanswered");
         }
-        self.accept(&self.context.suspects.known(&self.key, Instant::now()));
-    }
-
-    /// Returns the state of the instance.
-    #[must_use]
-    pub fn context(&self) -> &Arc<EntryContext> {
-        &self.context
-    }
-
-    /// Returns the hash of what the client repeats with each attempt.
-    #[must_use]
-    pub fn tag(&self) -> RequestTag {
-        self.tag
+        self.accept(&context.suspects.known(key, Instant::now()));
     }
 
     /// Returns the number of keepers that have replied to the look-up.
@@ -147,12 +110,15 @@
         }
     }
 
-    /// Records a try of a suspected request before the request is sent.
+    /// Begins a try before the request is sent; that of a suspected request is recorded.
     ///
     /// # Errors
     ///
     /// The refusal if the request must not be sent.
     pub async fn begin(&self, upstream: &Arc<Upstream>) -> Result<(), Refusal> {
+        if !self.is_suspected() {
+            return Ok(());
+        }
         let recorded = RequestTry {
             number: rand::random(),
             upstream: upstream.start_tag,
@@ -177,28 +143,18 @@
         checked
     }
 
-    /// Records what became of an upstream that broke off the request.
-    pub async fn end(&self, upstream: &Arc<Upstream>, cause: BreakCause) {
-        match cause {
-            BreakCause::Ended => {}
-            BreakCause::Leaving | BreakCause::Serving => return self.settle(),
-            BreakCause::Unreachable => return self.leave_unresolved(upstream),
-        }
-        let ended = self.take_open(upstream, TryState::Ended);
-        self.record(ended.into()).await;
-        self.log("ended", Some(upstream));
-    }
-
-    /// Records that the host of an upstream stopped replying while the upstream ran the request, and examines it until it
-    /// replies.
-    pub fn leave_unresolved(&self, upstream: &Arc<Upstream>) {
-        let unresolved = self.take_open(upstream, TryState::Unresolved);
-        self.record_in_background(&unresolved.into());
-        self.log("unresolved", Some(upstream));
-        self.examine_later(OpenTry {
-            upstream: upstream.clone(),
-            recorded: unresolved,
-        });
+    /// Records what is known of an upstream that broke off the request at `broke_at`, and examines it later.
+    pub async fn end(&self, upstream: &Arc<Upstream>, cause: BreakCause, broke_at: Instant) {
+        let (state, name) = match cause {
+            BreakCause::Ended => (TryState::Ended, "ended"),
+            BreakCause::Serving => (TryState::Doubted, "doubted"),
+            BreakCause::Unreachable => (TryState::Unresolved, "unresolved"),
+            BreakCause::Leaving => return self.settle(),
+        };
+        let recorded = self.take_open(upstream, state);
+        self.record(recorded.into()).await;
+        self.log(name, Some(upstream));
+        self.examine(upstream.clone(), recorded, broke_at);
     }
 
     /// Records that the try in flight, if there is one, has not ended its upstream.
@@ -232,35 +188,27 @@
         lock_ignoring_poison(&self.known).merge(reported);
     }
 
-    /// Adds tries to what this instance knows.
-    fn note(&self, tries: &KnownTries) {
-        let noted = ReportedTries {
+    fn accept_own(&self, tries: &KnownTries) {
+        self.accept(&ReportedTries {
             tries: tries.clone(),
             kept_for: TRY_RETENTION,
             heard: 0,
-        };
-        self.accept(&noted);
-        self.context.suspects.add(&self.key, tries, Instant::now());
+        });
     }
 
     /// Records tries here and with the keepers; resolves to whether a majority of the keepers has them.
     async fn record(&self, tries: KnownTries) -> bool {
-        self.note(&tries);
-        let Some(keepers) = self.context.keepers.load_full() else {
-            return false;
-        };
-        let recorded = keepers.record_tries(&self.key, tries).await;
-        if let Ok(reported) = &recorded {
+        self.accept_own(&tries);
+        let reported = self.recorder.record(tries).await;
+        if let Some(reported) = &reported {
             self.accept(reported);
         }
-        recorded.is_ok()
+        reported.is_some()
     }
 
     fn record_in_background(&self, tries: &KnownTries) {
-        self.note(tries);
-        if let Some(keepers) = self.context.keepers.load_full() {
-            keepers.note_tries(&self.key, tries);
-        }
+        self.accept_own(tries);
+        self.recorder.record_in_background(tries);
     }
 
     /// Ends the try in flight, or makes one up for a request that was not suspected when it was sent.
@@ -273,30 +221,15 @@
         }
     }
 
-    /// Examines the upstream of a try later, and records the result. While its host does not reply, the try is left as it is.
-    fn examine_later(&self, open: OpenTry) {
-        let Some(slot) = self.context.suspects.take_examination_slot() else {
-            return;
+    fn examine(&self, upstream: Arc<Upstream>, recorded: RequestTry, broke_at: Instant) {
+        let examination = TryExamination {
+            recorder: self.recorder.clone(),
+            service: self.service.clone(),
+            upstream,
+            recorded,
+            broke_at,
         };
-        let later = Self::new(self.context.clone(), self.request.clone(), self.tag);
-        later.accept(&lock_ignoring_poison(&self.known));
-        tokio::spawn(async move {
-            let _slot = slot;
-            let upstream = open.upstream.clone();
-            *lock_ignoring_poison(&later.open) = Some(open);
-            for round in 0..EXAMINATIONS {
-                tokio::time::sleep(EXAMINATION_DELAY * 2_u32.pow(round)).await;
-                let now = Instant::now();
-                let since = now.checked_sub(EXAMINATION_AGE).unwrap_or(now);
-                let cause = upstream.examine_break(since).await;
-                if cause != BreakCause::Unreachable {
-                    later.context.metrics.count_break(cause);
-                    return later.end(&upstream, cause).await;
-                }
-            }
-            // Otherwise, dropping the tries would examine the upstream again.
-            lock_ignoring_poison(&later.open).take();
-        });
+        examination.start();
     }
 
     fn refuse_occupied(&self) -> Refusal {
@@ -315,19 +248,9 @@
         reason.into()
     }
 
-    fn log(&self, decision: &'static str, upstream: Option<&Arc<Upstream>>) {
-        self.context.metrics.count_try(decision);
+    fn log(&self, decision: &'static str, upstream: Option<&Upstream>) {
         let known = lock_ignoring_poison(&self.known);
-        let line = TryLine {
-            request: &self.request,
-            request_tag: format_tag(self.tag),
-            upstream: upstream.map(|upstream| upstream.record.id.as_str()),
-            decision,
-            ended: known.tries.ended(),
-            open: known.tries.open(),
-            kept_ms: known.kept_for.as_millis(),
-        };
-        Logbook::global().record("request-try", &line);
+        self.recorder.log(decision, upstream, &known);
     }
 }
 
@@ -336,7 +259,7 @@
     fn drop(&mut self) {
         let open = lock_ignoring_poison(&self.open).take();
         if let Some(open) = open {
-            self.examine_later(open);
+            self.examine(open.upstream, open.recorded, Instant::now());
         }
     }
 }
--- a/crates/samphiregrade-gateway/src/fact/tries.rs
+++ b/crates/samphiregrade-gateway/src/fact/tries.rs
@@ -38,8 +38,8 @@
     format_smolstr!("\u{1}{request:016x}")
 }
 
-/// What became of the upstream of a try. Of two reports on one try the later value holds.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+/// What became of the upstream of a try.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum TryState {
     /// The request may be running.
     Open,
@@ -49,6 +49,21 @@
     Ended,
     /// The upstream has not ended, or a later try has shown that the request does not end upstreams.
     Harmless,
+    /// The upstream has broken off the request, or its result was not seen: whether the process lives is not known yet.
+    Doubted,
+}
+
+impl TryState {
+    /// Returns the order of the states: of two reports on one try the one with the higher rank holds.
+    fn rank(self) -> u8 {
+        match self {
+            Self::Open => 0,
+            Self::Unresolved => 1,
+            Self::Doubted => 2,
+            Self::Ended => 3,
+            Self::Harmless => 4,
+        }
+    }
 }
 
 /// A try to run a request.
@@ -95,9 +110,11 @@
     pub fn add(&mut self, added: RequestTry) -> bool {
         let known = self.0.iter_mut().find(|known| known.number == added.number);
         if let Some(known) = known {
-            let before = known.state;
-            known.state = before.max(added.state);
-            return known.state != before;
+            let is_newer = added.state.rank() > known.state.rank();
+            if is_newer {
+                known.state = added.state;
+            }
+            return is_newer;
         }
         self.0.push(added);
         if self.0.len() > KEPT_TRIES {
@@ -108,7 +125,8 @@
 
     /// Drops the tries that no decision needs: harmless ones, and all but one of each upstream.
     fn compact(&mut self) {
-        self.0.sort_by_key(|known| std::cmp::Reverse(known.state));
+        self.0
+            .sort_by_key(|known| std::cmp::Reverse(known.state.rank()));
         let mut upstreams = HashSet::new();
         self.0
             .retain(|known| known.state != TryState::Harmless && upstreams.insert(known.upstream));
@@ -186,7 +204,10 @@
 }
 
 fn is_suspicious(known: &RequestTry) -> bool {
-    matches!(known.state, TryState::Ended | TryState::Unresolved)
+    matches!(
+        known.state,
+        TryState::Doubted | TryState::Ended | TryState::Unresolved
+    )
 }
 
 fn is_other(known: &RequestTry, own: Option<TryNumber>) -> bool {
--- a/crates/samphiregrade-gateway/src/observe/metrics.rs
+++ b/crates/samphiregrade-gateway/src/observe/metrics.rs
@@ -8,7 +8,7 @@
 use prometheus::{Encoder, Registry, TextEncoder};
 
 use crate::exchange::OriginSource;
-use crate::upstream::BreakCause;
+use crate::upstream::{BreakCause, LifeSign};
 
 /// Bucket bounds of the latency histograms in milliseconds: from the overhead of relaying to the longest deadline.
 const LATENCY_BOUNDS: [f64; 12] = [
@@ -42,6 +42,7 @@
     responses: Counter<u64>,
     breaks: Counter<u64>,
     tries: Counter<u64>,
+    survivals: Counter<u64>,
     origins: Counter<u64>,
     store_calls: Counter<u64>,
     keeper_calls: Counter<u64>,
@@ -99,6 +100,10 @@
                 .u64_counter("samphiregrade_request_tries")
                 .with_description("Decisions on requests under which upstreams have ended")
                 .build(),
+            survivals: meter
+                .u64_counter("samphiregrade_upstream_survivals")
+                .with_description("Examinations of upstreams that broke off a request, by result")
+                .build(),
             origins: meter
                 .u64_counter("samphiregrade_stream_origins")
                 .with_description("Streams that can be taken up again, by source of their version")
@@ -173,6 +178,12 @@
         self.tries.add(1, &[KeyValue::new("decision", decision)]);
     }
 
+    /// Counts an examination of an upstream that broke off a request.
+    pub fn count_survival(&self, sign: LifeSign) {
+        let label = KeyValue::new("sign", sign.name());
+        self.survivals.add(1, &[label]);
+    }
+
     /// Counts a stream that can be taken up again, by how the version of its upstream is known.
     pub fn count_origin(&self, source: Option<OriginSource>) {
         if let Some(source) = source {
--- a/crates/samphiregrade-gateway/src/upstream/break_cause.rs
+++ b/crates/samphiregrade-gateway/src/upstream/break_cause.rs
@@ -1,4 +1,4 @@
-//! Finds out why an upstream broke off a request: whether its process has ended, or only the run or its connection.
+//! Finds out at once why an upstream broke off a request: whether its process has ended, as far as its address shows it.
 
 use std::io;
 use std::time::{Duration, Instant};
@@ -24,9 +24,9 @@
 pub enum BreakCause {
     /// The process has ended without notice: nothing listens at its address, and no connection to it is open.
     Ended,
-    /// The upstream was leaving: it had announced its end, or its record was gone.
+    /// The upstream had announced its end, and had served for as long as it has to after that.
     Leaving,
-    /// The upstream accepts connections: only the run or its connection ended.
+    /// Connections to the upstream's address are accepted, by its process or by another one.
     Serving,
     /// The upstream's host does not reply: the network path may be interrupted.
     Unreachable,
@@ -56,7 +56,7 @@
     /// Finds out why the upstream broke off a request at `broke_at`. An upstream that breaks off many requests at once is
     /// examined once.
     pub async fn examine_break(&self, broke_at: Instant) -> BreakCause {
-        if self.is_leaving() {
+        if self.has_announced_end(broke_at) {
             return BreakCause::Leaving;
         }
         let mut newest = self.examination().lock().await;
--- a/crates/samphiregrade-gateway/src/upstream/directory.rs
+++ b/crates/samphiregrade-gateway/src/upstream/directory.rs
@@ -20,9 +20,15 @@
 /// Share of the drain time for which an upstream without a record may still be used as a last resort.
 const DEPARTURE_SHARE: f64 = 0.5;
 
-/// How long an upstream is kept after its record was removed.
+/// Share of the drain time before which an upstream that has announced its end does not end as planned. The rest allows for
+/// news that arrives late.
+const ANNOUNCED_SHARE: f64 = 0.5;
+
+/// How long an upstream serves after it has announced its end, and is kept after its record was removed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct DepartureRule {
+    /// Time after the announcement of its end for which an upstream serves at least.
+    pub announced_time: Duration,
     /// Delay while the key-value service is available.
     pub normal_delay: Duration,
     /// Delay after an outage of the key-value service.
@@ -34,6 +40,7 @@
     #[must_use]
     pub fn for_drain(drain: Duration) -> Self {
         Self {
+            announced_time: drain.mul_f64(ANNOUNCED_SHARE),
             normal_delay: drain.mul_f64(DEPARTURE_SHARE),
             outage_delay: REREGISTRATION_TIME,
         }
@@ -140,6 +147,7 @@
         if !known.record.is_same_start(&record) {
             log_upstream("upstream-started-again", &record);
             known.set_draining(true);
+            known.record_replacement();
             self.add(record, now);
             return true;
         }
@@ -147,6 +155,7 @@
         known.set_departed(false);
         if known.takes_requests() == draining {
             known.set_draining(draining);
+            known.set_announced_end(draining.then_some(now + self.rule.announced_time));
             let event = if draining {
                 "upstream-draining"
             } else {
@@ -163,6 +172,7 @@
         let draining = record.state == UpstreamState::Draining;
         let upstream = Upstream::new(record, domain.clone(), now);
         upstream.set_draining(draining);
+        upstream.set_announced_end(draining.then_some(now + self.rule.announced_time));
         self.known
             .insert(upstream.record.id.clone(), Arc::new(upstream));
     }
--- a/crates/samphiregrade-gateway/src/upstream/peer.rs
+++ b/crates/samphiregrade-gateway/src/upstream/peer.rs
@@ -81,6 +81,8 @@
     pub software: SoftwareTag,
     draining: AtomicBool,
     departed: AtomicBool,
+    /// When the upstream may end as it has announced.
+    announced_end: Mutex<Option<Instant>>,
     in_flight: AtomicU32,
     cold_until: Instant,
     report: Mutex<Option<LoadReport>>,
@@ -114,6 +116,7 @@
             record,
             draining: AtomicBool::new(false),
             departed: AtomicBool::new(false),
+            announced_end: Mutex::default(),
             in_flight: AtomicU32::new(0),
             report: Mutex::default(),
             idle: Mutex::default(),
@@ -150,10 +153,16 @@
         !self.draining.load(Ordering::Relaxed)
     }
 
-    /// Returns whether the upstream has announced its end, or its record was removed.
+    /// Sets when the upstream may end as it has announced; `None` if it has not announced its end.
+    pub fn set_announced_end(&self, end: Option<Instant>) {
+        *lock_ignoring_poison(&self.announced_end) = end;
+    }
+
+    /// Returns whether an end at a time is one that the upstream has announced. A record that is gone announces nothing: it
+    /// also lapses when the process has ended, and in outages of the key-value service.
     #[must_use]
-    pub fn is_leaving(&self) -> bool {
-        self.draining.load(Ordering::Relaxed) || self.departed.load(Ordering::Relaxed)
+    pub fn has_announced_end(&self, at: Instant) -> bool {
+        lock_ignoring_poison(&self.announced_end).is_some_and(|end| at >= end)
     }
 
     /// Returns whether the upstream's breaker is closed.
--- a/crates/samphiregrade-gateway/src/upstream/survival.rs
+++ b/crates/samphiregrade-gateway/src/upstream/survival.rs
@@ -119,7 +119,12 @@
                 self.record_sender(&metadata, false, asked_at);
                 self.evidence().sign_since(query.since)
             }
-            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => LifeSign::Refused,
+            // A full upstream may refuse connections while others are open.
+            Ok(Err(error))
+                if error.kind() == io::ErrorKind::ConnectionRefused && !self.has_open_idle() =>
+            {
+                LifeSign::Refused
+            }
             Ok(Err(_)) | Err(_) => LifeSign::Unknown,
         }
     }
