Count sends whose result nobody sees

What callers saw: a request under which three upstreams had ended was sent to more. With stand-ins: 8 ended where each answers with status 500 before it ends, and more than 3 where the client leaves before.

Cause: a first send was followed only while its entry waited for the response. If the client left or the deadline passed, nobody looked at the upstream; and any complete response, also a failure, voided the ends before it.

Change: every send is a try in flight from the moment before its first byte. One without a result is doubted, recorded and examined like one that was broken off. Only a complete response with a status of success shows that a request ends nothing. The record of a further try is made after the connection is open, right before the send.

--- a/crates/samphiregrade-gateway/src/exchange/attempt.rs
+++ b/crates/samphiregrade-gateway/src/exchange/attempt.rs
@@ -9,7 +9,7 @@
 use super::admission::identify;
 use super::context::EntryContext;
 use super::outcome::RequestRecord;
-use super::refusal::RefusalReason;
+use super::refusal::Refusal;
 use super::request::RoutedRequest;
 use super::survey::RunGuard;
 use crate::access::CallerIdentity;
@@ -69,8 +69,8 @@
     Responded(Box<LiveResponse>),
     /// Nothing was sent.
     NotSent(String),
-    /// The caller is no longer allowed to make the request; nothing was sent.
-    Withdrawn(RefusalReason),
+    /// The request must not be sent: the caller is no longer allowed to make it, or too many upstreams may end under it.
+    Withdrawn(Box<Refusal>),
     /// The upstream reports that it did not run the request.
     NotExecuted(u16, Option<Duration>),
     /// The upstream failed; the request may have run.
@@ -116,7 +116,10 @@
     };
     // The request may have waited, or the machine may have been suspended, since the last check.
     if let Err(reason) = identify(context, &request.route, &request.metadata.credential) {
-        return AttemptOutcome::Withdrawn(reason);
+        return AttemptOutcome::Withdrawn(Box::new(reason.into()));
+    }
+    if let Err(refusal) = Box::pin(request.tries.begin(upstream)).await {
+        return AttemptOutcome::Withdrawn(Box::new(refusal));
     }
     record.sends += 1;
     record.before_send.get_or_insert(request.started.elapsed());
--- a/crates/samphiregrade-gateway/src/exchange/broken.rs
+++ b/crates/samphiregrade-gateway/src/exchange/broken.rs
@@ -62,6 +62,6 @@
         examined_ms: broke_at.elapsed().as_secs_f64() * 1000.0,
     };
     Logbook::global().record("upstream-break", &line);
-    request.tries.end(upstream, cause, broke_at).await;
+    request.tries.end(cause, broke_at).await;
     cause
 }
--- a/crates/samphiregrade-gateway/src/exchange/dispatch.rs
+++ b/crates/samphiregrade-gateway/src/exchange/dispatch.rs
@@ -57,11 +57,15 @@
         tried.push(upstream.clone());
         record.upstream = upstream.record.id.clone();
         record.software = upstream.record.software.clone();
-        begin_try(request, &upstream, may_have_run).await?;
         let sends_before = record.sends;
         let sending = attempt(context, request, &chosen, record);
         let Ok(outcome) = tokio::time::timeout_at(request.due.into(), sending).await else {
             may_have_run |= record.sends > sends_before;
+            if record.sends > sends_before {
+                request.tries.abandon();
+            } else {
+                request.tries.settle();
+            }
             record_failure(&upstream, false, "no response in time");
             context.metrics.count_send("late");
             record.add_detail("no response in time");
@@ -81,14 +85,13 @@
                 context.metrics.count_send("not-sent");
                 record.add_detail(&reason);
             }
-            AttemptOutcome::Withdrawn(reason) if may_have_run => {
+            AttemptOutcome::Withdrawn(refusal) => {
                 request.tries.settle();
-                record.add_detail(reason.name());
-                return Err(RefusalReason::Broken.into());
-            }
-            AttemptOutcome::Withdrawn(reason) => {
-                request.tries.settle();
-                return Err(reason.into());
+                record.add_detail(refusal.reason.name());
+                if may_have_run && !refusal.reason.may_have_run() {
+                    return Err(RefusalReason::Broken.into());
+                }
+                return Err(*refusal);
             }
             AttemptOutcome::NotExecuted(status, wait) => {
                 request.tries.settle();
@@ -116,9 +119,7 @@
                 record_failure(&upstream, false, &reason);
                 context.metrics.count_send("unreachable");
                 record.add_detail(&reason);
-                let ending = request
-                    .tries
-                    .end(&upstream, BreakCause::Unreachable, Instant::now());
+                let ending = request.tries.end(BreakCause::Unreachable, Instant::now());
                 Box::pin(ending).await;
                 may_have_run = true;
             }
@@ -133,21 +134,6 @@
     Err(final_refusal(request, record, may_have_run, retry_after))
 }
 
-/// Begins a try before the request is sent; fails if the request must not be sent.
-async fn begin_try(
-    request: &RoutedRequest,
-    upstream: &Arc<Upstream>,
-    may_have_run: bool,
-) -> Result<(), Refusal> {
-    let beginning = Box::pin(request.tries.begin(upstream));
-    beginning.await.map_err(|refusal| {
-        if may_have_run && !refusal.reason.may_have_run() {
-            return RefusalReason::Broken.into();
-        }
-        refusal
-    })
-}
-
 /// Fails if so many upstreams have ended under the request that it is not sent again, by any attempt.
 fn check_exhausted(request: &RoutedRequest) -> Result<(), Refusal> {
     match request.tries.check() {
--- a/crates/samphiregrade-gateway/src/exchange/relay.rs
+++ b/crates/samphiregrade-gateway/src/exchange/relay.rs
@@ -153,23 +153,22 @@
         context.outcomes.note(upstream, outcome, Instant::now());
     }
     match &result {
-        Ok(()) if response.names_request => request.tries.complete(),
-        // Another server may have the address of an upstream that has ended.
-        Ok(()) => request.tries.settle(),
+        // Another server may have the address of an upstream that has ended, and a failing upstream may be ending.
+        Ok(()) if !response.names_request || status >= 500 => request.tries.abandon(),
+        Ok(()) if status < 300 => request.tries.complete(),
+        Ok(()) | Err(RelayStop::NotDurable) => request.tries.settle(),
         Err(RelayStop::Upstream(_)) => {
             let upstream = response.guard.upstream();
             let stage = BreakStage::InResponse;
             Box::pin(record_break(context, request, record, upstream, stage)).await;
         }
         Err(RelayStop::Path) => {
-            let upstream = response.guard.upstream();
-            let ending = request
-                .tries
-                .end(upstream, BreakCause::Unreachable, Instant::now());
+            let ending = request.tries.end(BreakCause::Unreachable, Instant::now());
             Box::pin(ending).await;
         }
-        // What becomes of the upstream is examined when the request is dropped.
-        Err(_) => {}
+        Err(
+            RelayStop::Client | RelayStop::SlowClient | RelayStop::Deadline | RelayStop::Stopping,
+        ) => request.tries.abandon(),
     }
     let spent = relay.spent();
     if status == 200 && (result.is_ok() || spent > 0) {
--- a/crates/samphiregrade-gateway/src/exchange/tries.rs
+++ b/crates/samphiregrade-gateway/src/exchange/tries.rs
@@ -12,7 +12,9 @@
 use super::examination::TryExamination;
 use super::refusal::{Refusal, RefusalReason};
 use super::try_record::TryRecorder;
-use crate::fact::{KnownTries, ReportedTries, RequestTry, TRY_RETENTION, TryDecision, TryState};
+use crate::fact::{
+    KnownTries, ReportedTries, RequestTry, TRY_RETENTION, TryDecision, TryNumber, TryState,
+};
 use crate::hold::lock_ignoring_poison;
 use crate::model::{RequestId, RequestTag, ServiceRecord};
 use crate::upstream::{BreakCause, Upstream};
@@ -23,7 +25,20 @@
 /// A try that is in flight.
 struct OpenTry {
     upstream: Arc<Upstream>,
-    recorded: RequestTry,
+    number: TryNumber,
+    /// Whether the try has been recorded.
+    is_recorded: bool,
+}
+
+impl OpenTry {
+    /// Returns the try with what became of its upstream.
+    fn in_state(&self, state: TryState) -> RequestTry {
+        RequestTry {
+            number: self.number,
+            upstream: self.upstream.start_tag,
+            state,
+        }
+    }
 }
 
 /// The tries of one request at this and other entries.
@@ -116,18 +131,17 @@
     ///
     /// The refusal if the request must not be sent.
     pub async fn begin(&self, upstream: &Arc<Upstream>) -> Result<(), Refusal> {
-        if !self.is_suspected() {
-            return Ok(());
-        }
-        let recorded = RequestTry {
+        let is_recorded = self.is_suspected();
+        let open = OpenTry {
+            upstream: upstream.clone(),
             number: rand::random(),
-            upstream: upstream.start_tag,
-            state: TryState::Open,
+            is_recorded,
         };
-        *lock_ignoring_poison(&self.open) = Some(OpenTry {
-            upstream: upstream.clone(),
-            recorded,
-        });
+        let recorded = open.in_state(TryState::Open);
+        *lock_ignoring_poison(&self.open) = Some(open);
+        if !is_recorded {
+            return Ok(());
+        }
         let confirmed = self.record(recorded.into()).await;
         let checked = self.check();
         if checked.is_err() {
@@ -143,28 +157,42 @@
         checked
     }
 
-    /// Records what is known of an upstream that broke off the request at `broke_at`, and examines it later.
-    pub async fn end(&self, upstream: &Arc<Upstream>, cause: BreakCause, broke_at: Instant) {
+    /// Records what is known of the upstream that broke off the try in flight at `broke_at`, and examines it later.
+    pub async fn end(&self, cause: BreakCause, broke_at: Instant) {
         let (state, name) = match cause {
             BreakCause::Ended => (TryState::Ended, "ended"),
             BreakCause::Serving => (TryState::Doubted, "doubted"),
             BreakCause::Unreachable => (TryState::Unresolved, "unresolved"),
             BreakCause::Leaving => return self.settle(),
         };
-        let recorded = self.take_open(upstream, state);
+        let open = lock_ignoring_poison(&self.open).take();
+        let Some(open) = open else {
+            return;
+        };
+        let recorded = open.in_state(state);
         self.record(recorded.into()).await;
-        self.log(name, Some(upstream));
-        self.examine(upstream.clone(), recorded, broke_at);
+        self.log(name, Some(&open.upstream));
+        self.examine(open.upstream, recorded, broke_at);
+    }
+
+    /// Records that the result of the try in flight, if there is one, is not seen: its client has left, its deadline has passed,
+    /// or its upstream has failed.
+    pub fn abandon(&self) {
+        let open = lock_ignoring_poison(&self.open).take();
+        let Some(open) = open else {
+            return;
+        };
+        let recorded = open.in_state(TryState::Doubted);
+        self.record_in_background(&recorded.into());
+        self.log("abandoned", Some(&open.upstream));
+        self.examine(open.upstream, recorded, Instant::now());
     }
 
     /// Records that the try in flight, if there is one, has not ended its upstream.
     pub fn settle(&self) {
-        if let Some(open) = lock_ignoring_poison(&self.open).take() {
-            let harmless = RequestTry {
-                state: TryState::Harmless,
-                ..open.recorded
-            };
-            self.record_in_background(&harmless.into());
+        let open = lock_ignoring_poison(&self.open).take();
+        if let Some(open) = open.filter(|open| open.is_recorded) {
+            self.record_in_background(&open.in_state(TryState::Harmless).into());
         }
     }
 
@@ -180,7 +208,7 @@
 
     fn decide(&self) -> TryDecision {
         let open = lock_ignoring_poison(&self.open);
-        let own = open.as_ref().map(|open| open.recorded.number);
+        let own = open.as_ref().map(|open| open.number);
         lock_ignoring_poison(&self.known).tries.decide(own)
     }
 
@@ -211,16 +239,6 @@
         self.recorder.record_in_background(tries);
     }
 
-    /// Ends the try in flight, or makes one up for a request that was not suspected when it was sent.
-    fn take_open(&self, upstream: &Arc<Upstream>, state: TryState) -> RequestTry {
-        let open = lock_ignoring_poison(&self.open).take();
-        RequestTry {
-            number: open.map_or_else(rand::random, |open| open.recorded.number),
-            upstream: upstream.start_tag,
-            state,
-        }
-    }
-
     fn examine(&self, upstream: Arc<Upstream>, recorded: RequestTry, broke_at: Instant) {
         let examination = TryExamination {
             recorder: self.recorder.clone(),
@@ -255,11 +273,8 @@
 }
 
 impl Drop for RequestTries {
-    /// Examines the upstream of a try whose result was not seen, because the client has left or the deadline has passed.
+    /// A request that ends with a try in flight leaves its result unseen.
     fn drop(&mut self) {
-        let open = lock_ignoring_poison(&self.open).take();
-        if let Some(open) = open {
-            self.examine(open.upstream, open.recorded, Instant::now());
-        }
+        self.abandon();
     }
 }
