Register each send with the keepers before it takes place

What callers saw: a request under which three upstreams had ended was sent to more.

Cause: a first send was known to its entry only, until that entry recorded the end. Attempts beside it, and those after an entry that had ended, knew nothing of it.

Change: the look-up that precedes each send registers it (number, 10 bytes) at the keepers that it asks, in memory. That it is over without harm is reported with the next message to these keepers; an entry that ends reports nothing, so its sends count for a minute. Attempts of a request of a program follow each other, so others in flight count also while nothing has ended; a second round, the record of the try, then comes after the registration. Requests without a program that are alike may be different requests: their sends count once an upstream is suspected. A look-up older than 0.1 s is repeated before the send, since the instance may have been suspended.

--- a/crates/samphiregrade-gateway/src/exchange/connection.rs
+++ b/crates/samphiregrade-gateway/src/exchange/connection.rs
@@ -189,6 +189,7 @@
             record.request.clone(),
             tag,
             service.clone(),
+            metadata.program.is_some(),
         );
         let request = RoutedRequest {
             tries: Arc::new(tries),
--- a/crates/samphiregrade-gateway/src/exchange/tries.rs
+++ b/crates/samphiregrade-gateway/src/exchange/tries.rs
@@ -13,7 +13,8 @@
 use super::refusal::{Refusal, RefusalReason};
 use super::try_record::TryRecorder;
 use crate::fact::{
-    KnownTries, ReportedTries, RequestTry, TRY_RETENTION, TryDecision, TryNumber, TryState,
+    KeeperClient, KnownTries, ReportedTries, RequestTry, SendRegistration, TRY_RETENTION,
+    TryDecision, TryNumber, TryState,
 };
 use crate::hold::lock_ignoring_poison;
 use crate::model::{RequestId, RequestTag, ServiceRecord};
@@ -41,11 +42,23 @@
     }
 }
 
+/// Age above which a look-up is repeated before a send: meanwhile, the instance may have been suspended.
+const LOOK_UP_AGE: Duration = Duration::from_millis(100);
+
 /// The tries of one request at this and other entries.
 pub struct RequestTries {
     recorder: TryRecorder,
     /// Service of the request.
     service: Arc<ServiceRecord>,
+    /// Whether attempts of the request follow each other, since it belongs to a program. Others that are alike may be different
+    /// requests.
+    sent_once_at_a_time: bool,
+    /// Number of the next try.
+    number: Mutex<TryNumber>,
+    /// The send as keepers know it; `None` before the look-up.
+    send: Mutex<Option<Arc<SendRegistration>>>,
+    /// When the last look-up began.
+    looked_up: Mutex<Option<Instant>>,
     /// What keepers have reported and this instance has seen.
     known: Mutex<ReportedTries>,
     /// Number of keepers that have replied to the look-up.
@@ -62,27 +75,36 @@
         request: RequestId,
         tag: RequestTag,
         service: Arc<ServiceRecord>,
+        sent_once_at_a_time: bool,
     ) -> Self {
         Self {
             recorder: TryRecorder::new(context, request, tag),
             service,
+            sent_once_at_a_time,
+            number: Mutex::new(rand::random()),
+            send: Mutex::default(),
+            looked_up: Mutex::default(),
             known: Mutex::default(),
             heard: AtomicUsize::new(0),
             open: Mutex::default(),
         }
     }
 
-    /// Looks up which upstreams have ended under the request. Without a reply of a keeper, what this instance has seen itself
-    /// counts.
+    /// Registers the send, and looks up which upstreams have ended under the request. Without a reply of a keeper, what this
+    /// instance has seen itself counts.
     pub async fn look_up(&self) {
         let TryRecorder { context, key, .. } = &self.recorder;
+        *lock_ignoring_poison(&self.looked_up) = Some(Instant::now());
         let keepers = context.keepers.load_full();
-        if let Some(keepers) = keepers
-            && let Some(reported) = keepers.query_tries(key).await
-        {
+        if let Some(keepers) = keepers {
+            let send = self.registration(&keepers);
+            let reported = keepers.query_tries(key, &send).await;
+            let reported = reported.unwrap_or_default();
             self.heard.store(reported.heard, Ordering::Relaxed);
+            lock_ignoring_poison(&self.known).tries.forget_registered();
             self.accept(&reported);
-        } else {
+        }
+        if self.heard() == 0 {
             context.metrics.count_try("unanswered");
         }
         self.accept(&context.suspects.known(key, Instant::now()));
@@ -125,16 +147,21 @@
         }
     }
 
-    /// Begins a try before the request is sent; that of a suspected request is recorded.
+    /// Begins a try before the request is sent. It is recorded if upstreams may have ended under the request, or if others are in
+    /// flight.
     ///
     /// # Errors
     ///
     /// The refusal if the request must not be sent.
     pub async fn begin(&self, upstream: &Arc<Upstream>) -> Result<(), Refusal> {
-        let is_recorded = self.is_suspected();
+        let age = lock_ignoring_poison(&self.looked_up).map(|at| at.elapsed());
+        if age.is_some_and(|age| age > LOOK_UP_AGE) {
+            self.look_up().await;
+        }
+        let is_recorded = self.decide() != TryDecision::Unsuspected;
         let open = OpenTry {
             upstream: upstream.clone(),
-            number: rand::random(),
+            number: *lock_ignoring_poison(&self.number),
             is_recorded,
         };
         let recorded = open.in_state(TryState::Open);
@@ -165,8 +192,7 @@
             BreakCause::Unreachable => (TryState::Unresolved, "unresolved"),
             BreakCause::Leaving => return self.settle(),
         };
-        let open = lock_ignoring_poison(&self.open).take();
-        let Some(open) = open else {
+        let Some(open) = self.take_counting() else {
             return;
         };
         let recorded = open.in_state(state);
@@ -178,8 +204,7 @@
     /// Records that the result of the try in flight, if there is one, is not seen: its client has left, its deadline has passed,
     /// or its upstream has failed.
     pub fn abandon(&self) {
-        let open = lock_ignoring_poison(&self.open).take();
-        let Some(open) = open else {
+        let Some(open) = self.take_counting() else {
             return;
         };
         let recorded = open.in_state(TryState::Doubted);
@@ -192,13 +217,42 @@
     pub fn settle(&self) {
         let open = lock_ignoring_poison(&self.open).take();
         if let Some(open) = open.filter(|open| open.is_recorded) {
+            self.renew_number();
             self.record_in_background(&open.in_state(TryState::Harmless).into());
         }
     }
 
+    /// Returns the registration of the next send.
+    fn registration(&self, keepers: &KeeperClient) -> Arc<SendRegistration> {
+        let number = *lock_ignoring_poison(&self.number);
+        let mut send = lock_ignoring_poison(&self.send);
+        match &*send {
+            Some(registered) if registered.number() == number => registered.clone(),
+            _ => send.insert(Arc::new(keepers.begin_send(number))).clone(),
+        }
+    }
+
+    /// Takes the try in flight, whose record goes on counting.
+    fn take_counting(&self) -> Option<OpenTry> {
+        let open = lock_ignoring_poison(&self.open).take()?;
+        self.renew_number();
+        if let Some(send) = lock_ignoring_poison(&self.send).take() {
+            send.leave();
+        }
+        Some(open)
+    }
+
+    /// Draws the number of the next try: the one before has a result.
+    fn renew_number(&self) {
+        *lock_ignoring_poison(&self.number) = rand::random();
+    }
+
     /// Records that the request has run to its end, so that it does not end upstreams.
     pub fn complete(&self) {
         self.settle();
+        // Other attempts at this instance may have been broken off meanwhile.
+        let TryRecorder { context, key, .. } = &self.recorder;
+        self.accept(&context.suspects.known(key, Instant::now()));
         let acquitted = lock_ignoring_poison(&self.known).tries.acquitted();
         if !acquitted.is_empty() {
             self.record_in_background(&acquitted);
@@ -208,8 +262,10 @@
 
     fn decide(&self) -> TryDecision {
         let open = lock_ignoring_poison(&self.open);
-        let own = open.as_ref().map(|open| open.number);
-        lock_ignoring_poison(&self.known).tries.decide(own)
+        let number = open.as_ref().map(|open| open.number);
+        let own = number.unwrap_or_else(|| *lock_ignoring_poison(&self.number));
+        let known = lock_ignoring_poison(&self.known);
+        known.tries.decide(own, self.sent_once_at_a_time)
     }
 
     fn accept(&self, reported: &ReportedTries) {
@@ -230,6 +286,7 @@
         self.accept_own(&tries);
         let reported = self.recorder.record(tries).await;
         if let Some(reported) = &reported {
+            lock_ignoring_poison(&self.known).tries.forget_registered();
             self.accept(reported);
         }
         reported.is_some()
--- a/crates/samphiregrade-gateway/src/fact/client.rs
+++ b/crates/samphiregrade-gateway/src/fact/client.rs
@@ -1,6 +1,7 @@
 //! Client of the keepers: reservations, durable writes and chain look-ups by majorities.
 
 mod asking;
+mod sends;
 mod tries;
 
 use std::sync::Arc;
@@ -22,6 +23,9 @@
 use crate::observe::GatewayMetrics;
 use crate::upstream::{OutcomeTracker, SpeedBoard};
 
+use sends::SendReports;
+
+pub use sends::SendRegistration;
 pub use tries::ReportedTries;
 
 /// Timeout of a request to one keeper: dozens of round trips and syncs, and short compared with a client's deadline.
@@ -83,6 +87,8 @@
     pub(super) tag: InstanceTag,
     /// Revisions of the key-value service that keepers have reported.
     pub(super) lag: Arc<LagMonitor>,
+    /// Registered sends that are over.
+    sends: Arc<SendReports>,
 }
 
 impl KeeperClient {
@@ -108,6 +114,7 @@
             speeds,
             seed: rand::random(),
             lag: Arc::default(),
+            sends: Arc::default(),
             helpers: Arc::default(),
         }
     }
--- a/crates/samphiregrade-gateway/src/fact/client/asking.rs
+++ b/crates/samphiregrade-gateway/src/fact/client/asking.rs
@@ -102,6 +102,7 @@
             sender: self.tag,
             outcomes: self.outcomes.take_unreported(&slot.name),
             speeds: speeds.take_report(&slot.name, may_request, Instant::now()),
+            sends_over: self.sends.take(&slot.name),
             request,
         }
     }
--- a/crates/samphiregrade-gateway/src/fact/client/tries.rs
+++ b/crates/samphiregrade-gateway/src/fact/client/tries.rs
@@ -7,10 +7,11 @@
 use futures_util::stream::FuturesUnordered;
 use tokio::sync::mpsc;
 
+use super::sends::SendRegistration;
 use super::{FactFailure, KeeperClient};
 use crate::fact::message::{FactRecord, KeeperReply, KeeperRequest};
 use crate::fact::placement::{KeeperPlacement, KeeperSlot};
-use crate::fact::tries::{KnownTries, TryFact, TryKey};
+use crate::fact::tries::{KnownTries, TryFact, TryKey, TryNumber};
 use crate::hold::lock_ignoring_poison;
 use crate::mix::hash_pair;
 use crate::model::name_tag;
@@ -49,13 +50,23 @@
 }
 
 impl KeeperClient {
-    /// Queries the tries of a request on a majority of its keepers, the nearest ones first: a single keeper may have been away
-    /// when they were recorded. `None` if no keeper has replied in time.
-    pub async fn query_tries(&self, key: &TryKey) -> Option<ReportedTries> {
+    /// Returns a send that no keeper knows of yet.
+    #[must_use]
+    pub fn begin_send(&self, number: TryNumber) -> SendRegistration {
+        SendRegistration::new(self.sends.clone(), number)
+    }
+
+    /// Registers a send and queries the tries of its request on a majority of the request's keepers, the nearest ones first: a
+    /// single keeper may have been away when they were recorded. `None` if no keeper has replied in time.
+    pub async fn query_tries(
+        &self,
+        key: &TryKey,
+        send: &SendRegistration,
+    ) -> Option<ReportedTries> {
         let known = Mutex::new(ReportCollector::default());
         let querying = self.with_newest_placement(|placement| {
             let known = &known;
-            async move { self.query_majority(&placement, key, known).await }
+            async move { self.query_majority(&placement, key, send, known).await }
         });
         // Keepers that do not reply in time leave what others have replied.
         let _ = tokio::time::timeout(LOOK_UP_TIMEOUT, querying).await;
@@ -68,6 +79,7 @@
         &self,
         placement: &Arc<KeeperPlacement>,
         key: &TryKey,
+        send: &SendRegistration,
         known: &Mutex<ReportCollector>,
     ) -> Result<(), FactFailure> {
         *lock_ignoring_poison(known) = ReportCollector::default();
@@ -77,8 +89,12 @@
         let rank = |slot: &KeeperSlot| hash_pair(self.seed, name_tag(&slot.name));
         group.sort_by_key(|slot| (slot.domain != self.own.domain, rank(slot)));
         let mut left = group.into_iter();
-        let query = |slot| {
-            let request = KeeperRequest::Tries(key.clone());
+        let query = |slot: KeeperSlot| {
+            send.note_keeper(&slot.name);
+            let request = KeeperRequest::Tries {
+                key: key.clone(),
+                number: send.number(),
+            };
             self.call(slot, placement, request, LOOK_UP_TIMEOUT)
         };
         let mut replies: FuturesUnordered<_> = left
--- a/crates/samphiregrade-gateway/src/fact/message.rs
+++ b/crates/samphiregrade-gateway/src/fact/message.rs
@@ -7,7 +7,7 @@
 
 use super::helper::HelperAddress;
 use super::placement::{KeeperPlacement, PlacementGeneration};
-use super::tries::{KnownTries, TryFact, TryKey};
+use super::tries::{KnownTries, TryFact, TryKey, TryNumber};
 use crate::dialect::StoreRevision;
 use crate::limits::{
     AllowanceGrant, AllowanceRequest, InstanceTag, LedgerTime, LimitReservation, TokenUse,
@@ -307,8 +307,13 @@
     },
     /// Queries a program's known reservations and origins.
     Ledger(ProgramId),
-    /// Queries the tries of a suspected request.
-    Tries(TryKey),
+    /// Registers a send of a request, and queries the request's tries.
+    Tries {
+        /// The request.
+        key: TryKey,
+        /// Number of the send.
+        number: TryNumber,
+    },
     /// Records tries of a suspected request; the reply doesn't wait until they are durable.
     RecordTries(TryFact),
 }
@@ -324,6 +329,8 @@
     pub outcomes: Vec<OutcomeDelta>,
     /// Times of responses since the sender's last report to the keeper.
     pub speeds: SpeedReport,
+    /// Registered sends that are over since the sender's last report to the keeper.
+    pub sends_over: Vec<TryNumber>,
     /// The request.
     pub request: KeeperRequest,
 }
@@ -337,6 +344,7 @@
             sender: 0,
             outcomes: Vec::new(),
             speeds: SpeedReport::default(),
+            sends_over: Vec::new(),
             request,
         }
     }
--- a/crates/samphiregrade-gateway/src/fact/mod.rs
+++ b/crates/samphiregrade-gateway/src/fact/mod.rs
@@ -19,13 +19,16 @@
 mod reach;
 mod reader;
 mod rebuild;
+mod sends;
 mod service;
 mod stream;
 mod tries;
 
 pub use accounts::AccountReplies;
 pub use book::{FactIndex, FactPart, FrameLocation, KnownChain, TurnContent};
-pub use client::{ChainLookup, FactFailure, KeeperClient, ReportedTries, ReserveOutcome};
+pub use client::{
+    ChainLookup, FactFailure, KeeperClient, ReportedTries, ReserveOutcome, SendRegistration,
+};
 pub use disk::{DiskState, FactDisk, FactDiskError, RecoveredFacts};
 pub use health::KeeperHealth;
 pub use helper::{
@@ -41,6 +44,7 @@
 pub use proofs::{PROOF_TIMEOUT, ProofRoute};
 pub use reader::FactReader;
 pub use rebuild::rebuild_from_others;
+pub use sends::SendTable;
 pub use service::KeeperService;
 pub use tries::{
     KnownTries, MAX_ENDED_UPSTREAMS, RequestTry, TRY_RETENTION, TryDecision, TryEntry, TryFact,
--- a/crates/samphiregrade-gateway/src/fact/service.rs
+++ b/crates/samphiregrade-gateway/src/fact/service.rs
@@ -15,6 +15,7 @@
     KeeperRequest, ProgramLedger,
 };
 use super::placement::{KeeperPlacement, PlacementGeneration};
+use super::sends::SendTable;
 use super::tries::{TryFact, TryKey};
 use crate::limits::{LedgerTime, LimitLedger, LimitReservation, LimitRule, LimitUse, TokenUse};
 use crate::model::TurnId;
@@ -59,6 +60,9 @@
     outcomes: OutcomeTable,
     /// Speeds of upstreams, from the times of work that entries report; in memory only, too.
     speeds: SpeedTable,
+    /// Sends of requests whose results entries have not reported; in memory only, because a result is recorded where it
+    /// matters.
+    sends: SendTable,
     /// Requests that run at the upstreams whose accounts the keeper holds; in memory only, too.
     runs: RunTable,
     /// Entries that follow this keeper.
@@ -125,6 +129,7 @@
             unwritten: false,
             outcomes: OutcomeTable::default(),
             speeds: SpeedTable::default(),
+            sends: SendTable::default(),
             runs: RunTable::new(Instant::now()),
             followers: FollowerTable::default(),
             limits,
@@ -172,6 +177,9 @@
         self.with(|state| {
             state.outcomes.take(&envelope.outcomes, now);
             state.speeds.take(&envelope.speeds.samples, now);
+            for &number in &envelope.sends_over {
+                state.sends.end(number);
+            }
             if envelope.sender != 0 {
                 let contacted_at = state.limit_clock.now();
                 state.limits.record_contact(envelope.sender, contacted_at);
@@ -216,7 +224,10 @@
                 ledger: self.with(|state| state.index.ledger(&program)),
                 complete: self.is_complete(),
             },
-            KeeperRequest::Tries(key) => self.known_tries(&key, now),
+            KeeperRequest::Tries { key, number } => {
+                self.with(|state| state.sends.register(&key, number, now));
+                self.known_tries(&key, now)
+            }
             KeeperRequest::RecordTries(fact) => self.record_tries(fact, now),
             KeeperRequest::Probe => KeeperReply::Alive {
                 complete: self.is_complete(),
@@ -271,7 +282,11 @@
     }
 
     fn known_tries(&self, key: &TryKey, now: Instant) -> KeeperReply {
-        let (tries, kept_for) = self.with(|state| state.index.tries(key, now));
+        let (tries, kept_for) = self.with(|state| {
+            let (mut tries, kept_for) = state.index.tries(key, now);
+            state.sends.add_to(&mut tries, key);
+            (tries, kept_for)
+        });
         KeeperReply::Tries {
             tries,
             kept_for,
@@ -580,6 +595,11 @@
 impl KeeperState {
     fn insert(&mut self, fact: &FactRecord, now: Instant) -> bool {
         self.written_bytes += fact.estimated_bytes() as u64;
+        if let FactRecord::Tries(fact) = fact {
+            for recorded in fact.tries.iter() {
+                self.sends.end(recorded.number);
+            }
+        }
         self.index.insert(fact, now)
     }
 }
--- a/crates/samphiregrade-gateway/src/fact/tries.rs
+++ b/crates/samphiregrade-gateway/src/fact/tries.rs
@@ -20,6 +20,9 @@
 /// seconds.
 pub const TRY_RETENTION: Duration = Duration::from_mins(1);
 
+/// Upstream of a send that is registered before its upstream is chosen.
+const UNKNOWN_UPSTREAM: UpstreamTag = 0;
+
 /// Number of tries of one request above which those that no decision needs are dropped.
 const KEPT_TRIES: usize = 32;
 
@@ -90,10 +93,30 @@
     pub state: TryState,
 }
 
+impl RequestTry {
+    /// Returns the try of a registered send.
+    #[must_use]
+    pub fn registered(number: TryNumber) -> Self {
+        Self {
+            number,
+            upstream: UNKNOWN_UPSTREAM,
+            state: TryState::Open,
+        }
+    }
+
+    /// Returns what tells the try's upstream from those of other tries.
+    fn upstream_key(&self) -> (UpstreamTag, TryNumber) {
+        if self.upstream == UNKNOWN_UPSTREAM {
+            return (UNKNOWN_UPSTREAM, self.number);
+        }
+        (self.upstream, 0)
+    }
+}
+
 /// Whether a request may be sent once more.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum TryDecision {
-    /// No upstream has ended under the request, so that nothing has to be recorded.
+    /// Nothing is known of the request that counts, so that nothing has to be recorded.
     Unsuspected,
     /// The request may be sent once more if that is recorded before.
     Permitted,
@@ -123,9 +146,10 @@
     pub fn add(&mut self, added: RequestTry) -> bool {
         let known = self.0.iter_mut().find(|known| known.number == added.number);
         if let Some(known) = known {
-            let before = known.state;
-            known.state = before.max(added.state);
-            return known.state != before;
+            let before = *known;
+            known.state = before.state.max(added.state);
+            known.upstream = before.upstream.max(added.upstream);
+            return *known != before;
         }
         self.0.push(added);
         if self.0.len() > KEPT_TRIES {
@@ -138,8 +162,9 @@
     fn compact(&mut self) {
         self.0.sort_by_key(|known| Reverse(known.state));
         let mut upstreams = HashSet::new();
-        self.0
-            .retain(|known| known.state != TryState::Harmless && upstreams.insert(known.upstream));
+        self.0.retain(|known| {
+            known.state != TryState::Harmless && upstreams.insert(known.upstream_key())
+        });
     }
 
     /// Adds tries; returns whether anything changed.
@@ -167,12 +192,26 @@
         open.count()
     }
 
-    /// Decides on a further try; `own` is its number if it has been recorded already.
+    /// Returns whether other tries are in flight.
+    #[must_use]
+    pub fn is_contested(&self, own: TryNumber) -> bool {
+        self.0.iter().any(|known| is_other(known, own))
+    }
+
+    /// Forgets the registered sends, which keepers report anew with each reply.
+    pub fn forget_registered(&mut self) {
+        self.0
+            .retain(|known| known.state != TryState::Open || known.upstream != UNKNOWN_UPSTREAM);
+    }
+
+    /// Decides on a further try with the number `own`. Of a request that is sent once at a time, other tries in flight count
+    /// also while no upstream is suspected to have ended.
     ///
     /// Of two tries that are recorded at the same time, at least one knows of the other; possibly both wait.
     #[must_use]
-    pub fn decide(&self, own: Option<TryNumber>) -> TryDecision {
-        if !self.is_suspected() {
+    pub fn decide(&self, own: TryNumber, sent_once_at_a_time: bool) -> TryDecision {
+        let counts = self.is_suspected() || (sent_once_at_a_time && self.is_contested(own));
+        if !counts {
             return TryDecision::Unsuspected;
         }
         if self.ended() >= MAX_ENDED_UPSTREAMS {
@@ -202,7 +241,7 @@
         Choice: Fn(&RequestTry) -> bool,
     {
         let counted = self.0.iter().filter(|known| counts(known));
-        let upstreams: HashSet<UpstreamTag> = counted.map(|known| known.upstream).collect();
+        let upstreams: HashSet<_> = counted.map(RequestTry::upstream_key).collect();
         upstreams.len()
     }
 }
@@ -220,8 +259,8 @@
     )
 }
 
-fn is_other(known: &RequestTry, own: Option<TryNumber>) -> bool {
-    known.state == TryState::Open && Some(known.number) != own
+fn is_other(known: &RequestTry, own: TryNumber) -> bool {
+    known.state == TryState::Open && known.number != own
 }
 
 /// Tries of a request with the time of their record, as stored on disk and exported to a rebuilding keeper.
--- a/crates/samphiregrade-gateway/tests/suite/keepers.rs
+++ b/crates/samphiregrade-gateway/tests/suite/keepers.rs
@@ -84,6 +84,7 @@
                 .answer(KeeperEnvelope {
                     outcomes: Vec::new(),
                     speeds: SpeedReport::default(),
+                    sends_over: Vec::new(),
                     sender: 0,
                     generation: self.placement.generation,
                     request: KeeperRequest::Store(fact.clone()),
@@ -319,6 +320,7 @@
         let envelope = KeeperEnvelope {
             outcomes: Vec::new(),
             speeds: SpeedReport::default(),
+            sends_over: Vec::new(),
             sender: 0,
             generation: deployment.placement.generation,
             request: KeeperRequest::Store(fact.clone()),
@@ -660,7 +662,7 @@
     let reported = tokio::time::timeout(TEST_TIMEOUT, async {
         // A first connection to a keeper takes longer than a query may.
         loop {
-            if let Some(reported) = client.query_tries(&key).await {
+            if let Some(reported) = client.query_tries(&key, &client.begin_send(1)).await {
                 return reported;
             }
         }
--- a/crates/samphiregrade-gateway/tests/suite/limit_records.rs
+++ b/crates/samphiregrade-gateway/tests/suite/limit_records.rs
@@ -48,6 +48,7 @@
     let envelope = KeeperEnvelope {
         outcomes: Vec::new(),
         speeds: SpeedReport::default(),
+        sends_over: Vec::new(),
         sender: 0,
         generation: 0,
         request: KeeperRequest::Allowance(request),
--- a/crates/samphiregrade-gateway/tests/suite/tries.rs
+++ b/crates/samphiregrade-gateway/tests/suite/tries.rs
@@ -14,6 +14,9 @@
 /// Number of keepers, of which two are a majority.
 const KEEPERS: usize = 3;
 
+/// Number of a try that has not been recorded.
+const OWN: u64 = u64::MAX;
+
 fn try_of(number: u64, upstream: u64, state: TryState) -> RequestTry {
     RequestTry {
         number,
@@ -33,12 +36,12 @@
 #[test]
 fn request_is_not_sent_again_after_three_upstreams_have_ended() {
     let mut tries = KnownTries::default();
-    assert_eq!(tries.decide(None), TryDecision::Unsuspected);
+    assert_eq!(tries.decide(OWN, false), TryDecision::Unsuspected);
     for upstream in 0..MAX_ENDED_UPSTREAMS as u64 {
-        assert_ne!(tries.decide(None), TryDecision::Exhausted);
+        assert_ne!(tries.decide(OWN, false), TryDecision::Exhausted);
         tries.add(try_of(upstream, upstream, TryState::Ended));
     }
-    assert_eq!(tries.decide(None), TryDecision::Exhausted);
+    assert_eq!(tries.decide(OWN, false), TryDecision::Exhausted);
 }
 
 #[test]
@@ -46,7 +49,7 @@
     let rows: Vec<_> = (0..9).map(|number| (number, 7, TryState::Ended)).collect();
     let tries = known(&rows);
     assert_eq!(tries.ended(), 1);
-    assert_eq!(tries.decide(None), TryDecision::Permitted);
+    assert_eq!(tries.decide(OWN, false), TryDecision::Permitted);
 }
 
 #[test]
@@ -56,25 +59,25 @@
         (2, 2, TryState::Open),
         (3, 3, TryState::Open),
     ]);
-    assert_eq!(tries.decide(None), TryDecision::Occupied);
-    assert_eq!(tries.decide(Some(2)), TryDecision::Permitted);
+    assert_eq!(tries.decide(OWN, false), TryDecision::Occupied);
+    assert_eq!(tries.decide(2, false), TryDecision::Permitted);
     tries.add(try_of(2, 2, TryState::Harmless));
-    assert_eq!(tries.decide(None), TryDecision::Permitted);
+    assert_eq!(tries.decide(OWN, false), TryDecision::Permitted);
 }
 
 // Guards against upstreams that fall silent under a request, one after another, and are never counted.
 #[test]
 fn unresolved_tries_use_up_the_bound_until_their_upstreams_reply() {
     let mut tries = known(&[(1, 1, TryState::Unresolved)]);
-    assert_eq!(tries.decide(None), TryDecision::Permitted);
+    assert_eq!(tries.decide(OWN, false), TryDecision::Permitted);
     tries.add(try_of(2, 2, TryState::Unresolved));
     tries.add(try_of(3, 3, TryState::Unresolved));
-    assert_eq!(tries.decide(None), TryDecision::Occupied);
+    assert_eq!(tries.decide(OWN, false), TryDecision::Occupied);
     assert_eq!(tries.ended(), 0);
     for number in 1..=3 {
         tries.add(try_of(number, number, TryState::Harmless));
     }
-    assert_eq!(tries.decide(None), TryDecision::Unsuspected);
+    assert_eq!(tries.decide(OWN, false), TryDecision::Unsuspected);
 }
 
 // Guards against a frequent request that is refused because several of the upstreams that ran it have ended for other reasons.
@@ -83,7 +86,7 @@
     let mut tries = known(&[(1, 1, TryState::Ended), (2, 2, TryState::Ended)]);
     let acquitted = tries.acquitted();
     tries.merge(&acquitted);
-    assert_eq!(tries.decide(None), TryDecision::Unsuspected);
+    assert_eq!(tries.decide(OWN, false), TryDecision::Unsuspected);
     // A late report of an end does not undo it.
     tries.add(try_of(1, 1, TryState::Ended));
     assert_eq!(tries.ended(), 0);
@@ -118,7 +121,7 @@
     }
     assert!(tries.iter().count() < 100);
     assert_eq!(tries.ended(), 1);
-    assert_eq!(tries.decide(None), TryDecision::Permitted);
+    assert_eq!(tries.decide(OWN, false), TryDecision::Permitted);
 }
 
 #[test]
@@ -242,13 +245,13 @@
         match step {
             Step::Begin(nearest, bits) => {
                 let nearest = &self.keepers[usize::from(nearest) % KEEPERS];
-                if nearest.decide(None) == TryDecision::Exhausted {
+                if nearest.decide(OWN, false) == TryDecision::Exhausted {
                     return;
                 }
                 self.next += 1;
                 let begun = try_of(self.next, self.next, TryState::Open);
                 let replied = self.record(begun, bits);
-                if replied.decide(Some(begun.number)) == TryDecision::Permitted {
+                if replied.decide(begun.number, false) == TryDecision::Permitted {
                     self.in_flight.push(begun);
                 } else {
                     self.record(
