Send a suspected request again only with a confirmed record

What callers saw: a request under which three upstreams had ended was sent to more. With stand-ins: more than 3 ended at two entries without keepers.

Cause: a further try that no majority of the keepers confirmed was sent all the same, so that each entry counted alone.

Change: such a try is refused as not run (503, no-keepers), unless the host of one upstream at most has stopped replying, as in a cut, or the deployment has no keepers. Requests under which nothing was broken off are served as before: what is cut off goes on serving. A record is awaited for up to 0.2 s (0.06 s before).

--- a/crates/samphiregrade-gateway/src/exchange/tries.rs
+++ b/crates/samphiregrade-gateway/src/exchange/tries.rs
@@ -170,20 +170,28 @@
             return Ok(());
         }
         let confirmed = self.record(recorded.into()).await;
-        let checked = self.check();
-        if checked.is_err() {
-            self.settle();
-        } else {
-            let decision = if confirmed {
-                "permitted"
-            } else {
-                "unconfirmed"
-            };
-            self.log(decision, Some(upstream));
+        let checked = self.check().and_then(|()| self.check_confirmed(confirmed));
+        match &checked {
+            Err(_) => self.settle(),
+            Ok(()) if confirmed => self.log("permitted", Some(upstream)),
+            Ok(()) => self.log("unconfirmed", Some(upstream)),
         }
         checked
     }
 
+    /// Checks whether the request may be sent although its record is not confirmed: other entries may send it meanwhile.
+    fn check_confirmed(&self, confirmed: bool) -> Result<(), Refusal> {
+        let keepers = self.recorder.context.keepers.load();
+        let has_keepers = keepers
+            .as_ref()
+            .is_some_and(|keepers| keepers.has_keepers());
+        let known = lock_ignoring_poison(&self.known).tries.clone();
+        if confirmed || !has_keepers || known.permits_unconfirmed() {
+            return Ok(());
+        }
+        Err(self.refuse("unrecorded", RefusalReason::NoKeepers))
+    }
+
     /// Records what is known of the upstream that broke off the try in flight at `broke_at`, and examines it later.
     pub async fn end(&self, cause: BreakCause, broke_at: Instant) {
         let (state, name) = match cause {
--- a/crates/samphiregrade-gateway/src/fact/client.rs
+++ b/crates/samphiregrade-gateway/src/fact/client.rs
@@ -125,6 +125,12 @@
         KeeperPlacement::clone(&self.placement.load())
     }
 
+    /// Returns whether the deployment is known to have keepers.
+    #[must_use]
+    pub fn has_keepers(&self) -> bool {
+        !self.placement.load().slots.is_empty()
+    }
+
     /// Adopts a placement if it is newer than the known one.
     pub fn adopt(&self, placement: &KeeperPlacement) {
         self.placement.rcu(|known| {
--- a/crates/samphiregrade-gateway/src/fact/client/tries.rs
+++ b/crates/samphiregrade-gateway/src/fact/client/tries.rs
@@ -23,8 +23,9 @@
 /// without their replies, a request may end an upstream more than allowed.
 const LOOK_UP_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Timeout of a record: dozens of round trips. Keepers reply without waiting for their disks.
-const RECORD_TIMEOUT: Duration = Duration::from_millis(60);
+/// Timeout of a record: dozens of round trips, and time to reach a keeper that has just restarted. Keepers reply without waiting
+/// for their disks.
+const RECORD_TIMEOUT: Duration = Duration::from_millis(200);
 
 /// The tries of a request, as reported by keepers.
 #[derive(Clone, Debug, Default)]
--- a/crates/samphiregrade-gateway/src/fact/tries.rs
+++ b/crates/samphiregrade-gateway/src/fact/tries.rs
@@ -224,6 +224,15 @@
         TryDecision::Permitted
     }
 
+    /// Returns whether the request may be sent once more without a confirmed record: nothing was broken off, and the host of one
+    /// upstream at most does not reply.
+    #[must_use]
+    pub fn permits_unconfirmed(&self) -> bool {
+        let is_unresolved = |known: &RequestTry| known.state == TryState::Unresolved;
+        let mut suspicious = self.0.iter().filter(|known| is_suspicious(known));
+        suspicious.all(is_unresolved) && self.count_upstreams(is_suspicious) <= 1
+    }
+
     /// Returns the suspicious tries as harmless ones: the request has run without ending its upstream.
     #[must_use]
     pub fn acquitted(&self) -> Self {
