Report sends that are over also to keepers that get no other message

What callers saw: requests without a program that are alike could be refused (503, tries-in-flight) after their upstreams had broken some off, although no other attempt was under way.

Cause: a keeper that was asked in place of a late one learnt of a send, and that it was over only with the next message, which such a keeper seldom gets.

--- a/crates/samphiregrade-gateway/src/fact/client/tries.rs
+++ b/crates/samphiregrade-gateway/src/fact/client/tries.rs
@@ -54,7 +54,7 @@
     /// Returns a send that no keeper knows of yet.
     #[must_use]
     pub fn begin_send(&self, number: TryNumber) -> SendRegistration {
-        SendRegistration::new(self.sends.clone(), number)
+        SendRegistration::new(self.clone(), number)
     }
 
     /// Registers a send and queries the tries of its request on a majority of the request's keepers, the nearest ones first: a
