Let a keeper that takes over a slot read the one before it

Cause: who holds data was decided by who has a slot. A retiring keeper left its slot at once, marked itself as incomplete and was asked by nobody; its successor read the other slots' keepers, also empty ones that were being filled themselves, or waited for one that was gone.

Change: the placement names the keeper that left as planned; it stays a complete source until its successor has read it and has released it by a further placement. A retiring keeper's slot is taken once that keeper is complete. A keeper that finds too few complete sources waits 5 s before it takes what is there.

--- a/crates/samphiregrade-gateway/src/fact/mod.rs
+++ b/crates/samphiregrade-gateway/src/fact/mod.rs
@@ -40,7 +40,7 @@
     KeeperRequest, ProgramLedger, Reservation, StreamOrigin, TurnFact, TurnPlace,
 };
 pub use news::LagMonitor;
-pub use placement::{KeeperPlacement, KeeperSlot, PlacementGeneration};
+pub use placement::{DepartedKeeper, KeeperPlacement, KeeperSlot, PlacementGeneration};
 pub use proofs::{PROOF_TIMEOUT, ProofRoute};
 pub use reader::FactReader;
 pub use rebuild::rebuild_from_others;
--- a/crates/samphiregrade-gateway/src/fact/placement.rs
+++ b/crates/samphiregrade-gateway/src/fact/placement.rs
@@ -26,6 +26,16 @@
     pub domain: DomainId,
 }
 
+/// A keeper that has left its slot as planned, with all facts that it ever acknowledged: a complete source until its successor has
+/// read it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct DepartedKeeper {
+    /// Index of the slot.
+    pub index: usize,
+    /// The slot as the keeper held it.
+    pub slot: KeeperSlot,
+}
+
 /// All slots and the number of copies.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct KeeperPlacement {
@@ -35,6 +45,9 @@
     pub copies: usize,
     /// The slots.
     pub slots: Vec<KeeperSlot>,
+    /// For each slot at most one keeper that has left it as planned.
+    #[serde(default)]
+    pub departed: Vec<DepartedKeeper>,
 }
 
 impl KeeperPlacement {
@@ -46,6 +59,7 @@
             generation: 1,
             copies: Self::wanted_copies(tolerated_losses).min(slots.len()),
             slots,
+            departed: Vec::new(),
         }
     }
 
@@ -141,6 +155,41 @@
         next
     }
 
+    /// Returns the next placement, in which another instance takes over the slot of a complete keeper that leaves as planned.
+    #[must_use]
+    pub fn with_successor(&self, index: usize, name: &str, address: SocketAddr) -> Self {
+        let mut next = self.with_slot_holder(index, name, address);
+        next.departed.retain(|departed| departed.index != index);
+        if let Some(slot) = self.slots.get(index) {
+            let slot = slot.clone();
+            next.departed.push(DepartedKeeper { index, slot });
+        }
+        next
+    }
+
+    /// Returns the next placement, in which the keeper that has left a slot is no longer a source.
+    #[must_use]
+    pub fn without_departed(&self, index: usize) -> Self {
+        let mut next = self.clone();
+        next.generation += 1;
+        next.departed.retain(|departed| departed.index != index);
+        next
+    }
+
+    /// Returns the keeper that has left a slot as planned.
+    #[must_use]
+    pub fn departed_from(&self, index: usize) -> Option<&KeeperSlot> {
+        let departed = self.departed.iter().find(|keeper| keeper.index == index);
+        departed.map(|keeper| &keeper.slot)
+    }
+
+    /// Returns the slot that a keeper has left as planned.
+    #[must_use]
+    pub fn slot_left_by(&self, name: &str) -> Option<usize> {
+        let departed = self.departed.iter().find(|keeper| keeper.slot.name == name);
+        departed.map(|keeper| keeper.index)
+    }
+
     fn domain_count(&self) -> usize {
         let mut domains: Vec<&DomainId> = self.slots.iter().map(|slot| &slot.domain).collect();
         domains.sort_unstable();
--- a/crates/samphiregrade-gateway/src/fact/rebuild.rs
+++ b/crates/samphiregrade-gateway/src/fact/rebuild.rs
@@ -1,6 +1,6 @@
 //! Rebuilds a keeper that has lost its disk from the facts of the other keepers.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde::Serialize;
 use smol_str::SmolStr;
@@ -19,6 +19,9 @@
 /// Delay between two rounds over the keepers that have not been read completely.
 const ROUND_DELAY: Duration = Duration::from_millis(200);
 
+/// Time for which a keeper waits for complete sources: others that rebuild at the same moment are complete within it.
+const SOURCE_WAIT: Duration = Duration::from_secs(5);
+
 /// Number of parts read concurrently: each of them waits for round trips and syncs.
 const CONCURRENT_PARTS: usize = 6;
 
@@ -36,15 +39,20 @@
 
 /// Reads all facts of the other keepers; returns when no further facts can be recovered.
 ///
-/// A fact that this keeper had acknowledged was stored by a majority, so it is found once the complete keepers among
-/// those read include a member of every majority. If there are too few complete keepers because too many disks were
-/// lost at once, the other keepers have all that is left, and the function returns when each of them has been read.
+/// The keeper that left the slot as planned has everything that its successor needs. Without one, a fact that this keeper had
+/// acknowledged was stored by a majority, so it is found once the complete keepers among those read include a member of every
+/// majority. If there are too few complete keepers for a while because too many disks were lost at once, the other keepers have
+/// all that is left, and the function returns when each of them has been read.
 pub async fn rebuild_from_others(service: &KeeperService, links: &LinkEndpoint, own_name: &str) {
     let mut sources_read: Vec<SourceProgress> = Vec::new();
+    let began = Instant::now();
     while !service.is_complete() {
         let placement = service.placement();
         if let Some(own) = placement.slot_of(own_name) {
-            sources_read.retain(|source| placement.slot_of(&source.name).is_some());
+            let departed = placement.departed_from(own).map(|slot| slot.name.clone());
+            sources_read.retain(|source| {
+                placement.slot_of(&source.name).is_some() || departed.as_ref() == Some(&source.name)
+            });
             let sources = remaining_sources(&placement, own, &sources_read);
             for source in read_sources(service, links, own, sources).await {
                 Logbook::global().record("rebuild", &source);
@@ -53,9 +61,13 @@
                     sources_read.push(source);
                 }
             }
-            if is_sufficient(&sources_read, &placement) {
-                service.set_complete(true).await;
-                return;
+            let has_waited = began.elapsed() >= SOURCE_WAIT;
+            if is_sufficient(&sources_read, &placement, own, has_waited) {
+                if departed.is_none() {
+                    service.set_complete(true).await;
+                    return;
+                }
+                service.await_release();
             }
         }
         tokio::time::sleep(ROUND_DELAY).await;
@@ -73,13 +85,35 @@
         known.any(|source| source.name == slot.name && source.complete)
     };
     let slots = placement.slots.iter().enumerate();
-    let others = slots.filter(|&(index, slot)| index != own && !is_read(slot));
-    others.map(|(_, slot)| slot.clone()).collect()
+    let others = slots.filter(|&(index, _)| index != own);
+    let departed = placement.departed_from(own).into_iter();
+    let sources = departed.chain(others.map(|(_, slot)| slot));
+    sources.filter(|slot| !is_read(slot)).cloned().collect()
 }
 
-fn is_sufficient(sources_read: &[SourceProgress], placement: &KeeperPlacement) -> bool {
-    let complete = sources_read.iter().filter(|source| source.complete).count();
-    complete >= placement.rebuild_sources() || sources_read.len() + 1 >= placement.slots.len()
+fn is_sufficient(
+    sources_read: &[SourceProgress],
+    placement: &KeeperPlacement,
+    own: usize,
+    has_waited: bool,
+) -> bool {
+    let departed = placement.departed_from(own);
+    let is_departed =
+        |source: &&SourceProgress| departed.is_some_and(|slot| slot.name == source.name);
+    if sources_read
+        .iter()
+        .filter(is_departed)
+        .any(|source| source.complete)
+    {
+        return true;
+    }
+    let others: Vec<_> = sources_read
+        .iter()
+        .filter(|source| !is_departed(source))
+        .collect();
+    let complete = others.iter().filter(|source| source.complete).count();
+    let all_read = others.len() + 1 >= placement.slots.len();
+    complete >= placement.rebuild_sources() || (has_waited && all_read)
 }
 
 /// Reads part by part, each from one source after the other, so that a fact is transferred only once.
--- a/crates/samphiregrade-gateway/src/fact/service.rs
+++ b/crates/samphiregrade-gateway/src/fact/service.rs
@@ -53,6 +53,8 @@
     index: FactIndex,
     disk_state: DiskState,
     written_bytes: u64,
+    /// Whether this keeper has everything and waits only until the keeper that left its slot is no longer a source.
+    awaits_release: bool,
     /// Whether facts in memory could not be written to disk; the next compaction writes all facts again.
     unwritten: bool,
     /// Outcomes of requests at upstreams that entries report; in memory only, because they lose relevance within
@@ -126,6 +128,7 @@
             index: recovered.index,
             disk_state,
             written_bytes: recovered.bytes,
+            awaits_release: false,
             unwritten: false,
             outcomes: OutcomeTable::default(),
             speeds: SpeedTable::default(),
@@ -489,6 +492,7 @@
     pub async fn set_complete(&self, complete: bool) -> bool {
         let line = self.with(|state| {
             state.disk_state.complete = complete;
+            state.awaits_release = false;
             CompletenessLine {
                 complete,
                 turns: state.index.turn_count(),
@@ -499,6 +503,17 @@
         self.persist_state().await
     }
 
+    /// Records that this keeper has everything, and is complete once the keeper that left its slot is no longer a source.
+    pub fn await_release(&self) {
+        self.with(|state| state.awaits_release = true);
+    }
+
+    /// Returns whether this keeper has everything and waits until the keeper that left its slot is no longer a source.
+    #[must_use]
+    pub fn awaits_release(&self) -> bool {
+        self.with(|state| state.awaits_release)
+    }
+
     /// Records the deployment's certificate authority; resolves to whether the record is durable.
     pub async fn set_authority(&self, authority: &str, key: &str) -> bool {
         self.with(|state| {
--- a/crates/samphiregrade-gateway/src/role/member.rs
+++ b/crates/samphiregrade-gateway/src/role/member.rs
@@ -67,6 +67,10 @@
     initialized: bool,
     replies: SlotReplies,
     retiring: Vec<SmolStr>,
+    /// Keepers of slots that have reported last that they are complete.
+    complete: Vec<SmolStr>,
+    /// The slot that this keeper has left as planned.
+    left_slot: Option<usize>,
     /// Retirement status that was reported last: whether the retirement is complete.
     reported_status: Option<bool>,
     rebuild_task: Option<tokio::task::JoinHandle<()>>,
@@ -99,6 +103,8 @@
             initialized: false,
             replies: SlotReplies::default(),
             retiring: Vec::new(),
+            complete: Vec::new(),
+            left_slot: None,
             reported_status: None,
             rebuild_task: None,
         }
@@ -120,8 +126,8 @@
                 () = stop.cancelled() => return,
                 Some(event) = shared.recv() => self.apply_shared_keys(event).await,
                 Some(event) = retirements.recv() => self.apply_retirements(event),
-                Some(name) = replies.recv() => {
-                    self.replies.record(name, Instant::now());
+                Some((name, complete)) = replies.recv() => {
+                    self.record_reply(name, complete);
                     continue;
                 }
                 () = tokio::time::sleep_until(next_check.into()) => {
@@ -237,7 +243,15 @@
         }
     }
 
-    fn probe_others(&self, sender: &mpsc::Sender<SmolStr>) {
+    fn record_reply(&mut self, name: SmolStr, complete: bool) {
+        self.complete.retain(|known| *known != name);
+        if complete {
+            self.complete.push(name.clone());
+        }
+        self.replies.record(name, Instant::now());
+    }
+
+    fn probe_others(&self, sender: &mpsc::Sender<(SmolStr, bool)>) {
         let placement = self.service.placement();
         // Only a keeper without a slot needs to know which keepers have failed.
         if placement.slot_of(&self.own.name).is_some() {
@@ -249,11 +263,13 @@
             let envelope =
                 KeeperEnvelope::between_keepers(placement.generation, KeeperRequest::Probe);
             tokio::spawn(async move {
-                let reply =
+                let probing =
                     links.request::<_, KeeperAnswer>(slot.address, &envelope, PROBE_TIMEOUT);
-                if reply.await.is_ok() {
+                if let Ok(answer) = probing.await {
+                    let complete =
+                        matches!(answer.reply, KeeperReply::Alive { complete: true, .. });
                     // The membership task may have stopped.
-                    let _ = sender.send(slot.name).await;
+                    let _ = sender.send((slot.name, complete)).await;
                 }
             });
         }
@@ -282,20 +298,50 @@
             tolerated_losses: tolerance.instances.max(1),
             silence: &silence,
             retiring: &self.retiring,
+            complete: &self.complete,
         };
+        if let Some(next) = self.release_departed(&placement) {
+            return self.propose(next).await;
+        }
         match next_step(&view) {
             MembershipStep::Stay => {}
             MembershipStep::Register => self.register().await,
-            MembershipStep::Propose(next) => self.propose(next).await,
+            MembershipStep::Propose(next) => {
+                if exists && placement.slot_of(&self.own.name).is_none() {
+                    // What was stored since this keeper left a slot is missing here.
+                    self.set_incomplete().await;
+                }
+                self.propose(next).await;
+            }
+        }
+    }
+
+    /// Returns the next placement if this keeper has everything that the one before it in its slot had. What is stored from now on
+    /// is missing there, so that it must not be a source again if this keeper loses its disk.
+    fn release_departed(&self, placement: &KeeperPlacement) -> Option<KeeperPlacement> {
+        let index = placement.slot_of(&self.own.name)?;
+        placement.departed_from(index)?;
+        let has_everything = self.service.awaits_release() || self.service.is_complete();
+        has_everything.then(|| placement.without_departed(index))
+    }
+
+    async fn set_incomplete(&self) {
+        if self.service.is_complete() {
+            self.service.set_complete(false).await;
         }
     }
 
-    /// Marks the keeper as incomplete while it has no slot, since it misses facts then. Once it has a slot, the missing
-    /// facts are rebuilt from the other keepers.
+    /// Marks the keeper as incomplete while it has no slot, since it misses facts then, unless it is the source for its
+    /// successor. Once it has a slot, the missing facts are rebuilt from the other keepers.
     async fn update_completeness(&mut self, placement: &KeeperPlacement) {
         let has_slot = placement.slot_of(&self.own.name).is_some();
-        if !has_slot && self.service.is_complete() {
-            self.service.set_complete(false).await;
+        if !has_slot && placement.slot_left_by(&self.own.name).is_none() {
+            self.set_incomplete().await;
+        }
+        let own = placement.slot_of(&self.own.name);
+        let is_released = own.is_some_and(|index| placement.departed_from(index).is_none());
+        if is_released && self.service.awaits_release() {
+            self.service.set_complete(true).await;
         }
         let running = self
             .rebuild_task
@@ -345,7 +391,7 @@
     }
 
     /// Reports the status of this keeper's own retirement to the operators. The retirement is complete once this keeper
-    /// has no slot and the keepers of all slots are complete.
+    /// has no slot and its successor is complete or, without a successor that reads it, the keepers of all slots are.
     async fn report_retirement(&mut self) {
         if !self.retiring.contains(&self.own.name) {
             self.reported_status = None;
@@ -356,6 +402,7 @@
         }
         let placement = self.service.placement();
         let has_left = placement.generation > 0 && placement.slot_of(&self.own.name).is_none();
+        self.left_slot = placement.slot_left_by(&self.own.name).or(self.left_slot);
         let completed = has_left && self.all_complete(&placement).await;
         if self.reported_status == Some(completed) {
             return;
@@ -374,8 +421,13 @@
         }
     }
 
+    /// Returns whether the keepers of the slots that may need this keeper's facts are complete.
     async fn all_complete(&self, placement: &KeeperPlacement) -> bool {
-        for slot in &placement.slots {
+        let left = self.left_slot;
+        for (index, slot) in placement.slots.iter().enumerate() {
+            if left.is_some_and(|left| left != index) {
+                continue;
+            }
             let envelope =
                 KeeperEnvelope::between_keepers(placement.generation, KeeperRequest::Probe);
             let reply = self.links.request(slot.address, &envelope, PROBE_TIMEOUT);
--- a/crates/samphiregrade-gateway/src/role/membership.rs
+++ b/crates/samphiregrade-gateway/src/role/membership.rs
@@ -72,6 +72,8 @@
     pub silence: &'view [Duration],
     /// Keepers that operators are retiring.
     pub retiring: &'view [SmolStr],
+    /// Keepers that have reported that they have every fact that they ever acknowledged.
+    pub complete: &'view [SmolStr],
 }
 
 /// The keeper's next action.
@@ -103,12 +105,25 @@
     if view.retiring.contains(&view.own.name) {
         return MembershipStep::Stay;
     }
+    if is_source(view, placement) {
+        return MembershipStep::Stay;
+    }
+    let KeeperSlot { name, address, .. } = view.own;
     match vacant_slot(view, placement) {
-        Some(index) => propose(placement, index, &view.own.name, view.own.address),
+        Some(VacantSlot::Retiring(index)) => {
+            MembershipStep::Propose(placement.with_successor(index, name, *address))
+        }
+        Some(VacantSlot::Failed(index)) => propose(placement, index, name, *address),
         None => MembershipStep::Stay,
     }
 }
 
+/// Returns whether the keeper has left a slot whose new keeper still needs its facts.
+fn is_source(view: &MembershipView<'_>, placement: &KeeperPlacement) -> bool {
+    let left = placement.slot_left_by(&view.own.name);
+    left.is_some_and(|index| !view.complete.contains(&placement.slots[index].name))
+}
+
 fn propose(
     placement: &KeeperPlacement,
     index: usize,
@@ -133,26 +148,41 @@
     MembershipStep::Propose(placement)
 }
 
+/// A slot that a keeper without one may take.
+enum VacantSlot {
+    /// Its keeper is retiring and has everything that its successor needs.
+    Retiring(usize),
+    /// Its keeper has failed.
+    Failed(usize),
+}
+
+impl VacantSlot {
+    fn index(&self) -> usize {
+        match self {
+            Self::Retiring(index) | Self::Failed(index) => *index,
+        }
+    }
+}
+
 /// Returns the slot that a keeper without a slot should take: that of a retiring or failed keeper, preferably in its
-/// own failure domain.
-fn vacant_slot(view: &MembershipView<'_>, placement: &KeeperPlacement) -> Option<usize> {
-    let alive = view
-        .silence
-        .iter()
-        .filter(|&&silence| silence < FAILURE_TIMEOUT)
-        .count();
-    if alive < placement.rebuild_sources() {
-        return None;
+/// own failure domain. A retiring keeper that is not complete itself stays until it is.
+fn vacant_slot(view: &MembershipView<'_>, placement: &KeeperPlacement) -> Option<VacantSlot> {
+    let failed = |index: usize| {
+        let silence = view.silence.get(index);
+        silence.is_some_and(|&silence| silence >= FAILURE_TIMEOUT)
+    };
+    let alive = (0..placement.slots.len()).filter(|&index| !failed(index));
+    let can_rebuild = alive.count() >= placement.rebuild_sources();
+    let mut vacant = Vec::new();
+    for (index, slot) in placement.slots.iter().enumerate() {
+        if failed(index) {
+            vacant.extend(can_rebuild.then_some(VacantSlot::Failed(index)));
+            continue;
+        }
+        if view.retiring.contains(&slot.name) && view.complete.contains(&slot.name) {
+            vacant.push(VacantSlot::Retiring(index));
+        }
     }
-    let mut vacant: Vec<usize> = (0..placement.slots.len())
-        .filter(|&index| {
-            let silent = view
-                .silence
-                .get(index)
-                .is_some_and(|&silence| silence >= FAILURE_TIMEOUT);
-            silent || view.retiring.contains(&placement.slots[index].name)
-        })
-        .collect();
-    vacant.sort_by_key(|&index| placement.slots[index].domain != view.own.domain);
-    vacant.first().copied()
+    vacant.sort_by_key(|slot| placement.slots[slot.index()].domain != view.own.domain);
+    vacant.into_iter().next()
 }
--- a/crates/samphiregrade-gateway/tests/suite/break_cause.rs
+++ b/crates/samphiregrade-gateway/tests/suite/break_cause.rs
@@ -97,22 +97,42 @@
     assert_eq!(cause, BreakCause::Serving);
 }
 
+/// What was known of an upstream before it broke off a request.
+#[derive(Clone, Copy)]
+enum Before {
+    /// It had announced its end long ago.
+    Announced,
+    /// It had announced its end a moment ago, and serves for a while after that.
+    JustAnnounced,
+    /// Its record was gone, as it is also after an end and in outages of the key-value service.
+    WithoutRecord,
+}
+
+// Guards against ends that count as planned because of a record that is gone or an announcement that came a moment before.
 #[tokio::test]
-async fn upstream_that_was_leaving_has_not_ended() {
-    for departs in [true, false] {
+async fn only_an_upstream_that_announced_its_end_in_time_has_left_as_planned() {
+    let cases = [
+        (Before::Announced, BreakCause::Leaving),
+        (Before::JustAnnounced, BreakCause::Ended),
+        (Before::WithoutRecord, BreakCause::Ended),
+    ];
+    for (before, expected) in cases {
         let Connected {
             upstream,
             listener,
             idle,
         } = connect().await;
-        if departs {
-            upstream.set_departed(true);
-        } else {
-            upstream.set_draining(true);
+        let now = Instant::now();
+        match before {
+            Before::Announced => upstream.set_announced_end(Some(now)),
+            Before::JustAnnounced => {
+                upstream.set_announced_end(Some(now + Duration::from_secs(1)));
+            }
+            Before::WithoutRecord => upstream.set_departed(true),
         }
         drop((listener, idle));
         let cause = upstream.examine_break(Instant::now()).await;
-        assert_eq!(cause, BreakCause::Leaving);
+        assert_eq!(cause, expected);
     }
 }
 
--- a/crates/samphiregrade-gateway/tests/suite/keepers.rs
+++ b/crates/samphiregrade-gateway/tests/suite/keepers.rs
@@ -274,6 +274,51 @@
     );
 }
 
+// Guards against two keepers that take over slots at the same moment, and take each other's empty stores for complete ones.
+#[tokio::test]
+async fn successors_of_two_retiring_keepers_have_what_these_had() {
+    let mut deployment = Deployment::start().await;
+    // The third keeper was away.
+    let fact = turn("t1", None, b"in1 ", b"out1\n");
+    deployment.store_on(&[0, 1], &fact).await;
+    let mut placement = deployment.placement.clone();
+    for (index, name) in ["d", "e"].into_iter().enumerate() {
+        let successor = start_keeper(&deployment.authority, name, false).await;
+        placement = placement.with_successor(index, name, successor.slot.address);
+        deployment.keepers.push(successor);
+    }
+    for keeper in &deployment.keepers {
+        keeper.service.adopt_placement(placement.clone()).await;
+    }
+    let links = deployment.links();
+    for successor in &deployment.keepers[3..] {
+        let (service, links) = (successor.service.clone(), links.clone());
+        let name = successor.slot.name.clone();
+        tokio::spawn(async move { rebuild_from_others(&service, &links, &name).await });
+    }
+    let is_ready = |keeper: &Keeper| keeper.service.awaits_release();
+    eventually("both successors have everything", async || {
+        deployment.keepers[3..].iter().all(is_ready)
+    })
+    .await;
+    deployment.placement = placement.without_departed(0).without_departed(1);
+    for keeper in &deployment.keepers[2..] {
+        keeper
+            .service
+            .adopt_placement(deployment.placement.clone())
+            .await;
+        keeper.service.set_complete(true).await;
+    }
+    let found = deployment
+        .client("d")
+        .chain(&"p".into(), &"t1".into())
+        .await;
+    assert_eq!(
+        found,
+        Ok(ChainLookup::Found(Bytes::from_static(b"in1 out1\n")))
+    );
+}
+
 // Guards against an entry that receives newer revisions only with some kinds of replies, and keeps an old configuration
 // while its requests are of other kinds.
 #[tokio::test]
--- a/crates/samphiregrade-gateway/tests/suite/membership.rs
+++ b/crates/samphiregrade-gateway/tests/suite/membership.rs
@@ -28,6 +28,7 @@
     unchanged: Duration,
     silence: Vec<Duration>,
     retiring: Vec<SmolStr>,
+    complete: Vec<SmolStr>,
 }
 
 impl Scenario {
@@ -43,6 +44,7 @@
             unchanged: Duration::from_secs(9),
             silence: vec![RESPONSIVE; 3],
             retiring: Vec::new(),
+            complete: ["k1", "k2", "k3"].map(SmolStr::from).into(),
         }
     }
 
@@ -55,6 +57,7 @@
             tolerated_losses: 1,
             silence: &self.silence,
             retiring: &self.retiring,
+            complete: &self.complete,
         })
     }
 
@@ -139,6 +142,32 @@
     assert_eq!(scenario.step(), MembershipStep::Stay);
 }
 
+// Guards against a successor of a keeper that is rebuilding itself, and has not everything that the successor needs.
+#[test]
+fn slot_of_a_retiring_keeper_is_taken_once_that_keeper_is_complete() {
+    let mut scenario = Scenario::of(slot("k4", "c", 4));
+    scenario.retiring = vec!["k1".into()];
+    scenario.complete = vec!["k2".into(), "k3".into()];
+    assert_eq!(scenario.step(), MembershipStep::Stay);
+    scenario.complete.push("k1".into());
+    let proposed = scenario.proposed();
+    assert_eq!(proposed.departed_from(0), Some(&three()[0]));
+    assert_eq!(proposed.without_departed(0).departed_from(0), None);
+}
+
+// Guards against a keeper that takes another slot, and so loses what the successor in its former slot still has to read.
+#[test]
+fn keeper_that_has_left_a_slot_remains_a_source_until_its_successor_is_complete() {
+    let mut scenario = Scenario::of(slot("k1", "a", 1));
+    let address = ([127, 0, 0, 1], 4).into();
+    scenario.placement = Some(KeeperPlacement::first(three(), 1).with_successor(0, "k4", address));
+    scenario.silence[1] = FAILED;
+    scenario.complete = vec!["k3".into()];
+    assert_eq!(scenario.step(), MembershipStep::Stay);
+    scenario.complete.push("k4".into());
+    assert_eq!(scenario.proposed().slots[1].name, "k1");
+}
+
 #[test]
 fn groups_are_spread_over_failure_domains_and_keep_their_slots() {
     let slots: Vec<KeeperSlot> = (0..8_u16)
