Report as many registered sends as a decision needs

What callers saw: with hundreds of requests in flight that are alike to the byte, an entry lost its keepers, and turns beside them were cut as not durable.

Cause: each look-up's reply named all registered sends of its request, so that keepers and entries did work that grew with the square of their number.

The model of sends side by side has the new reply and passes.

--- a/crates/samphiregrade-gateway/src/fact/sends.rs
+++ b/crates/samphiregrade-gateway/src/fact/sends.rs
@@ -2,10 +2,10 @@
 //!
 //! Each look-up registers a send before it takes place, so that a send is known whose entry ends before it reports the result.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Instant;
 
-use super::tries::{KnownTries, RequestTry, TRY_RETENTION, TryKey, TryNumber};
+use super::tries::{KnownTries, MAX_ENDED_UPSTREAMS, RequestTry, TRY_RETENTION, TryKey, TryNumber};
 
 /// Maximum number of sends; the oldest one makes room.
 const SEND_LIMIT: usize = 1 << 16;
@@ -14,7 +14,7 @@
 #[derive(Debug, Default)]
 pub struct SendTable {
     keys: HashMap<TryNumber, TryKey>,
-    numbers: HashMap<TryKey, Vec<TryNumber>>,
+    numbers: HashMap<TryKey, HashSet<TryNumber>>,
     /// The sends by the time of their registration, ended ones included.
     registered: VecDeque<(Instant, TryNumber)>,
 }
@@ -24,7 +24,7 @@
     pub fn register(&mut self, key: &TryKey, number: TryNumber, now: Instant) {
         self.expire(now);
         if self.keys.insert(number, key.clone()).is_none() {
-            self.numbers.entry(key.clone()).or_default().push(number);
+            self.numbers.entry(key.clone()).or_default().insert(number);
             self.registered.push_back((now, number));
         }
     }
@@ -37,15 +37,18 @@
         let Some(numbers) = self.numbers.get_mut(&key) else {
             return;
         };
-        numbers.retain(|&other| other != number);
+        numbers.remove(&number);
         if numbers.is_empty() {
             self.numbers.remove(&key);
         }
     }
 
-    /// Adds the registered sends of a request to its known tries.
-    pub fn add_to(&self, tries: &mut KnownTries, key: &TryKey) {
-        for &number in self.numbers.get(key).into_iter().flatten() {
+    /// Adds registered sends of a request other than `own` to its known tries: as many as a decision needs, since hundreds of
+    /// requests that are alike may be in flight.
+    pub fn add_to(&self, tries: &mut KnownTries, key: &TryKey, own: TryNumber) {
+        let numbers = self.numbers.get(key).into_iter().flatten();
+        let others = numbers.filter(|&&number| number != own);
+        for &number in others.take(MAX_ENDED_UPSTREAMS) {
             tries.add(RequestTry::registered(number));
         }
     }
--- a/crates/samphiregrade-gateway/src/fact/service.rs
+++ b/crates/samphiregrade-gateway/src/fact/service.rs
@@ -16,7 +16,7 @@
 };
 use super::placement::{KeeperPlacement, PlacementGeneration};
 use super::sends::SendTable;
-use super::tries::{TryFact, TryKey};
+use super::tries::{TryFact, TryKey, TryNumber};
 use crate::limits::{LedgerTime, LimitLedger, LimitReservation, LimitRule, LimitUse, TokenUse};
 use crate::model::TurnId;
 use crate::observe::Logbook;
@@ -229,7 +229,7 @@
             },
             KeeperRequest::Tries { key, number } => {
                 self.with(|state| state.sends.register(&key, number, now));
-                self.known_tries(&key, now)
+                self.known_tries(&key, number, now)
             }
             KeeperRequest::RecordTries(fact) => self.record_tries(fact, now),
             KeeperRequest::Probe => KeeperReply::Alive {
@@ -284,10 +284,10 @@
         self.disk.append_later(fact);
     }
 
-    fn known_tries(&self, key: &TryKey, now: Instant) -> KeeperReply {
+    fn known_tries(&self, key: &TryKey, own: TryNumber, now: Instant) -> KeeperReply {
         let (tries, kept_for) = self.with(|state| {
             let (mut tries, kept_for) = state.index.tries(key, now);
-            state.sends.add_to(&mut tries, key);
+            state.sends.add_to(&mut tries, key, own);
             (tries, kept_for)
         });
         KeeperReply::Tries {
@@ -299,8 +299,9 @@
 
     fn record_tries(&self, fact: TryFact, now: Instant) -> KeeperReply {
         let key = fact.key.clone();
+        let own = fact.tries.iter().next().map(|own| own.number);
         self.note(FactRecord::Tries(fact), now);
-        self.known_tries(&key, now)
+        self.known_tries(&key, own.unwrap_or_default(), now)
     }
 
     fn suspects(&self) -> Vec<UpstreamSuspect> {
--- a/crates/samphiregrade-gateway/tests/suite/tries.rs
+++ b/crates/samphiregrade-gateway/tests/suite/tries.rs
@@ -134,10 +134,15 @@
     assert!(sends.len() < 100_000);
     let count = |sends: &SendTable, request: u64| {
         let mut tries = KnownTries::default();
-        sends.add_to(&mut tries, &try_key(request));
+        sends.add_to(&mut tries, &try_key(request), OWN);
         tries.open()
     };
     assert_eq!((count(&sends, 0), count(&sends, 99_999)), (0, 1));
+    // Of hundreds of requests that are alike, a reply names as many as a decision needs.
+    for number in 200_000..200_500 {
+        sends.register(&try_key(5), number, now);
+    }
+    assert_eq!(count(&sends, 5), MAX_ENDED_UPSTREAMS);
     sends.end(99_999);
     assert_eq!(count(&sends, 99_999), 0);
     let later = now + TRY_RETENTION + Duration::from_millis(1);
@@ -352,9 +357,9 @@
         self.tries.add(recorded);
     }
 
-    fn reply(&self, key: &str) -> KnownTries {
+    fn reply(&self, key: &str, own: u64) -> KnownTries {
         let mut tries = self.tries.clone();
-        self.sends.add_to(&mut tries, &key.into());
+        self.sends.add_to(&mut tries, &key.into(), own);
         tries
     }
 }
@@ -417,7 +422,7 @@
             }
             _ => keeper.record(try_of(attempt.number, attempt.number, TryState::Ended)),
         }
-        attempt.known.merge(&keeper.reply("k"));
+        attempt.known.merge(&keeper.reply("k", attempt.number));
     }
 
     fn finish_round(attempt: &mut Attempt, bits: u8) {
