Settle doubts whose entry has ended

Cause: only the entry that recorded a doubt examined its upstream. If it ended, the doubt counted for a minute.

Change: an entry whose request waits for doubts only asks their upstreams itself, at the earliest 0.8 s after the last change, and serves the request if they live.

--- a/crates/samphiregrade-gateway/src/exchange/connection.rs
+++ b/crates/samphiregrade-gateway/src/exchange/connection.rs
@@ -349,6 +349,8 @@
     let turn_input = request.body.clone();
     let preparing = prepare_turn(context, turn, turn_input, request.due, versions, looking_up);
     let prepared = admit_while_preparing(context, request, record, preparing).await?;
+    let directory = context.directory.load_full();
+    Box::pin(tries.settle_doubts(directory.of(&request.service.name))).await;
     record.ended = tries.ended();
     record.tries_heard = Some(tries.heard());
     tries.check()?;
--- a/crates/samphiregrade-gateway/src/exchange/examination.rs
+++ b/crates/samphiregrade-gateway/src/exchange/examination.rs
@@ -17,7 +17,7 @@
 use crate::upstream::{LifeQuery, LifeSign, Upstream};
 
 /// Time within which a process ends after it has closed the connection of the request that ends it.
-const LATE_END: Duration = Duration::from_millis(800);
+pub(super) const LATE_END: Duration = Duration::from_millis(800);
 
 /// Pauses before the examinations of one try: together they take longer than most interruptions of a path. The first one is longer
 /// than the time within which a process ends, so that responses to other requests mostly show that it lives.
@@ -78,6 +78,17 @@
         }
     }
 
+    /// Examines the upstream once; returns whether it lives, which is recorded.
+    pub async fn has_survived(mut self) -> bool {
+        let sign = self.query_life().await;
+        self.log(sign);
+        if sign != LifeSign::Lives {
+            return false;
+        }
+        self.conclude(TryState::Harmless);
+        true
+    }
+
     async fn query_life(&self) -> LifeSign {
         let query = LifeQuery {
             dialect: &*self.recorder.context.dialect,
--- a/crates/samphiregrade-gateway/src/exchange/tries.rs
+++ b/crates/samphiregrade-gateway/src/exchange/tries.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use super::context::EntryContext;
-use super::examination::TryExamination;
+use super::examination::{LATE_END, TryExamination};
 use super::refusal::{Refusal, RefusalReason};
 use super::try_record::TryRecorder;
 use crate::fact::{
@@ -110,6 +110,38 @@
         self.accept(&context.suspects.known(key, Instant::now()));
     }
 
+    /// Examines the upstreams that have not shown yet that they live, if the request waits for that. The entry that examines
+    /// them may have ended. `upstreams` are those of the request's service.
+    pub async fn settle_doubts(&self, upstreams: &[Arc<Upstream>]) {
+        if self.decide() != TryDecision::Occupied {
+            return;
+        }
+        let age = TRY_RETENTION.saturating_sub(lock_ignoring_poison(&self.known).kept_for);
+        // No try has changed since then.
+        let changed = Instant::now().checked_sub(age);
+        // Before that, no response shows that an upstream lives.
+        tokio::time::sleep(LATE_END.saturating_sub(age)).await;
+        let unsettled: Vec<RequestTry> = lock_ignoring_poison(&self.known)
+            .tries
+            .unsettled()
+            .copied()
+            .collect();
+        let examine = |recorded: RequestTry| async move {
+            let mut known = upstreams.iter();
+            let upstream = known.find(|upstream| upstream.start_tag == recorded.upstream)?;
+            let examination = self.examination(upstream.clone(), recorded, changed?);
+            let harmless = RequestTry {
+                state: TryState::Harmless,
+                ..recorded
+            };
+            examination.has_survived().await.then_some(harmless)
+        };
+        let examining = futures_util::future::join_all(unsettled.into_iter().map(examine));
+        for harmless in examining.await.into_iter().flatten() {
+            self.accept_own(&harmless.into());
+        }
+    }
+
     /// Returns the number of keepers that have replied to the look-up.
     #[must_use]
     pub fn heard(&self) -> usize {
@@ -306,14 +338,22 @@
     }
 
     fn examine(&self, upstream: Arc<Upstream>, recorded: RequestTry, broke_at: Instant) {
-        let examination = TryExamination {
+        self.examination(upstream, recorded, broke_at).start();
+    }
+
+    fn examination(
+        &self,
+        upstream: Arc<Upstream>,
+        recorded: RequestTry,
+        broke_at: Instant,
+    ) -> TryExamination {
+        TryExamination {
             recorder: self.recorder.clone(),
             service: self.service.clone(),
             upstream,
             recorded,
             broke_at,
-        };
-        examination.start();
+        }
     }
 
     fn refuse_occupied(&self) -> Refusal {
--- a/crates/samphiregrade-gateway/src/fact/tries.rs
+++ b/crates/samphiregrade-gateway/src/fact/tries.rs
@@ -173,6 +173,14 @@
         changes.fold(false, |any, changed| any | changed)
     }
 
+    /// Returns the tries whose upstreams have not shown yet that they live.
+    pub fn unsettled(&self) -> impl Iterator<Item = &RequestTry> {
+        let states = [TryState::Doubted, TryState::Unresolved];
+        self.0
+            .iter()
+            .filter(move |known| states.contains(&known.state))
+    }
+
     /// Returns the number of upstreams that have ended under the request.
     #[must_use]
     pub fn ended(&self) -> usize {
