Don't hold a request for doubts beyond its deadline

What callers saw: a request that waits for doubts only was held for up to 1.1 s, also where its client had less time.

Cause: settling doubts looked at neither the deadline nor the time left.

Evidence: read in the code; no test of its own.

--- a/crates/samphiregrade-gateway/src/exchange/tries.rs
+++ b/crates/samphiregrade-gateway/src/exchange/tries.rs
@@ -111,8 +111,9 @@
     }
 
     /// Examines the upstreams that have not shown yet that they live, if the request waits for that. The entry that examines
-    /// them may have ended. `upstreams` are those of the request's service.
-    pub async fn settle_doubts(&self, upstreams: &[Arc<Upstream>]) {
+    /// them may have ended. `upstreams` are those of the request's service; a request that is due before they can show it is not
+    /// held.
+    pub async fn settle_doubts(&self, upstreams: &[Arc<Upstream>], due: Instant) {
         if self.decide() != TryDecision::Occupied {
             return;
         }
@@ -120,7 +121,11 @@
         // No try has changed since then.
         let changed = Instant::now().checked_sub(age);
         // Before that, no response shows that an upstream lives.
-        tokio::time::sleep(LATE_END.saturating_sub(age)).await;
+        let wait = LATE_END.saturating_sub(age);
+        if Instant::now() + wait >= due {
+            return;
+        }
+        tokio::time::sleep(wait).await;
         let unsettled: Vec<RequestTry> = lock_ignoring_poison(&self.known)
             .tries
             .unsettled()
