--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -33,9 +33,11 @@
     def __init__(self, folder):
         self.file = open(os.path.join(folder, "record.txt"), "w", encoding="utf-8")
         self.lock = threading.Lock()
+        self.last = ""
 
     def write(self, text):
         with self.lock:
+            self.last = text
             self.file.write(f"{time.monotonic() - START:8.3f}  {text}\n")
             self.file.flush()
 
@@ -395,6 +397,16 @@
         for machine in self.machines.values():
             machine.start()
 
+    def wait_until_ready(self, seconds):
+        """Waits until all frontend machines are ready; returns whether they are."""
+        until = time.monotonic() + seconds
+        while not all(machine.is_ready() for machine in self.of("frontend")):
+            if time.monotonic() > until:
+                self.record.write("not all frontend machines are ready")
+                return False
+            time.sleep(0.1)
+        return True
+
     def stop(self):
         for machine in self.machines.values():
             machine.kill()
@@ -590,7 +602,7 @@
             print(work)
         else:
             shutil.rmtree(work, ignore_errors=True)
+    print({0: "held", 1: "broken"}.get(code, "could not run; the last record: " + record.last))
     record.write({0: "the rule held", 1: "the rule was broken"}.get(code, "the case could not run"))
-    print({0: "held", 1: "broken"}.get(code, "could not run"))
     sys.stdout.flush()
     os._exit(code)
