--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -572,12 +572,11 @@
     return headers
 
 
-def run_case(folder, case):
+def run_case(folder, case, trouble):
     """Runs a case function with a record and a temporary folder; exits with its result, or with 2 if it couldn't run."""
     os.chdir(ROOT)
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     record = Record(folder)
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     record.write(f"trouble: {trouble}")
     work = tempfile.mkdtemp(prefix="review-")
     deployments = []
