Log until when an upstream may work on a doubted request

The logs told when a process had shown that it lives, but not until when it could work on the request. So an end after a premature sign could not be told from a send that nobody counts, or from a forgotten one.

`request-try` and `upstream-survival` lines have `work_left_ms`: the time until the deadline of the attempt. No decision changes.

--- a/crates/samphiregrade-gateway/src/exchange/connection.rs
+++ b/crates/samphiregrade-gateway/src/exchange/connection.rs
@@ -25,6 +25,7 @@
 use super::request::RoutedRequest;
 use super::survey::{PlacementView, survey};
 use super::tries::RequestTries;
+use super::try_record::TryRecorder;
 use super::turn::{PreparedTurn, ProgramState, TurnPlan};
 use crate::access::BootTime;
 use crate::model::{ClientLimits, RequestKind, RequestMetadata};
@@ -184,17 +185,13 @@
         let is_turn = route.kind == RequestKind::Streaming;
         let tag = request_tag(&caller, &head, &metadata, &body);
         record.tag = Some(tag);
-        let tries = RequestTries::new(
-            self.context.clone(),
-            record.request.clone(),
-            tag,
-            service.clone(),
-            metadata.program.is_some(),
-        );
+        let due = record.started + allowed;
+        let recorder = TryRecorder::new(self.context.clone(), record.request.clone(), tag, due);
+        let tries = RequestTries::new(recorder, service.clone(), metadata.program.is_some());
         let request = RoutedRequest {
             tries: Arc::new(tries),
             id: record.request.clone(),
-            due: record.started + allowed,
+            due,
             started: record.started,
             head,
             metadata,
--- a/crates/samphiregrade-gateway/src/exchange/examination.rs
+++ b/crates/samphiregrade-gateway/src/exchange/examination.rs
@@ -47,6 +47,7 @@
     request_tag: SmolStr,
     upstream: &'line str,
     sign: &'static str,
+    work_left_ms: u128,
     after_ms: u128,
 }
 
@@ -115,6 +116,7 @@
             request_tag: format_tag(self.recorder.tag),
             upstream: &self.upstream.record.id,
             sign: sign.name(),
+            work_left_ms: self.recorder.work_left().as_millis(),
             after_ms: self.broke_at.elapsed().as_millis(),
         };
         Logbook::global().record("upstream-survival", &line);
--- a/crates/samphiregrade-gateway/src/exchange/tries.rs
+++ b/crates/samphiregrade-gateway/src/exchange/tries.rs
@@ -8,7 +8,6 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use super::context::EntryContext;
 use super::examination::{LATE_END, TryExamination};
 use super::refusal::{Refusal, RefusalReason};
 use super::try_record::TryRecorder;
@@ -17,7 +16,7 @@
     TryDecision, TryNumber, TryState,
 };
 use crate::hold::lock_ignoring_poison;
-use crate::model::{RequestId, RequestTag, ServiceRecord};
+use crate::model::ServiceRecord;
 use crate::upstream::{BreakCause, Upstream};
 
 /// Retry-After time of a request whose earlier tries are unresolved.
@@ -70,15 +69,13 @@
 impl RequestTries {
     /// Returns the tries of a request of which nothing has been looked up yet.
     #[must_use]
-    pub fn new(
-        context: Arc<EntryContext>,
-        request: RequestId,
-        tag: RequestTag,
+    pub(super) fn new(
+        recorder: TryRecorder,
         service: Arc<ServiceRecord>,
         sent_once_at_a_time: bool,
     ) -> Self {
         Self {
-            recorder: TryRecorder::new(context, request, tag),
+            recorder,
             service,
             sent_once_at_a_time,
             number: Mutex::new(rand::random()),
--- a/crates/samphiregrade-gateway/src/exchange/try_record.rs
+++ b/crates/samphiregrade-gateway/src/exchange/try_record.rs
@@ -1,7 +1,7 @@
 //! Records the tries of a suspected request, at this instance and with the keepers.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use serde::Serialize;
 use smol_str::SmolStr;
@@ -22,6 +22,8 @@
     /// Hash of what the client repeats with each attempt.
     pub tag: RequestTag,
     pub key: TryKey,
+    /// Deadline of this attempt: an upstream that has received the request may work on it until then.
+    pub due: Instant,
 }
 
 #[derive(Serialize)]
@@ -33,19 +35,31 @@
     decision: &'static str,
     ended: usize,
     open: usize,
+    work_left_ms: u128,
     kept_ms: u128,
 }
 
 impl TryRecorder {
-    pub fn new(context: Arc<EntryContext>, request: RequestId, tag: RequestTag) -> Self {
+    pub fn new(
+        context: Arc<EntryContext>,
+        request: RequestId,
+        tag: RequestTag,
+        due: Instant,
+    ) -> Self {
         Self {
             context,
             request,
             tag,
             key: try_key(tag),
+            due,
         }
     }
 
+    /// Returns the time for which an upstream may still work on this attempt.
+    pub fn work_left(&self) -> Duration {
+        self.due.saturating_duration_since(Instant::now())
+    }
+
     /// Records tries here and with the keepers; resolves to all tries that these know if a majority of them has the record.
     pub async fn record(&self, tries: KnownTries) -> Option<ReportedTries> {
         self.note(&tries);
@@ -76,6 +90,7 @@
             decision,
             ended: known.tries.ended(),
             open: known.tries.open(),
+            work_left_ms: self.work_left().as_millis(),
             kept_ms: known.kept_for.as_millis(),
         };
         Logbook::global().record("request-try", &line);
