Count a try until its process has outlived the deadline of the request

Callers saw requests sent on after three upstreams had ended under them.

Cause: a doubt about an upstream was settled 0.8 s after the break, by a response that names its process. But an upstream works on a request until the deadline that it was given, also if the connection has closed or the client has left; a response to another request shows only that it has not ended yet. In the logs each excess send follows a `lives` with work left, and the same process ends after it. For the same reason tries and registered sends were forgotten a minute after the last change while an upstream could still work on them.

Change: what counts is the last moment at which the process could work on the request: its deadline, or its own complete response. It goes with every registration and record (as time that is left, so that clocks need not agree). A response settles a try only if its request was sent 0.8 s after that moment or later. Nothing is asked before. Tries are kept for a minute after it as long as one is not settled. An attempt that finds three doubts gets a `Retry-After` that tells when they can be settled.

New unit tests: tries_are_kept_while_an_upstream_may_work_on_one_of_them, registered_send_counts_until_after_its_deadline.

--- a/crates/samphiregrade-gateway/src/exchange/connection.rs
+++ b/crates/samphiregrade-gateway/src/exchange/connection.rs
@@ -347,7 +347,7 @@
     let preparing = prepare_turn(context, turn, turn_input, request.due, versions, looking_up);
     let prepared = admit_while_preparing(context, request, record, preparing).await?;
     let directory = context.directory.load_full();
-    let settling = tries.settle_doubts(directory.of(&request.service.name), request.due);
+    let settling = tries.settle_doubts(directory.of(&request.service.name));
     // What is not settled by then goes on counting.
     let _ = tokio::time::timeout_at(request.due.into(), Box::pin(settling)).await;
     record.ended = tries.ended();
--- a/crates/samphiregrade-gateway/src/exchange/examination.rs
+++ b/crates/samphiregrade-gateway/src/exchange/examination.rs
@@ -1,7 +1,7 @@
-//! Examines later whether the upstream of a try lives, and records what is found.
+//! Examines later whether the upstream of a try has outlived it, and records what is found.
 //!
-//! Right after a request was broken off nothing shows that its upstream lives: a process may close a connection before it ends,
-//! and another one may accept connections at its address. The try counts until a response names the process.
+//! A process may work on a request whose connection is closed, and respond to others meanwhile, until the request's deadline.
+//! Another process may accept connections at its address. The try counts until a response to a later request names the process.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -16,13 +16,14 @@
 use crate::observe::Logbook;
 use crate::upstream::{LifeQuery, LifeSign, Upstream};
 
-/// Time within which a process ends after it has closed the connection of the request that ends it.
+/// Time within which a process ends after the last moment at which it could work on the request that ends it. It includes the
+/// time that the request took to arrive, for the deadline counts from then.
 pub(super) const LATE_END: Duration = Duration::from_millis(800);
 
-/// Pauses before the examinations of one try: together they take longer than most interruptions of a path. The first one is longer
-/// than the time within which a process ends, so that responses to other requests mostly show that it lives.
+/// Pauses before the examinations of one try, from when on a response can settle it: together they take longer than most
+/// interruptions of a path. After the first one, responses to other requests mostly show that the process lives.
 const EXAMINATION_PAUSES: [Duration; 6] = [
-    Duration::from_secs(1),
+    Duration::from_millis(200),
     Duration::from_secs(1),
     Duration::from_secs(2),
     Duration::from_secs(4),
@@ -37,8 +38,8 @@
     pub service: Arc<ServiceRecord>,
     pub upstream: Arc<Upstream>,
     pub recorded: RequestTry,
-    /// When the request was broken off or abandoned.
-    pub broke_at: Instant,
+    /// Time from which on a response shows that the process has outlived the try.
+    pub provable: Instant,
 }
 
 #[derive(Serialize)]
@@ -65,6 +66,7 @@
     }
 
     async fn run(mut self) {
+        tokio::time::sleep_until(self.provable.into()).await;
         for pause in EXAMINATION_PAUSES {
             tokio::time::sleep(pause).await;
             let sign = self.query_life().await;
@@ -79,7 +81,7 @@
         }
     }
 
-    /// Examines the upstream once; returns whether it lives, which is recorded.
+    /// Examines the upstream once; returns whether it has outlived the try, which is recorded.
     pub async fn has_survived(mut self) -> bool {
         let sign = self.query_life().await;
         self.log(sign);
@@ -94,7 +96,7 @@
         let query = LifeQuery {
             dialect: &*self.recorder.context.dialect,
             health_path: self.service.health_path.as_deref(),
-            since: self.broke_at + LATE_END,
+            since: self.provable,
         };
         self.upstream.query_life(&query).await
     }
@@ -103,8 +105,7 @@
     fn conclude(&mut self, state: TryState) {
         if self.recorded.state != state {
             self.recorded.state = state;
-            let concluded = self.recorded.into();
-            self.recorder.record_in_background(&concluded);
+            self.recorder.record_in_background(self.recorded.into());
         }
     }
 
@@ -117,7 +118,7 @@
             upstream: &self.upstream.record.id,
             sign: sign.name(),
             work_left_ms: self.recorder.work_left().as_millis(),
-            after_ms: self.broke_at.elapsed().as_millis(),
+            after_ms: self.provable.elapsed().as_millis(),
         };
         Logbook::global().record("upstream-survival", &line);
     }
--- a/crates/samphiregrade-gateway/src/exchange/relay.rs
+++ b/crates/samphiregrade-gateway/src/exchange/relay.rs
@@ -152,9 +152,12 @@
         let upstream = response.guard.upstream().start_tag;
         context.outcomes.note(upstream, outcome, Instant::now());
     }
+    // Another server may have the address of an upstream that has ended.
+    let has_own_result = relay.body_ended.is_some() && response.names_request;
     match &result {
-        // Another server may have the address of an upstream that has ended, and a failing upstream may be ending.
-        Ok(()) if !response.names_request || status >= 500 => request.tries.abandon(),
+        Ok(()) | Err(RelayStop::NotDurable) if !has_own_result => request.tries.abandon(),
+        // A failing upstream may be ending.
+        Ok(()) if status >= 500 => request.tries.record_failure(),
         Ok(()) if status < 300 => request.tries.complete(),
         Ok(()) | Err(RelayStop::NotDurable) => request.tries.settle(),
         Err(RelayStop::Upstream(_)) => {
@@ -166,6 +169,9 @@
             let ending = request.tries.end(BreakCause::Unreachable, Instant::now());
             Box::pin(ending).await;
         }
+        Err(
+            RelayStop::Client | RelayStop::SlowClient | RelayStop::Deadline | RelayStop::Stopping,
+        ) if has_own_result && status < 500 => request.tries.settle(),
         Err(
             RelayStop::Client | RelayStop::SlowClient | RelayStop::Deadline | RelayStop::Stopping,
         ) => request.tries.abandon(),
--- a/crates/samphiregrade-gateway/src/exchange/suspects.rs
+++ b/crates/samphiregrade-gateway/src/exchange/suspects.rs
@@ -5,7 +5,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
-use crate::fact::{KnownTries, ReportedTries, TryEntry, TryKey};
+use crate::fact::{ReportedTries, TimedTries, TryEntry, TryKey};
 use crate::hold::lock_ignoring_poison;
 
 /// Maximum number of requests; the one that has been unchanged for longest makes room.
@@ -35,14 +35,14 @@
 
 impl SuspectTable {
     /// Adds tries of a request.
-    pub fn add(&self, key: &TryKey, tries: &KnownTries, now: Instant) {
+    pub fn add(&self, key: &TryKey, timed: &TimedTries, now: Instant) {
         let mut entries = lock_ignoring_poison(&self.entries);
         if !entries.contains_key(key) && entries.len() >= SUSPECT_LIMIT {
             make_room(&mut entries, now);
         }
         let entry = entries.entry(key.clone());
         let entry = entry.or_insert_with(|| TryEntry::new(now));
-        entry.add(tries, now);
+        entry.add(timed, now);
     }
 
     /// Returns the known tries of a request.
@@ -51,12 +51,7 @@
         let entries = lock_ignoring_poison(&self.entries);
         let entry = entries.get(key);
         entry
-            .map(|entry| ReportedTries {
-                tries: entry.tries(now),
-                kept_for: entry.kept_for(now),
-                heard: 0,
-                certain: false,
-            })
+            .map(|entry| ReportedTries::of_entry(entry, now))
             .unwrap_or_default()
     }
 
--- a/crates/samphiregrade-gateway/src/exchange/tries.rs
+++ b/crates/samphiregrade-gateway/src/exchange/tries.rs
@@ -3,6 +3,9 @@
 //! Before a request is sent, the entry looks up whether upstreams have ended under it. If so, each further try is recorded
 //! with the keepers before the request is sent, and its result after. The response of a client waits for the record of an end,
 //! so that its next attempt, at any entry, is decided with the record.
+//!
+//! A try counts until its upstream's process has shown that it has outlived it: by its own result, or by a response of the
+//! process to a request that was sent after the last moment at which it could still work on the try.
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -12,14 +15,14 @@
 use super::refusal::{Refusal, RefusalReason};
 use super::try_record::TryRecorder;
 use crate::fact::{
-    KeeperClient, KnownTries, ReportedTries, RequestTry, SendRegistration, TRY_RETENTION,
-    TryDecision, TryNumber, TryState,
+    KeeperClient, ReportedTries, RequestTry, SendRegistration, TimedTries, TryDecision, TryEntry,
+    TryNumber, TryState,
 };
 use crate::hold::lock_ignoring_poison;
 use crate::model::ServiceRecord;
 use crate::upstream::{BreakCause, Upstream};
 
-/// Retry-After time of a request whose earlier tries are unresolved.
+/// Shortest Retry-After time of a request whose earlier tries are unresolved: they are examined again by then.
 const UNRESOLVED_RETRY_AFTER: Duration = Duration::from_secs(1);
 
 /// A try that is in flight.
@@ -41,6 +44,9 @@
     }
 }
 
+/// Longest time for which a request is held until its earlier tries can be settled; others are refused at once.
+const LONGEST_HOLD: Duration = LATE_END;
+
 /// Age above which a look-up is repeated before a send: meanwhile, the instance may have been suspended.
 const LOOK_UP_AGE: Duration = Duration::from_millis(100);
 
@@ -107,19 +113,18 @@
         self.accept(&context.suspects.known(key, Instant::now()));
     }
 
-    /// Examines the upstreams that have not shown yet that they live, if the request waits for that. The entry that examines
-    /// them may have ended. `upstreams` are those of the request's service; a request that is due before they can show it is not
-    /// held.
-    pub async fn settle_doubts(&self, upstreams: &[Arc<Upstream>], due: Instant) {
+    /// Examines the upstreams that have not shown yet that they have outlived the request, if it waits for that. The entry that
+    /// examines them may have ended. `upstreams` are those of the request's service. The request is held for a moment at most,
+    /// and not beyond its deadline.
+    pub async fn settle_doubts(&self, upstreams: &[Arc<Upstream>]) {
         if self.decide() != TryDecision::Occupied {
             return;
         }
-        let age = TRY_RETENTION.saturating_sub(lock_ignoring_poison(&self.known).kept_for);
-        // No try has changed since then.
-        let changed = Instant::now().checked_sub(age);
-        // Before that, no response shows that an upstream lives.
-        let wait = LATE_END.saturating_sub(age);
-        if Instant::now() + wait >= due {
+        let Some(provable) = self.provable_from() else {
+            return;
+        };
+        let wait = provable.saturating_duration_since(Instant::now());
+        if wait > LONGEST_HOLD || provable >= self.recorder.due {
             return;
         }
         tokio::time::sleep(wait).await;
@@ -131,7 +136,7 @@
         let examine = |recorded: RequestTry| async move {
             let mut known = upstreams.iter();
             let upstream = known.find(|upstream| upstream.start_tag == recorded.upstream)?;
-            let examination = self.examination(upstream.clone(), recorded, changed?);
+            let examination = self.examination(upstream.clone(), recorded, provable);
             let harmless = RequestTry {
                 state: TryState::Harmless,
                 ..recorded
@@ -144,6 +149,13 @@
         }
     }
 
+    /// Returns the time from which on a response can show that an upstream has outlived all known tries; `None` if no try is
+    /// known.
+    fn provable_from(&self) -> Option<Instant> {
+        let work_ends = lock_ignoring_poison(&self.known).work_ends?;
+        Some(work_ends + LATE_END)
+    }
+
     /// Returns the number of keepers that have replied to the look-up.
     #[must_use]
     pub fn heard(&self) -> usize {
@@ -203,7 +215,7 @@
         if !is_recorded {
             return Ok(());
         }
-        let confirmed = self.record(recorded.into()).await;
+        let confirmed = self.record(self.timed(recorded)).await;
         let checked = self.check().and_then(|()| self.check_confirmed(confirmed));
         match &checked {
             Err(_) => self.settle(),
@@ -238,21 +250,36 @@
             return;
         };
         let recorded = open.in_state(state);
-        self.record(recorded.into()).await;
+        self.record(self.timed(recorded)).await;
         self.log(name, Some(&open.upstream));
-        self.examine(open.upstream, recorded, broke_at);
+        self.examine(open.upstream, recorded, broke_at, self.recorder.due);
     }
 
-    /// Records that the result of the try in flight, if there is one, is not seen: its client has left, its deadline has passed,
-    /// or its upstream has failed.
+    /// Records that the result of the try in flight, if there is one, is not seen: its client has left, or its deadline has
+    /// passed. Its upstream may work on it until the deadline.
     pub fn abandon(&self) {
+        self.doubt("abandoned", self.recorder.due);
+    }
+
+    /// Records that the upstream of the try in flight, if there is one, has responded with a failure in full: it no longer works
+    /// on the request, but may be about to end because of it.
+    pub fn record_failure(&self) {
+        self.doubt("failed", Instant::now());
+    }
+
+    /// Records that the try in flight, if there is one, may end its upstream, which may work on it until `work_ends`.
+    fn doubt(&self, name: &'static str, work_ends: Instant) {
         let Some(open) = self.take_counting() else {
             return;
         };
+        let now = Instant::now();
         let recorded = open.in_state(TryState::Doubted);
-        self.record_in_background(&recorded.into());
-        self.log("abandoned", Some(&open.upstream));
-        self.examine(open.upstream, recorded, Instant::now());
+        self.record_in_background(TimedTries {
+            tries: recorded.into(),
+            work_left: work_ends.saturating_duration_since(now),
+        });
+        self.log(name, Some(&open.upstream));
+        self.examine(open.upstream, recorded, now, work_ends);
     }
 
     /// Records that the try in flight, if there is one, has not ended its upstream.
@@ -260,7 +287,7 @@
         let open = lock_ignoring_poison(&self.open).take();
         if let Some(open) = open.filter(|open| open.is_recorded) {
             self.renew_number();
-            self.record_in_background(&open.in_state(TryState::Harmless).into());
+            self.record_in_background(open.in_state(TryState::Harmless).into());
         }
     }
 
@@ -270,7 +297,10 @@
         let mut send = lock_ignoring_poison(&self.send);
         match &*send {
             Some(registered) if registered.number() == number => registered.clone(),
-            _ => send.insert(Arc::new(keepers.begin_send(number))).clone(),
+            _ => {
+                let begun = keepers.begin_send(number, self.recorder.due);
+                send.insert(Arc::new(begun)).clone()
+            }
         }
     }
 
@@ -297,7 +327,7 @@
         self.accept(&context.suspects.known(key, Instant::now()));
         let acquitted = lock_ignoring_poison(&self.known).tries.acquitted();
         if !acquitted.is_empty() {
-            self.record_in_background(&acquitted);
+            self.record_in_background(acquitted.into());
             self.log("acquitted", None);
         }
     }
@@ -314,19 +344,27 @@
         lock_ignoring_poison(&self.known).merge(reported);
     }
 
-    fn accept_own(&self, tries: &KnownTries) {
-        self.accept(&ReportedTries {
-            tries: tries.clone(),
-            kept_for: TRY_RETENTION,
-            heard: 0,
-            certain: false,
-        });
+    /// Returns a try on which its upstream may work until the deadline.
+    fn timed(&self, recorded: RequestTry) -> TimedTries {
+        TimedTries {
+            tries: recorded.into(),
+            work_left: self.recorder.work_left(),
+        }
+    }
+
+    fn accept_own(&self, timed: &TimedTries) {
+        let now = Instant::now();
+        let mut entry = TryEntry::new(now);
+        entry.add(timed, now);
+        // What was known before the change no longer tells how long the tries are kept.
+        lock_ignoring_poison(&self.known).kept_for = Duration::ZERO;
+        self.accept(&ReportedTries::of_entry(&entry, now));
     }
 
     /// Records tries here and with the keepers; resolves to whether a majority of the keepers has them.
-    async fn record(&self, tries: KnownTries) -> bool {
-        self.accept_own(&tries);
-        let reported = self.recorder.record(tries).await;
+    async fn record(&self, timed: TimedTries) -> bool {
+        self.accept_own(&timed);
+        let reported = self.recorder.record(timed).await;
         if let Some(reported) = &reported {
             lock_ignoring_poison(&self.known).tries.forget_registered();
             self.accept(reported);
@@ -334,27 +372,36 @@
         reported.is_some()
     }
 
-    fn record_in_background(&self, tries: &KnownTries) {
-        self.accept_own(tries);
-        self.recorder.record_in_background(tries);
+    fn record_in_background(&self, timed: TimedTries) {
+        self.accept_own(&timed);
+        self.recorder.record_in_background(timed);
     }
 
-    fn examine(&self, upstream: Arc<Upstream>, recorded: RequestTry, broke_at: Instant) {
-        self.examination(upstream, recorded, broke_at).start();
+    /// Examines later whether the upstream of a try that was doubted at a time has outlived it. The upstream may work on it
+    /// until `work_ends`.
+    fn examine(
+        &self,
+        upstream: Arc<Upstream>,
+        recorded: RequestTry,
+        doubted_at: Instant,
+        work_ends: Instant,
+    ) {
+        let provable = work_ends.max(doubted_at) + LATE_END;
+        self.examination(upstream, recorded, provable).start();
     }
 
     fn examination(
         &self,
         upstream: Arc<Upstream>,
         recorded: RequestTry,
-        broke_at: Instant,
+        provable: Instant,
     ) -> TryExamination {
         TryExamination {
             recorder: self.recorder.clone(),
             service: self.service.clone(),
             upstream,
             recorded,
-            broke_at,
+            provable,
         }
     }
 
@@ -363,8 +410,11 @@
         if lock_ignoring_poison(&self.known).tries.open() > 0 {
             return refusal;
         }
+        let now = Instant::now();
+        let provable = self.provable_from().unwrap_or(now);
+        let wait = provable.saturating_duration_since(now);
         Refusal {
-            retry_after: Some(UNRESOLVED_RETRY_AFTER),
+            retry_after: Some(wait.max(UNRESOLVED_RETRY_AFTER)),
             ..refusal
         }
     }
--- a/crates/samphiregrade-gateway/src/exchange/try_record.rs
+++ b/crates/samphiregrade-gateway/src/exchange/try_record.rs
@@ -8,7 +8,7 @@
 
 use super::context::EntryContext;
 use super::outcome::format_tag;
-use crate::fact::{KnownTries, ReportedTries, TryKey, try_key};
+use crate::fact::{ReportedTries, TimedTries, TryKey, try_key};
 use crate::model::{RequestId, RequestTag};
 use crate::observe::Logbook;
 use crate::upstream::Upstream;
@@ -61,23 +61,23 @@
     }
 
     /// Records tries here and with the keepers; resolves to all tries that these know if a majority of them has the record.
-    pub async fn record(&self, tries: KnownTries) -> Option<ReportedTries> {
-        self.note(&tries);
+    pub async fn record(&self, timed: TimedTries) -> Option<ReportedTries> {
+        self.note(&timed);
         let keepers = self.context.keepers.load_full()?;
-        keepers.record_tries(&self.key, tries).await.ok()
+        keepers.record_tries(&self.key, timed).await.ok()
     }
 
     /// Records tries here, and with the keepers in the background.
-    pub fn record_in_background(&self, tries: &KnownTries) {
-        self.note(tries);
+    pub fn record_in_background(&self, timed: TimedTries) {
+        self.note(&timed);
         if let Some(keepers) = self.context.keepers.load_full() {
-            keepers.note_tries(&self.key, tries);
+            keepers.note_tries(&self.key, timed);
         }
     }
 
-    fn note(&self, tries: &KnownTries) {
+    fn note(&self, timed: &TimedTries) {
         let suspects = &self.context.suspects;
-        suspects.add(&self.key, tries, Instant::now());
+        suspects.add(&self.key, timed, Instant::now());
     }
 
     /// Logs and counts a decision.
--- a/crates/samphiregrade-gateway/src/fact/book.rs
+++ b/crates/samphiregrade-gateway/src/fact/book.rs
@@ -13,7 +13,7 @@
     ExportRequest, FactRecord, ProgramLedger, Reservation, StreamOrigin, TurnFact, TurnPlace,
 };
 use super::placement::KeeperPlacement;
-use super::tries::{KnownTries, TryEntry, TryFact, TryKey};
+use super::tries::{TimedTries, TryEntry, TryFact, TryKey};
 use crate::model::{ProgramId, TurnId};
 
 /// Number of parts into which facts are divided for export to a rebuilding keeper: one part of a small disk is well
@@ -147,7 +147,7 @@
             FactRecord::Tries(fact) => {
                 let entry = self.tries.entry(fact.key.clone());
                 let entry = entry.or_insert_with(|| TryEntry::new(now));
-                entry.add(&fact.tries, now)
+                entry.add(&fact.timed, now)
             }
             FactRecord::LimitUses { .. }
             | FactRecord::LimitReservations { .. }
@@ -240,11 +240,15 @@
 
     /// Returns the known tries of a request, and the time after which they are forgotten.
     #[must_use]
-    pub fn tries(&self, key: &TryKey, now: Instant) -> (KnownTries, Duration) {
-        let entry = self.tries.get(key);
-        entry
-            .map(|entry| (entry.tries(now), entry.kept_for(now)))
-            .unwrap_or_default()
+    pub fn tries(&self, key: &TryKey, now: Instant) -> (TimedTries, Duration) {
+        let Some(entry) = self.tries.get(key) else {
+            return Default::default();
+        };
+        let timed = TimedTries {
+            tries: entry.tries(now),
+            work_left: entry.work_left(now),
+        };
+        (timed, entry.kept_for(now))
     }
 
     /// Returns the known part of the chain that ends with a turn; `None` if the turn itself is unknown.
@@ -342,7 +346,7 @@
             if digest_of(key).part != part || !wanted(key) || entry.is_forgotten(now) {
                 continue;
             }
-            let fact = TryFact::new(key.clone(), entry.tries(now), entry.age(now));
+            let fact = TryFact::new(key.clone(), entry.timed_at_change(), entry.age(now));
             facts.push(FactRecord::Tries(fact));
         }
         facts
--- a/crates/samphiregrade-gateway/src/fact/client/sends.rs
+++ b/crates/samphiregrade-gateway/src/fact/client/sends.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{HashMap, VecDeque};
 use std::sync::Mutex;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use smol_str::SmolStr;
 
@@ -97,15 +97,18 @@
 pub struct SendRegistration {
     client: KeeperClient,
     number: TryNumber,
+    /// Deadline of the send.
+    due: Instant,
     /// Names of the keepers that may know of the send.
     keepers: Mutex<Vec<SmolStr>>,
 }
 
 impl SendRegistration {
-    pub(super) fn new(client: KeeperClient, number: TryNumber) -> Self {
+    pub(super) fn new(client: KeeperClient, number: TryNumber, due: Instant) -> Self {
         Self {
             client,
             number,
+            due,
             keepers: Mutex::default(),
         }
     }
@@ -116,6 +119,11 @@
         self.number
     }
 
+    /// Returns the time for which the upstream of the send may work on it.
+    pub(super) fn work_left(&self) -> Duration {
+        self.due.saturating_duration_since(Instant::now())
+    }
+
     pub(super) fn note_keeper(&self, keeper: &SmolStr) {
         let mut keepers = lock_ignoring_poison(&self.keepers);
         if !keepers.contains(keeper) {
--- a/crates/samphiregrade-gateway/src/fact/client/tries.rs
+++ b/crates/samphiregrade-gateway/src/fact/client/tries.rs
@@ -11,7 +11,7 @@
 use super::{FactFailure, KeeperClient};
 use crate::fact::message::{FactRecord, KeeperReply, KeeperRequest};
 use crate::fact::placement::{KeeperPlacement, KeeperSlot};
-use crate::fact::tries::{KnownTries, TryFact, TryKey, TryNumber};
+use crate::fact::tries::{KnownTries, TimedTries, TryEntry, TryFact, TryKey, TryNumber};
 use crate::hold::lock_ignoring_poison;
 use crate::mix::hash_pair;
 use crate::model::name_tag;
@@ -34,6 +34,8 @@
     pub tries: KnownTries,
     /// Time after which they are forgotten.
     pub kept_for: Duration,
+    /// Last moment at which an upstream may work on one of them; `None` if none is known.
+    pub work_ends: Option<Instant>,
     /// Number of keepers that have replied.
     pub heard: usize,
     /// Whether all tries are among them that a majority of the keepers has.
@@ -41,20 +43,33 @@
 }
 
 impl ReportedTries {
+    /// Returns what an instance knows itself.
+    #[must_use]
+    pub fn of_entry(entry: &TryEntry, now: Instant) -> Self {
+        Self {
+            tries: entry.tries(now),
+            kept_for: entry.kept_for(now),
+            work_ends: Some(now + entry.work_left(now)),
+            heard: 0,
+            certain: false,
+        }
+    }
+
     /// Adds what another source knows.
     pub fn merge(&mut self, other: &Self) {
         self.tries.merge(&other.tries);
         self.kept_for = self.kept_for.max(other.kept_for);
+        self.work_ends = self.work_ends.max(other.work_ends);
         self.heard += other.heard;
         self.certain |= other.certain;
     }
 }
 
 impl KeeperClient {
-    /// Returns a send that no keeper knows of yet.
+    /// Returns a send with a deadline that no keeper knows of yet.
     #[must_use]
-    pub fn begin_send(&self, number: TryNumber) -> SendRegistration {
-        SendRegistration::new(self.clone(), number)
+    pub fn begin_send(&self, number: TryNumber, due: Instant) -> SendRegistration {
+        SendRegistration::new(self.clone(), number, due)
     }
 
     /// Registers a send and queries the tries of its request on a majority of the request's keepers, the nearest ones first: a
@@ -95,6 +110,7 @@
             let request = KeeperRequest::Tries {
                 key: key.clone(),
                 number: send.number(),
+                work_left: send.work_left(),
             };
             self.call(slot, placement, request, LOOK_UP_TIMEOUT)
         };
@@ -130,9 +146,9 @@
     pub async fn record_tries(
         &self,
         key: &TryKey,
-        tries: KnownTries,
+        timed: TimedTries,
     ) -> Result<ReportedTries, FactFailure> {
-        let fact = TryFact::new(key.clone(), tries, Duration::ZERO);
+        let fact = TryFact::new(key.clone(), timed, Duration::ZERO);
         let request = &KeeperRequest::RecordTries(fact.clone());
         let recording = self.with_newest_placement(move |placement| async move {
             let group = self.reachable_group(&placement, key)?;
@@ -148,8 +164,8 @@
     }
 
     /// Records tries on the request's keepers in the background.
-    pub fn note_tries(&self, key: &TryKey, tries: &KnownTries) {
-        let fact = TryFact::new(key.clone(), tries.clone(), Duration::ZERO);
+    pub fn note_tries(&self, key: &TryKey, timed: TimedTries) {
+        let fact = TryFact::new(key.clone(), timed, Duration::ZERO);
         self.store_in_background(key, &FactRecord::Tries(fact));
     }
 }
@@ -158,12 +174,13 @@
 fn reported_tries(reply: KeeperReply) -> Option<(ReportedTries, bool)> {
     match reply {
         KeeperReply::Tries {
-            tries,
+            timed,
             kept_for,
             complete,
         } => {
             let reported = ReportedTries {
-                tries,
+                work_ends: Some(Instant::now() + timed.work_left),
+                tries: timed.tries,
                 kept_for,
                 heard: 1,
                 certain: false,
--- a/crates/samphiregrade-gateway/src/fact/message.rs
+++ b/crates/samphiregrade-gateway/src/fact/message.rs
@@ -7,7 +7,7 @@
 
 use super::helper::HelperAddress;
 use super::placement::{KeeperPlacement, PlacementGeneration};
-use super::tries::{KnownTries, TryFact, TryKey, TryNumber};
+use super::tries::{TimedTries, TryFact, TryKey, TryNumber};
 use crate::dialect::StoreRevision;
 use crate::limits::{
     AllowanceGrant, AllowanceRequest, InstanceTag, LedgerTime, LimitReservation, TokenUse,
@@ -255,7 +255,7 @@
                 uses, reservations, ..
             } => 20 + 20 * (uses.len() + reservations.len()),
             Self::Turn(turn) => turn.input.len() + turn.output.len() + 160,
-            Self::Tries(fact) => 40 + 20 * fact.tries.iter().count(),
+            Self::Tries(fact) => 40 + 20 * fact.timed.tries.iter().count(),
         }
     }
 }
@@ -313,6 +313,8 @@
         key: TryKey,
         /// Number of the send.
         number: TryNumber,
+        /// Time until the deadline of the send.
+        work_left: Duration,
     },
     /// Records tries of a suspected request; the reply doesn't wait until they are durable.
     RecordTries(TryFact),
@@ -451,7 +453,7 @@
     /// The known tries of a request.
     Tries {
         /// The tries.
-        tries: KnownTries,
+        timed: TimedTries,
         /// Time after which they are forgotten.
         kept_for: Duration,
         /// Whether the keeper has every fact that it has ever acknowledged.
--- a/crates/samphiregrade-gateway/src/fact/service.rs
+++ b/crates/samphiregrade-gateway/src/fact/service.rs
@@ -227,8 +227,12 @@
                 ledger: self.with(|state| state.index.ledger(&program)),
                 complete: self.is_complete(),
             },
-            KeeperRequest::Tries { key, number } => {
-                self.with(|state| state.sends.register(&key, number, now));
+            KeeperRequest::Tries {
+                key,
+                number,
+                work_left,
+            } => {
+                self.with(|state| state.sends.register(&key, number, work_left, now));
                 self.known_tries(&key, number, now)
             }
             KeeperRequest::RecordTries(fact) => self.record_tries(fact, now),
@@ -285,13 +289,13 @@
     }
 
     fn known_tries(&self, key: &TryKey, own: TryNumber, now: Instant) -> KeeperReply {
-        let (tries, kept_for) = self.with(|state| {
-            let (mut tries, kept_for) = state.index.tries(key, now);
-            state.sends.add_to(&mut tries, key, own);
-            (tries, kept_for)
+        let (timed, kept_for) = self.with(|state| {
+            let (mut timed, kept_for) = state.index.tries(key, now);
+            state.sends.add_to(&mut timed.tries, key, own);
+            (timed, kept_for)
         });
         KeeperReply::Tries {
-            tries,
+            timed,
             kept_for,
             complete: self.is_complete(),
         }
@@ -299,7 +303,7 @@
 
     fn record_tries(&self, fact: TryFact, now: Instant) -> KeeperReply {
         let key = fact.key.clone();
-        let own = fact.tries.iter().next().map(|own| own.number);
+        let own = fact.timed.tries.iter().next().map(|own| own.number);
         self.note(FactRecord::Tries(fact), now);
         self.known_tries(&key, own.unwrap_or_default(), now)
     }
@@ -612,7 +616,7 @@
     fn insert(&mut self, fact: &FactRecord, now: Instant) -> bool {
         self.written_bytes += fact.estimated_bytes() as u64;
         if let FactRecord::Tries(fact) = fact {
-            for recorded in fact.tries.iter() {
+            for recorded in fact.timed.tries.iter() {
                 self.sends.end(recorded.number);
             }
         }
--- a/crates/samphiregrade-gateway/src/fact/tries.rs
+++ b/crates/samphiregrade-gateway/src/fact/tries.rs
@@ -16,8 +16,8 @@
 /// Number of upstreams that may end under one request. An upstream may also end because of another request that it ran.
 pub const MAX_ENDED_UPSTREAMS: usize = 3;
 
-/// Time for which the tries of a request are kept after the last change: clients send a failed request again within
-/// seconds.
+/// Time for which the tries of a request are kept after the last change: clients send a failed request again within seconds. As
+/// long as a try is not settled, they are also kept for this time after the last moment at which an upstream may work on one.
 pub const TRY_RETENTION: Duration = Duration::from_mins(1);
 
 /// Upstream of a send that is registered before its upstream is chosen.
@@ -181,6 +181,11 @@
             .filter(move |known| states.contains(&known.state))
     }
 
+    /// Returns whether it is known of all tries what became of their upstreams.
+    fn is_settled(&self) -> bool {
+        self.open() == 0 && self.unsettled().next().is_none()
+    }
+
     /// Returns the number of upstreams that have ended under the request.
     #[must_use]
     pub fn ended(&self) -> usize {
@@ -280,13 +285,39 @@
     known.state == TryState::Open && known.number != own
 }
 
+/// Tries of a request, and how long an upstream may still work on one of them.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TimedTries {
+    /// The tries.
+    pub tries: KnownTries,
+    /// Time until the last moment at which an upstream may work on one of them.
+    pub work_left: Duration,
+}
+
+impl From<RequestTry> for TimedTries {
+    /// Returns a try on which no upstream works any more.
+    fn from(known: RequestTry) -> Self {
+        KnownTries::from(known).into()
+    }
+}
+
+impl From<KnownTries> for TimedTries {
+    /// Returns tries on which no upstream works any more.
+    fn from(tries: KnownTries) -> Self {
+        Self {
+            tries,
+            work_left: Duration::ZERO,
+        }
+    }
+}
+
 /// Tries of a request with the time of their record, as stored on disk and exported to a rebuilding keeper.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TryFact {
     /// The request.
     pub key: TryKey,
-    /// The tries.
-    pub tries: KnownTries,
+    /// The tries, with the work that was left at the time of the record.
+    pub timed: TimedTries,
     /// Time of the record, which tells a restarted keeper whether the record still holds.
     recorded: EpochSeconds,
 }
@@ -294,10 +325,10 @@
 impl TryFact {
     /// Returns the record of tries that were last changed a time ago.
     #[must_use]
-    pub fn new(key: TryKey, tries: KnownTries, age: Duration) -> Self {
+    pub fn new(key: TryKey, timed: TimedTries, age: Duration) -> Self {
         Self {
             key,
-            tries,
+            timed,
             recorded: epoch_seconds().saturating_sub(age.as_secs()),
         }
     }
@@ -314,7 +345,8 @@
     /// Returns whether the record is too old to hold, as far as the clock tells.
     #[must_use]
     pub fn is_outdated(&self) -> bool {
-        epoch_seconds().abs_diff(self.recorded) > TRY_RETENTION.as_secs()
+        let retention = TRY_RETENTION + self.timed.work_left;
+        epoch_seconds().abs_diff(self.recorded) > retention.as_secs()
     }
 }
 
@@ -328,6 +360,8 @@
 pub struct TryEntry {
     tries: KnownTries,
     changed: Instant,
+    /// Last moment at which an upstream may work on one of the tries.
+    work_ends: Instant,
 }
 
 impl TryEntry {
@@ -337,17 +371,19 @@
         Self {
             tries: KnownTries::default(),
             changed: now,
+            work_ends: now,
         }
     }
 
     /// Adds tries to those that have not been forgotten; returns whether anything changed.
-    pub fn add(&mut self, tries: &KnownTries, now: Instant) -> bool {
+    pub fn add(&mut self, timed: &TimedTries, now: Instant) -> bool {
         if self.is_forgotten(now) {
             self.tries = KnownTries::default();
         }
-        let changed = self.tries.merge(tries);
+        let changed = self.tries.merge(&timed.tries);
         if changed {
             self.changed = now;
+            self.work_ends = self.work_ends.max(now + timed.work_left);
         }
         changed
     }
@@ -361,6 +397,21 @@
         self.tries.clone()
     }
 
+    /// Returns the tries with the work that was left when they were last changed.
+    #[must_use]
+    pub fn timed_at_change(&self) -> TimedTries {
+        TimedTries {
+            tries: self.tries.clone(),
+            work_left: self.work_left(self.changed),
+        }
+    }
+
+    /// Returns the time until the last moment at which an upstream may work on one of the tries.
+    #[must_use]
+    pub fn work_left(&self, now: Instant) -> Duration {
+        self.work_ends.saturating_duration_since(now)
+    }
+
     /// Returns the time since the last change.
     #[must_use]
     pub fn age(&self, now: Instant) -> Duration {
@@ -370,7 +421,12 @@
     /// Returns the time after which the tries are forgotten if nothing changes.
     #[must_use]
     pub fn kept_for(&self, now: Instant) -> Duration {
-        TRY_RETENTION.saturating_sub(self.age(now))
+        let last_use = if self.tries.is_settled() {
+            self.changed
+        } else {
+            self.changed.max(self.work_ends)
+        };
+        (last_use + TRY_RETENTION).saturating_duration_since(now)
     }
 
     /// Returns whether the tries are forgotten.
--- a/crates/samphiregrade-gateway/tests/suite/keepers.rs
+++ b/crates/samphiregrade-gateway/tests/suite/keepers.rs
@@ -707,7 +707,8 @@
     let reported = tokio::time::timeout(TEST_TIMEOUT, async {
         // A first connection to a keeper takes longer than a query may.
         loop {
-            if let Some(reported) = client.query_tries(&key, &client.begin_send(1)).await {
+            let send = client.begin_send(1, Instant::now());
+            if let Some(reported) = client.query_tries(&key, &send).await {
                 return reported;
             }
         }
@@ -723,7 +724,7 @@
 ) -> ReportedTries {
     let recording = async {
         loop {
-            if let Ok(recorded) = client.record_tries(key, tries.clone()).await {
+            if let Ok(recorded) = client.record_tries(key, tries.clone().into()).await {
                 return recorded;
             }
         }
--- a/crates/samphiregrade-gateway/tests/suite/keepers_model.rs
+++ b/crates/samphiregrade-gateway/tests/suite/keepers_model.rs
@@ -150,7 +150,7 @@
                     upstream: self.written as u64,
                     state,
                 });
-                let fact = TryFact::new(try_key(1), tries, Duration::ZERO);
+                let fact = TryFact::new(try_key(1), tries.into(), Duration::ZERO);
                 self.store(FactRecord::Tries(fact), bits);
             }
             Step::Wipe(which) => self.wipe(which),
@@ -226,9 +226,9 @@
                     ledger.origin(&reservation.turn) == Some(*software)
                 }
                 FactRecord::Tries(fact) => {
-                    let (tries, _) = self.keepers[index].facts.tries(&fact.key, self.now);
-                    fact.tries.iter().all(|stored| {
-                        tries.iter().any(|known| {
+                    let (known, _) = self.keepers[index].facts.tries(&fact.key, self.now);
+                    fact.timed.tries.iter().all(|stored| {
+                        known.tries.iter().any(|known| {
                             known.number == stored.number && known.state >= stored.state
                         })
                     })
--- a/crates/samphiregrade-gateway/tests/suite/tries.rs
+++ b/crates/samphiregrade-gateway/tests/suite/tries.rs
@@ -6,7 +6,7 @@
 use samphiregrade_gateway::exchange::SuspectTable;
 use samphiregrade_gateway::fact::{
     FactIndex, FactRecord, KnownTries, MAX_ENDED_UPSTREAMS, RequestTry, SendTable, TRY_RETENTION,
-    TryDecision, TryEntry, TryFact, TryState, try_key,
+    TimedTries, TryDecision, TryEntry, TryFact, TryState, try_key,
 };
 
 use crate::facts::export_all;
@@ -96,7 +96,7 @@
 fn tries_are_forgotten_after_their_retention() {
     let now = Instant::now();
     let mut entry = TryEntry::new(now);
-    entry.add(&known(&[(1, 1, TryState::Ended)]), now);
+    entry.add(&known(&[(1, 1, TryState::Ended)]).into(), now);
     let later = now + TRY_RETENTION;
     assert_eq!(
         entry
@@ -105,10 +105,50 @@
         1
     );
     assert!(entry.tries(later).is_empty());
-    entry.add(&known(&[(2, 2, TryState::Ended)]), later);
+    entry.add(&known(&[(2, 2, TryState::Ended)]).into(), later);
     assert_eq!(entry.tries(later).ended(), 1, "the first end is forgotten");
 }
 
+// Guards against ends that are forgotten while the next upstream works on the request for longer than they are kept.
+#[test]
+fn tries_are_kept_while_an_upstream_may_work_on_one_of_them() {
+    let now = Instant::now();
+    let work_left = TRY_RETENTION * 3;
+    let mut entry = TryEntry::new(now);
+    entry.add(&known(&[(1, 1, TryState::Ended)]).into(), now);
+    let open = TimedTries {
+        tries: known(&[(2, 2, TryState::Open)]),
+        work_left,
+    };
+    entry.add(&open, now);
+    let after_work = now + work_left;
+    assert_eq!(entry.tries(after_work).ended(), 1);
+    assert_eq!(entry.work_left(now + TRY_RETENTION), TRY_RETENTION * 2);
+    entry.add(&known(&[(2, 2, TryState::Ended)]).into(), after_work);
+    assert_eq!(entry.tries(after_work).ended(), 2);
+    assert!(entry.tries(after_work + TRY_RETENTION).is_empty());
+    let fact = TryFact::new(try_key(1), open, TRY_RETENTION * 2);
+    assert!(!fact.is_outdated());
+}
+
+// Guards against a send whose entry has ended, and that is forgotten while its upstream works on it.
+#[test]
+fn registered_send_counts_until_after_its_deadline() {
+    let now = Instant::now();
+    let work_left = TRY_RETENTION * 3;
+    let mut sends = SendTable::default();
+    sends.register(&try_key(1), 1, work_left, now);
+    sends.register(&try_key(2), 2, Duration::ZERO, now + work_left);
+    let mut tries = KnownTries::default();
+    sends.add_to(&mut tries, &try_key(1), OWN);
+    assert_eq!(tries.open(), 1);
+    let later = now + work_left + TRY_RETENTION + Duration::from_millis(1);
+    sends.register(&try_key(3), 3, Duration::ZERO, later);
+    let mut tries = KnownTries::default();
+    sends.add_to(&mut tries, &try_key(1), OWN);
+    assert_eq!(tries.open(), 0);
+}
+
 #[test]
 fn known_tries_are_bounded() {
     let mut tries = KnownTries::default();
@@ -129,7 +169,7 @@
     let now = Instant::now();
     let mut sends = SendTable::default();
     for number in 0..100_000 {
-        sends.register(&try_key(number), number, now);
+        sends.register(&try_key(number), number, Duration::ZERO, now);
     }
     assert!(sends.len() < 100_000);
     let count = |sends: &SendTable, request: u64| {
@@ -140,13 +180,13 @@
     assert_eq!((count(&sends, 0), count(&sends, 99_999)), (0, 1));
     // Of hundreds of requests that are alike, a reply names as many as a decision needs.
     for number in 200_000..200_500 {
-        sends.register(&try_key(5), number, now);
+        sends.register(&try_key(5), number, Duration::ZERO, now);
     }
     assert_eq!(count(&sends, 5), MAX_ENDED_UPSTREAMS);
     sends.end(99_999);
     assert_eq!(count(&sends, 99_999), 0);
     let later = now + TRY_RETENTION + Duration::from_millis(1);
-    sends.register(&try_key(1), 1, later);
+    sends.register(&try_key(1), 1, Duration::ZERO, later);
     assert_eq!(sends.len(), 1);
 }
 
@@ -180,7 +220,7 @@
 fn table_of_suspected_requests_is_bounded_and_keeps_the_newest() {
     let now = Instant::now();
     let table = SuspectTable::default();
-    let ended = known(&[(1, 1, TryState::Ended)]);
+    let ended = known(&[(1, 1, TryState::Ended)]).into();
     for request in 0..10_000 {
         let at = now + Duration::from_millis(request);
         table.add(&try_key(request), &ended, at);
@@ -197,7 +237,7 @@
     let mut index = FactIndex::default();
     let fact = TryFact::new(
         try_key(1),
-        known(&[(1, 1, TryState::Ended)]),
+        known(&[(1, 1, TryState::Ended)]).into(),
         Duration::ZERO,
     );
     index.insert(&FactRecord::Tries(fact), now);
@@ -207,15 +247,15 @@
     };
     // Parts repeat beyond their number, so only whether there is any counts.
     assert!(exported(&index) > 0);
-    assert_eq!(index.tries(&try_key(1), now).0.ended(), 1);
+    assert_eq!(index.tries(&try_key(1), now).0.tries.ended(), 1);
     index.expire(now + TRY_RETENTION);
     assert_eq!(exported(&index), 0);
-    assert!(index.tries(&try_key(1), now).0.is_empty());
+    assert!(index.tries(&try_key(1), now).0.tries.is_empty());
 }
 
 #[test]
 fn record_of_an_earlier_minute_does_not_hold_after_a_restart() {
-    let tries = known(&[(1, 1, TryState::Ended)]);
+    let tries = TimedTries::from(known(&[(1, 1, TryState::Ended)]));
     let recent = TryFact::new(try_key(1), tries.clone(), TRY_RETENTION / 2);
     let old = TryFact::new(try_key(1), tries, TRY_RETENTION * 2);
     assert!(!recent.is_outdated());
@@ -413,9 +453,10 @@
         let keeper = &mut self.keepers[keeper];
         match attempt.step {
             AttemptStep::LooksUp => {
+                let (key, now) = ("k".into(), Instant::now());
                 keeper
                     .sends
-                    .register(&"k".into(), attempt.number, Instant::now());
+                    .register(&key, attempt.number, Duration::ZERO, now);
             }
             AttemptStep::Records => {
                 keeper.record(try_of(attempt.number, attempt.number, TryState::Open));
