Count ends of upstreams for the whole time that they serve after announcing one

Callers saw requests sent on after three upstreams had ended under them: one that broke off half the drain time after its announcement counted as leaving by plan, though upstreams serve for the whole drain time after it.

Change: only an end after the drain time is planned. News of the announcement that arrives late makes the time longer, which errs on the side of counting.

Evidence: end_shortly_before_the_announced_one_counts, on the code before: 8 upstreams ended where 3 may; 3 after. The tests on planned leaves pass.

--- a/crates/samphiregrade-gateway/src/upstream/directory.rs
+++ b/crates/samphiregrade-gateway/src/upstream/directory.rs
@@ -20,10 +20,6 @@
 /// Share of the drain time for which an upstream without a record may still be used as a last resort.
 const DEPARTURE_SHARE: f64 = 0.5;
 
-/// Share of the drain time before which an upstream that has announced its end does not end as planned. The rest allows for
-/// news that arrives late.
-const ANNOUNCED_SHARE: f64 = 0.5;
-
 /// How long an upstream serves after it has announced its end, and is kept after its record was removed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct DepartureRule {
@@ -40,7 +36,7 @@
     #[must_use]
     pub fn for_drain(drain: Duration) -> Self {
         Self {
-            announced_time: drain.mul_f64(ANNOUNCED_SHARE),
+            announced_time: drain,
             normal_delay: drain.mul_f64(DEPARTURE_SHARE),
             outage_delay: REREGISTRATION_TIME,
         }
