Don't let a success void ends under other attempts of the same program

Callers saw requests sent on after three upstreams had ended under them, if one of the attempts was answered between: its success voided the ends under all others, though it shows nothing about their processes.

Change: a success settles its own try. Only of requests without a program it acquits others that are alike: these may come from other clients, and an upstream can't tell them apart.

--- a/crates/samphiregrade-gateway/src/exchange/tries.rs
+++ b/crates/samphiregrade-gateway/src/exchange/tries.rs
@@ -319,9 +319,13 @@
         *lock_ignoring_poison(&self.number) = rand::random();
     }
 
-    /// Records that the request has run to its end, so that it does not end upstreams.
+    /// Records that the request has run to its end. Of a request without a program this acquits the tries of others that are
+    /// alike, which upstreams can't tell from it; attempts of a program end with the first one that is answered.
     pub fn complete(&self) {
         self.settle();
+        if self.sent_once_at_a_time {
+            return;
+        }
         // Other attempts at this instance may have been broken off meanwhile.
         let TryRecorder { context, key, .. } = &self.recorder;
         self.accept(&context.suspects.known(key, Instant::now()));
