Bound what an upstream may send without end

Callers of an upstream that sends bytes without end got no answer in time: with interim heads 2.3 to 9.0 s after a request with a deadline of 1 s, with responses that name another request 5.8 to 10.0 s, with trailer lines 1.6 to 1.7 s. With a body without a length, or chunks, in answer to six turns the entry grew by 91 MB and 29 MB (debug build, client and stand-in share a thread).

Cause: heads before the one of the response were not counted, nor trailer lines together. A relay looked at the deadline, the client and the stop of the instance only when nothing had arrived from the upstream, which never happens then. And a turn that is retained was held whole, however long.

Change: at most 16 such heads, 4 KiB of trailers, 1 MiB of a retained turn; the relay looks at the upstream last.

Evidence: endless_responses_end_with_the_deadline_in_little_memory (15 ways, calls and turns) failed before (InterimHeads: 10.2 s) and passes. endless_responses_are_closed_when_their_clients_leave and responses_that_end_inside_their_heads_never_look_complete passed before, too: a head that breaks off gives no success here.

--- a/crates/samphiregrade-gateway/src/exchange/attempt.rs
+++ b/crates/samphiregrade-gateway/src/exchange/attempt.rs
@@ -19,6 +19,10 @@
 /// Maximum size of a response head, in bytes.
 const HEAD_LIMIT: usize = 32 << 10;
 
+/// Maximum number of heads before the one of the response to a request: interim ones, and those of late responses to earlier
+/// requests.
+const EARLIER_HEADS: usize = 16;
+
 /// Maximum size of the body of a mismatched response that is skipped, in bytes: reading more is not worth the cost.
 const SKIPPED_BODY_LIMIT: usize = 1 << 20;
 
@@ -164,7 +168,7 @@
         let writing = self.socket.write_until_response(bytes).await;
         self.reusable =
             writing.map_err(SendFailure::upstream("did not accept the complete request"))?;
-        loop {
+        for _ in 0..=EARLIER_HEADS {
             let head = self.await_head(sent_at).await?;
             if head.status < 200 {
                 continue;
@@ -187,6 +191,9 @@
                 .await
                 .map_err(SendFailure::upstream("sent an unexpected response"))?;
         }
+        Err(SendFailure::Upstream(format!(
+            "sent {EARLIER_HEADS} heads that belong to no response to the request"
+        )))
     }
 
     /// Reads the next response head; fails if the network path to the upstream is broken and the request may be
--- a/crates/samphiregrade-gateway/src/exchange/events.rs
+++ b/crates/samphiregrade-gateway/src/exchange/events.rs
@@ -107,6 +107,13 @@
         self.has_field || !self.line.is_empty()
     }
 
+    /// Returns the number of bytes that are kept.
+    #[must_use]
+    pub fn kept_bytes(&self) -> usize {
+        let output = self.output.as_ref().map_or(0, BytesMut::len);
+        self.line.len() + self.data.len() + output
+    }
+
     /// Takes the data of all complete events.
     #[must_use]
     pub fn take_output(&mut self) -> Bytes {
--- a/crates/samphiregrade-gateway/src/exchange/relay.rs
+++ b/crates/samphiregrade-gateway/src/exchange/relay.rs
@@ -28,6 +28,13 @@
 /// and a commit takes a few milliseconds. The time is short compared with the time for writing the last responses.
 const FINAL_COMMIT_TIME: Duration = Duration::from_millis(150);
 
+/// Maximum size of the data of a turn that is retained, in bytes: thousands of tokens. An entry holds it until the turn is
+/// durable.
+const RETAINED_LIMIT: usize = 1 << 20;
+
+/// Description of a stream whose data exceeds the limit.
+const TOO_LONG_TO_RETAIN: &str = "the stream is too long to be retained";
+
 /// Description of a stream that ended inside an event.
 const ENDED_INSIDE_EVENT: &str = "the stream ended inside an event";
 
@@ -289,12 +296,13 @@
             if self.has_body_output(&output) {
                 self.flush(&mut output).await?;
             }
+            // An upstream that sends without a pause must not keep the other events from being noticed.
             let count = tokio::select! {
                 biased;
-                read = response.socket.fill() => read.map_err(|error| RelayStop::Upstream(error.to_string()))?,
                 () = self.client.socket.wait_for_hangup() => return Err(RelayStop::Client),
                 () = self.client.abort.cancelled() => return Err(RelayStop::Stopping),
                 () = tokio::time::sleep_until(self.request.due.into()) => return Err(RelayStop::Deadline),
+                read = response.socket.fill() => read.map_err(|error| RelayStop::Upstream(error.to_string()))?,
                 () = response.guard.upstream().wait_until_unreachable(BROKEN_PATH_TIMEOUT) => return Err(RelayStop::Path),
             };
             response
@@ -355,6 +363,9 @@
                     self.body_began.get_or_insert_with(Instant::now);
                     if let Some(parser) = &mut self.parser {
                         parser.read(&data);
+                        if parser.kept_bytes() > RETAINED_LIMIT {
+                            return Err(RelayStop::Upstream(TOO_LONG_TO_RETAIN.to_owned()));
+                        }
                     }
                     match self.framing {
                         ClientFraming::Chunked => append_chunk(output, &data),
--- a/crates/samphiregrade-http/src/wire/framing.rs
+++ b/crates/samphiregrade-http/src/wire/framing.rs
@@ -6,7 +6,7 @@
 /// The chunk that ends a chunked body without trailers.
 pub const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 
-/// Longest line of a chunk's size with its extensions, and longest trailer line, in bytes.
+/// Longest line of a chunk's size with its extensions, and maximum size of all trailer lines, in bytes.
 const LINE_LIMIT: usize = 4096;
 
 /// A body whose end can't be determined.
@@ -72,7 +72,8 @@
     ChunkSize,
     ChunkData(u64),
     ChunkEnd,
-    Trailer,
+    /// With the bytes of the trailer lines so far.
+    Trailer(usize),
     Open,
     Done,
 }
@@ -131,7 +132,7 @@
                     Ok(httparse::Status::Complete((used, size))) => {
                         buffer.advance(used);
                         self.state = if size == 0 {
-                            DecoderState::Trailer
+                            DecoderState::Trailer(0)
                         } else {
                             DecoderState::ChunkData(size)
                         };
@@ -151,17 +152,21 @@
                     buffer.advance(2);
                     self.state = DecoderState::ChunkSize;
                 }
-                DecoderState::Trailer => {
-                    let Some(end) = buffer.iter().position(|&byte| byte == b'\n') else {
-                        if buffer.len() > LINE_LIMIT {
-                            return Err(FramingError::Chunk);
-                        }
+                DecoderState::Trailer(before) => {
+                    let end = buffer.iter().position(|&byte| byte == b'\n');
+                    let length = end.map_or(buffer.len(), |end| end + 1);
+                    if before + length > LINE_LIMIT {
+                        return Err(FramingError::Chunk);
+                    }
+                    if end.is_none() {
                         return Ok(BodyPiece::More);
-                    };
-                    let line = buffer.split_to(end + 1);
-                    if line.as_ref() == b"\r\n" || line.as_ref() == b"\n" {
-                        self.state = DecoderState::Done;
                     }
+                    let line = buffer.split_to(length);
+                    self.state = if line.as_ref() == b"\r\n" || line.as_ref() == b"\n" {
+                        DecoderState::Done
+                    } else {
+                        DecoderState::Trailer(before + length)
+                    };
                 }
             }
         }
