Count calls whose upstream falls silent toward the ends under them

Callers of `samphiregrade serve`: a call under which machines go dark was sent to up to 12 upstreams, each until its timeout. Only connections that ended counted as possible ends; a timeout counted as an ordinary failure.

Change: a timeout counts as a connection that ended. The refusal says what is known: that upstreams broke off the call and may have ended.

Evidence: call_ends_no_more_than_three_upstreams_that_go_dark got no final answer within the test's timeout before, and passes: at most three upstreams (one that is dark may get the call twice).

--- a/src/program/book.rs
+++ b/src/program/book.rs
@@ -75,7 +75,7 @@
         };
         let ended = ended + 1;
         if ended >= MAX_ENDED_UPSTREAMS {
-            let detail = format!("{ended} upstreams ended while they ran the call");
+            let detail = format!("{ended} upstreams broke off the call and may have ended");
             let refusal = Refusal::unknown(RefusalKind::UpstreamFailed, detail);
             return Self::Finished(CallOutcome::Refused(refusal));
         }
--- a/src/upstream/engine.rs
+++ b/src/upstream/engine.rs
@@ -71,7 +71,7 @@
 /// Reason why an engine returned no complete response.
 #[derive(Clone, Debug)]
 pub enum EngineFailure {
-    /// The connection ended while the engine may have been running the call.
+    /// The connection ended, or nothing came for too long, while the engine may have been running the call.
     Interrupted(SmolStr),
     /// The engine could not be reached, returned an error or sent an invalid or incomplete response; another engine may
     /// serve the call.
@@ -83,10 +83,11 @@
 impl From<HttpError> for EngineFailure {
     fn from(error: HttpError) -> Self {
         let detail = format_smolstr!("{error}");
-        if matches!(error, HttpError::Interrupted(_)) {
-            return Self::Interrupted(detail);
+        match error {
+            // An engine that falls silent may have ended.
+            HttpError::Interrupted(_) | HttpError::TimedOut => Self::Interrupted(detail),
+            HttpError::NotSent(_) | HttpError::Unreadable(_) => Self::Failed(detail),
         }
-        Self::Failed(detail)
     }
 }
 
--- a/src/upstream/runner.rs
+++ b/src/upstream/runner.rs
@@ -275,8 +275,8 @@
         self.finish(job, outcome, used, Some(upstream));
     }
 
-    /// Sends a call again whose connection ended. Its upstream may have ended, too, since another process may accept connections
-    /// at the address: the shard records that first, and refuses the call if too many may have.
+    /// Sends a call again whose connection ended or fell silent. Its upstream may have ended, too, since another process may accept
+    /// connections at the address: the shard records that first, and refuses the call if too many may have.
     async fn retry_interrupted(
         &self,
         mut job: DispatchJob,
--- a/src/upstream/service.rs
+++ b/src/upstream/service.rs
@@ -16,7 +16,7 @@
     NotRun(SmolStr),
     /// The call may have run.
     Unknown(SmolStr),
-    /// The connection ended while the service may have been running the call.
+    /// The connection ended, or nothing came for too long, while the service may have been running the call.
     Interrupted(SmolStr),
     /// The service rejected this primary's fencing number, because another primary has taken over.
     Fenced,
@@ -62,8 +62,9 @@
     let detail = format_smolstr!("{error}");
     match error {
         HttpError::NotSent(_) => ServiceOutcome::NotRun(detail),
-        HttpError::Interrupted(_) => ServiceOutcome::Interrupted(detail),
-        HttpError::TimedOut | HttpError::Unreadable(_) => ServiceOutcome::Unknown(detail),
+        // A service that falls silent may have ended.
+        HttpError::Interrupted(_) | HttpError::TimedOut => ServiceOutcome::Interrupted(detail),
+        HttpError::Unreadable(_) => ServiceOutcome::Unknown(detail),
     }
 }
 
--- a/tests/testsuite/support/deadly.rs
+++ b/tests/testsuite/support/deadly.rs
@@ -12,19 +12,33 @@
 /// Bytes that are read of a request before the process ends.
 const REQUEST_BYTES: usize = 4096;
 
+/// Time after which a call that gets no response counts as failed, in seconds.
+const CALL_TIMEOUT: u32 = 1;
+
+/// What the end of an upstream looks like from outside.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum UpstreamEnding {
+    /// Its port and its connections are closed.
+    #[default]
+    Closed,
+    /// Another process listens at its address as soon as it has ended.
+    StartsAgain,
+    /// Its machine goes dark: its connections stay open, and nothing is answered.
+    Silent,
+}
+
 /// Upstreams that end under calls, and the number of those that have.
 #[derive(Clone, Default)]
 pub struct DeadlyUpstreams {
     ended: Arc<AtomicUsize>,
-    /// Whether another process listens at the address of an upstream as soon as it has ended.
-    start_again: bool,
+    ending: UpstreamEnding,
 }
 
 impl DeadlyUpstreams {
-    /// Returns upstreams of which none has started; `start_again` says whether others follow at their addresses.
-    pub fn new(start_again: bool) -> Self {
+    /// Returns upstreams of which none has started.
+    pub fn new(ending: UpstreamEnding) -> Self {
         Self {
-            start_again,
+            ending,
             ..Self::default()
         }
     }
@@ -40,10 +54,13 @@
                     continue;
                 };
                 deadly.ended.fetch_add(1, Ordering::SeqCst);
-                if !deadly.start_again {
+                match deadly.ending {
+                    UpstreamEnding::StartsAgain => {}
                     // The sockets of a process that ends are closed together.
-                    drop((listener, call));
-                    return;
+                    UpstreamEnding::Closed => return drop((listener, call)),
+                    UpstreamEnding::Silent => loop {
+                        thread::park();
+                    },
                 }
             }
         });
@@ -72,7 +89,8 @@
 
 /// Returns the record of an upstream; `kind` is `engine` or `service`, and `serves` its model or service.
 pub fn deadly_record(name: &str, kind: &str, serves: &str, address: &str) -> RecordEnvelope {
-    let mut spec: Value = json!({"kind": kind, "address": address, "failure-domain": "bilbao-a"});
+    let mut spec: Value = json!({
+        "kind": kind, "address": address, "failure-domain": "bilbao-a", "timeout-seconds": CALL_TIMEOUT});
     if kind == "engine" {
         spec["models"] = json!([serves]);
     } else {
--- a/tests/testsuite/upstreams.rs
+++ b/tests/testsuite/upstreams.rs
@@ -6,7 +6,7 @@
 use samphiregrade_standins::service::ServiceFaults;
 use serde_json::{Value, json};
 
-use crate::support::deadly::{DeadlyUpstreams, deadly_record};
+use crate::support::deadly::{DeadlyUpstreams, UpstreamEnding, deadly_record};
 use crate::support::{
     begin_program, caller_post, eventually, executed_calls, send, small_settings, with_cluster,
 };
@@ -128,8 +128,12 @@
 }
 
 /// Starts upstreams that end under each call, registers them and waits until every instance knows them.
-async fn add_deadly_upstreams(cluster: &Cluster, kind: &str, start_again: bool) -> DeadlyUpstreams {
-    let deadly = DeadlyUpstreams::new(start_again);
+async fn add_deadly_upstreams(
+    cluster: &Cluster,
+    kind: &str,
+    ending: UpstreamEnding,
+) -> DeadlyUpstreams {
+    let deadly = DeadlyUpstreams::new(ending);
     let model = RecordEnvelope {
         schema: CURRENT_SCHEMA,
         kind: RecordKind::Model,
@@ -161,9 +165,9 @@
 }
 
 /// Sends a call until its response is final, and checks the number of upstreams that it ends.
-fn expect_allowed_ends(kind: &'static str, start_again: bool) {
+fn expect_allowed_ends(kind: &'static str, ending: UpstreamEnding) {
     with_cluster(small_settings(), move |cluster| async move {
-        let deadly = add_deadly_upstreams(&cluster, kind, start_again).await;
+        let deadly = add_deadly_upstreams(&cluster, kind, ending).await;
         let begin = json!({"key": "k", "class": "dossier"});
         let program = begin_program(&cluster, ENTRY, &begin).await;
         let path = format!("/v1/programs/{program}/calls/1");
@@ -172,7 +176,11 @@
         while refused.json()["transient"] == true {
             refused = send(&cluster.pool, call.clone()).await;
         }
-        assert_eq!(deadly.ended(), ALLOWED_ENDS, "{}", refused.text());
+        match ending {
+            // One that is dark may be sent the call twice.
+            UpstreamEnding::Silent => assert!(deadly.ended() <= ALLOWED_ENDS),
+            _ => assert_eq!(deadly.ended(), ALLOWED_ENDS, "{}", refused.text()),
+        }
         assert_eq!(refused.json()["type"], "upstream-failed");
         assert_eq!(refused.json()["ran"], "unknown");
     });
@@ -182,7 +190,7 @@
 #[test]
 fn call_ends_no_more_than_three_upstreams() {
     for kind in ["engine", "service"] {
-        expect_allowed_ends(kind, false);
+        expect_allowed_ends(kind, UpstreamEnding::Closed);
     }
 }
 
@@ -190,6 +198,14 @@
 #[test]
 fn call_ends_no_more_than_three_upstreams_that_start_again() {
     for kind in ["engine", "service"] {
-        expect_allowed_ends(kind, true);
+        expect_allowed_ends(kind, UpstreamEnding::StartsAgain);
+    }
+}
+
+// Guards against a call under which machines go dark one after another, because a timeout didn't count as a possible end.
+#[test]
+fn call_ends_no_more_than_three_upstreams_that_go_dark() {
+    for kind in ["engine", "service"] {
+        expect_allowed_ends(kind, UpstreamEnding::Silent);
     }
 }
