Bound the bodies that the HTTP client reads

Callers of `samphiregrade serve`: an upstream that sends a body without end fills the memory of the instance until the call's timeout, for its body was read whole. Read in the code; no caller's report.

Change: a body is cut off after 16 MiB, as one that can't be read.

--- a/crates/samphiregrade-http/src/client.rs
+++ b/crates/samphiregrade-http/src/client.rs
@@ -22,6 +22,9 @@
 /// Chunks of a response body that are buffered for the reader.
 const BODY_QUEUE: usize = 64;
 
+/// Maximum size of a response's body, in bytes: an upstream may send one without end.
+const BODY_LIMIT: usize = 16 << 20;
+
 /// Seconds for which an idle connection is kept.
 const KEEP_ALIVE: u16 = 30;
 
@@ -42,7 +45,7 @@
     /// No response arrived within the timeout; whether the request ran is unknown.
     #[error("no response within the timeout; retry later with the same key")]
     TimedOut,
-    /// The body is not the expected JSON.
+    /// The body is not the expected JSON, or too long.
     #[error("the response is not the expected JSON: {0}; check the server's version")]
     Unreadable(String),
 }
@@ -283,6 +286,7 @@
     timeout: Duration,
 ) {
     let mut payload = response.take_payload();
+    let mut received = 0;
     loop {
         let next = tokio::select! {
             next = tokio::time::timeout(timeout, payload.next()) => next,
@@ -290,7 +294,14 @@
         };
         let chunk = match next {
             Ok(None) => return,
-            Ok(Some(Ok(chunk))) => Ok(chunk),
+            Ok(Some(Ok(chunk))) if received + chunk.len() > BODY_LIMIT => {
+                let detail = format!("the body is longer than {BODY_LIMIT} bytes");
+                Err(HttpError::Unreadable(detail))
+            }
+            Ok(Some(Ok(chunk))) => {
+                received += chunk.len();
+                Ok(chunk)
+            }
             Ok(Some(Err(error))) => Err(HttpError::Interrupted(error.to_string())),
             Err(_) => Err(HttpError::TimedOut),
         };
--- a/crates/samphiregrade-http/tests/client.rs
+++ b/crates/samphiregrade-http/tests/client.rs
@@ -37,6 +37,36 @@
     }
 }
 
+/// Starts a server that sends chunks until its caller closes the connection.
+fn serve_without_end() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let mut request = [0; 4096];
+            let _ = stream.read(&mut request).expect("a request");
+            let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+            let chunk = format!("400\r\n{}\r\n", "x".repeat(0x400)).repeat(64);
+            stream.write_all(head.as_bytes()).expect("a sent head");
+            while stream.write_all(chunk.as_bytes()).is_ok() {}
+        }
+    });
+    address
+}
+
+// Guards against a body without end that fills the memory of the process that reads it.
+#[test]
+fn body_without_end_is_cut_off() {
+    let address = serve_without_end();
+    let read = run_system(async move {
+        let pool = HttpPool::start(1);
+        let request = OutgoingRequest::get(&format!("http://{address}/")).with_timeout(TIMEOUT);
+        let mut response = pool.send(request).await.expect("a head");
+        tokio::time::timeout(TIMEOUT, response.read_all()).await
+    });
+    assert!(read.expect("an end in time").is_err());
+}
+
 /// Returns the body that the client reports; `None` if it reports that the response is incomplete or can't be read.
 fn fetch(text: &'static str, resets: bool) -> Option<String> {
     let address = serve(text, resets);
