Play late events in a model of the bound on ended upstreams

The model uses the product's decision, tables, retention and the rule on what proves that a process has outlived a try; that rule moves to the tries for it (`provable_from`), without a change of what is decided.

It plays sends with deadlines up to 90 s, broken connections and clients that leave, entries that end, entries that reach no majority, keepers that restart, processes that end until 0.8 s after the deadline, and signs of life at any time. It fails within seconds if a sign counts a second before the deadline, if tries are kept from the last change alone, or if sends in flight don't count.

--- a/crates/samphiregrade-gateway/src/exchange/examination.rs
+++ b/crates/samphiregrade-gateway/src/exchange/examination.rs
@@ -16,10 +16,6 @@
 use crate::observe::Logbook;
 use crate::upstream::{LifeQuery, LifeSign, Upstream};
 
-/// Time within which a process ends after the last moment at which it could work on the request that ends it. It includes the
-/// time that the request took to arrive, for the deadline counts from then.
-pub(super) const LATE_END: Duration = Duration::from_millis(800);
-
 /// Pauses before the examinations of one try, from when on a response can settle it: together they take longer than most
 /// interruptions of a path. After the first one, responses to other requests mostly show that the process lives.
 const EXAMINATION_PAUSES: [Duration; 6] = [
--- a/crates/samphiregrade-gateway/src/exchange/tries.rs
+++ b/crates/samphiregrade-gateway/src/exchange/tries.rs
@@ -11,12 +11,12 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use super::examination::{LATE_END, TryExamination};
+use super::examination::TryExamination;
 use super::refusal::{Refusal, RefusalReason};
 use super::try_record::TryRecorder;
 use crate::fact::{
-    KeeperClient, ReportedTries, RequestTry, SendRegistration, TimedTries, TryDecision, TryEntry,
-    TryNumber, TryState,
+    KeeperClient, LATE_END, ReportedTries, RequestTry, SendRegistration, TimedTries, TryDecision,
+    TryEntry, TryNumber, TryState, provable_from,
 };
 use crate::hold::lock_ignoring_poison;
 use crate::model::ServiceRecord;
@@ -153,7 +153,7 @@
     /// known.
     fn provable_from(&self) -> Option<Instant> {
         let work_ends = lock_ignoring_poison(&self.known).work_ends?;
-        Some(work_ends + LATE_END)
+        Some(provable_from(work_ends))
     }
 
     /// Returns the number of keepers that have replied to the look-up.
@@ -390,7 +390,7 @@
         doubted_at: Instant,
         work_ends: Instant,
     ) {
-        let provable = work_ends.max(doubted_at) + LATE_END;
+        let provable = provable_from(work_ends.max(doubted_at));
         self.examination(upstream, recorded, provable).start();
     }
 
--- a/crates/samphiregrade-gateway/src/fact/mod.rs
+++ b/crates/samphiregrade-gateway/src/fact/mod.rs
@@ -47,6 +47,6 @@
 pub use sends::SendTable;
 pub use service::KeeperService;
 pub use tries::{
-    KnownTries, MAX_ENDED_UPSTREAMS, RequestTry, TRY_RETENTION, TimedTries, TryDecision, TryEntry,
-    TryFact, TryKey, TryNumber, TryState, try_key,
+    KnownTries, LATE_END, MAX_ENDED_UPSTREAMS, RequestTry, TRY_RETENTION, TimedTries, TryDecision,
+    TryEntry, TryFact, TryKey, TryNumber, TryState, provable_from, try_key,
 };
--- a/crates/samphiregrade-gateway/src/fact/tries.rs
+++ b/crates/samphiregrade-gateway/src/fact/tries.rs
@@ -20,6 +20,10 @@
 /// long as a try is not settled, they are also kept for this time after the last moment at which an upstream may work on one.
 pub const TRY_RETENTION: Duration = Duration::from_mins(1);
 
+/// Time within which a process ends after the last moment at which it could work on the request that ends it. It includes the
+/// time that the request took to arrive, for the deadline counts from then.
+pub const LATE_END: Duration = Duration::from_millis(800);
+
 /// Upstream of a send that is registered before its upstream is chosen.
 const UNKNOWN_UPSTREAM: UpstreamTag = 0;
 
@@ -42,6 +46,13 @@
     format_smolstr!("\u{1}{request:016x}")
 }
 
+/// Returns the time from which on a response to a new request shows that its process has outlived a try, on which it could work
+/// until `work_ends`.
+#[must_use]
+pub fn provable_from(work_ends: Instant) -> Instant {
+    work_ends + LATE_END
+}
+
 /// What became of the upstream of a try.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum TryState {
--- a/crates/samphiregrade-gateway/tests/suite/main.rs
+++ b/crates/samphiregrade-gateway/tests/suite/main.rs
@@ -33,6 +33,7 @@
 mod slow_readers;
 mod speed;
 mod tries;
+mod tries_model;
 mod turn_cache;
 mod upstreams;
 mod waiting;
