--- a/crates/samphiregrade-gateway/src/fact/service.rs
+++ b/crates/samphiregrade-gateway/src/fact/service.rs
@@ -1,7 +1,7 @@
 //! Server side of a keeper: handles requests, and keeps facts in the index and on disk.
 
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use serde::Serialize;
@@ -231,10 +231,7 @@
                 key,
                 number,
                 work_left,
-            } => {
-                self.with(|state| state.sends.register(&key, number, work_left, now));
-                self.known_tries(&key, number, now)
-            }
+            } => self.register_send(&key, number, work_left, now),
             KeeperRequest::RecordTries(fact) => self.record_tries(fact, now),
             KeeperRequest::Probe => KeeperReply::Alive {
                 complete: self.is_complete(),
@@ -288,6 +285,17 @@
         self.disk.append_later(fact);
     }
 
+    fn register_send(
+        &self,
+        key: &TryKey,
+        number: TryNumber,
+        work_left: Duration,
+        now: Instant,
+    ) -> KeeperReply {
+        self.with(|state| state.sends.register(key, number, work_left, now));
+        self.known_tries(key, number, now)
+    }
+
     fn known_tries(&self, key: &TryKey, own: TryNumber, now: Instant) -> KeeperReply {
         let (timed, kept_for) = self.with(|state| {
             let (mut timed, kept_for) = state.index.tries(key, now);
--- a/crates/samphiregrade-gateway/tests/suite/tries_model.rs
+++ b/crates/samphiregrade-gateway/tests/suite/tries_model.rs
@@ -318,6 +318,10 @@
 // Guards against a doubt about an upstream that time or another process settles, in any order of late events.
 #[test]
 fn no_late_event_ends_more_than_three_upstreams() {
+    #[expect(
+        clippy::needless_pass_by_value,
+        reason = "quickcheck hands values over"
+    )]
     fn property(steps: Vec<Step>) -> bool {
         holds(&steps)
     }
