Relay: look at the deadline and the stop before each read, not at all events

The bound on bytes without end had the relay look at the upstream last, which polls three futures for each piece of a response. Two checks before the read do the same: a client that has left is noticed when it is written to.

--- a/crates/samphiregrade-gateway/src/exchange/relay.rs
+++ b/crates/samphiregrade-gateway/src/exchange/relay.rs
@@ -296,13 +296,13 @@
             if self.has_body_output(&output) {
                 self.flush(&mut output).await?;
             }
-            // An upstream that sends without a pause must not keep the other events from being noticed.
+            self.check_interrupted()?;
             let count = tokio::select! {
                 biased;
+                read = response.socket.fill() => read.map_err(|error| RelayStop::Upstream(error.to_string()))?,
                 () = self.client.socket.wait_for_hangup() => return Err(RelayStop::Client),
                 () = self.client.abort.cancelled() => return Err(RelayStop::Stopping),
                 () = tokio::time::sleep_until(self.request.due.into()) => return Err(RelayStop::Deadline),
-                read = response.socket.fill() => read.map_err(|error| RelayStop::Upstream(error.to_string()))?,
                 () = response.guard.upstream().wait_until_unreachable(BROKEN_PATH_TIMEOUT) => return Err(RelayStop::Path),
             };
             response
@@ -316,6 +316,18 @@
         }
     }
 
+    /// Fails if the relay has to stop: an upstream that sends without a pause must not keep that from being noticed. A client that
+    /// has left is noticed when it is written to.
+    fn check_interrupted(&self) -> Result<(), RelayStop> {
+        if self.client.abort.is_cancelled() {
+            return Err(RelayStop::Stopping);
+        }
+        if Instant::now() >= self.request.due {
+            return Err(RelayStop::Deadline);
+        }
+        Ok(())
+    }
+
     /// Fails if the body has ended although its stream has not, after sending the events that have arrived.
     ///
     /// The framing of a body tells where its bytes end. An upstream that breaks off may still close its connection in an
