--- a/crates/samphiregrade-bench/src/cluster.rs
+++ b/crates/samphiregrade-bench/src/cluster.rs
@@ -360,6 +360,7 @@
                 folder.join(format!("{}.log", plan.name)),
             );
             process.entry = format_smolstr!("http://{entry}");
+            process.callers = format_smolstr!("http://{}", plan.callers);
             process.operators = format_smolstr!("http://{}", plan.operators);
             process.spawn()?;
             self.instances.insert(plan.name.clone(), process);
--- a/crates/samphiregrade-bench/src/cluster/process.rs
+++ b/crates/samphiregrade-bench/src/cluster/process.rs
@@ -35,6 +35,8 @@
     pub domain: DomainId,
     /// Base URL for callers, through the proxy.
     pub entry: SmolStr,
+    /// Base URL for callers, without a proxy between.
+    pub callers: SmolStr,
     /// Base URL for operators.
     pub operators: SmolStr,
     binary: PathBuf,
@@ -59,6 +61,7 @@
             name,
             domain,
             entry: SmolStr::default(),
+            callers: SmolStr::default(),
             operators: SmolStr::default(),
             binary,
             settings,
