--- a/crates/samphiregrade-gateway/src/exchange/admission.rs
+++ b/crates/samphiregrade-gateway/src/exchange/admission.rs
@@ -11,7 +11,7 @@
 use super::request::RoutedRequest;
 use crate::access::{BootTime, CallerIdentity, Organisation};
 use crate::limits::{AllowanceGrant, WindowLimit, WindowUse};
-use crate::model::{CallerCredential, ConfigVersion, RouteRecord};
+use crate::model::{CallerCredential, ConfigVersion, RequestMetadata, RouteRecord};
 use crate::routing::RouteTable;
 
 /// Longest Retry-After time of a request over the limit: the sliding window frees capacity continuously.
@@ -47,6 +47,29 @@
     }
 }
 
+/// Refuses a request of an organisation that is known to have reached its limit.
+pub(super) fn check_limit(
+    context: &EntryContext,
+    organisation: &Organisation,
+    version: ConfigVersion,
+    metadata: &RequestMetadata,
+) -> Result<(), Refusal> {
+    let Some(limit) = &organisation.limit else {
+        return Ok(());
+    };
+    let limiter = &context.limits;
+    let demand = TokenDemand {
+        organisation: organisation.tag,
+        limit: WindowLimit::of(limit, limiter.source.rule.window, version),
+        starts_program: metadata.program.is_some() && metadata.previous_turn.is_none(),
+        prefetch: false,
+    };
+    match limiter.refused_for(&demand) {
+        Some((wait, window_use)) => Err(over_limit_refusal(wait, window_use)),
+        None => Ok(()),
+    }
+}
+
 /// Takes a token of the organisation's limit for a request, or refuses the request with a Retry-After time.
 ///
 /// Returns `None` if the organisation has no limit.
--- a/crates/samphiregrade-gateway/src/exchange/attempt.rs
+++ b/crates/samphiregrade-gateway/src/exchange/attempt.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use bytes::{BufMut, BytesMut};
+use bytes::{BufMut, Bytes, BytesMut};
 use samphiregrade_http::wire::{BodyDecoder, BodyFraming, BodyPiece, ResponseHead, WireSocket};
 
 use super::admission::identify;
@@ -26,6 +26,9 @@
 /// Maximum size of the body of a mismatched response that is skipped, in bytes: reading more is not worth the cost.
 const SKIPPED_BODY_LIMIT: usize = 1 << 20;
 
+/// Largest body, in bytes, that is written together with its head; a larger one is not copied.
+const COMBINED_BODY: usize = 16 << 10;
+
 /// Interval between checks of whether an upstream is still reachable.
 const REACHABILITY_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -165,7 +168,7 @@
     /// An error describes a failure after part of the request was sent.
     async fn exchange(mut self, bytes: &[u8]) -> Result<AttemptOutcome, SendFailure> {
         let sent_at = Instant::now();
-        let writing = self.socket.write_until_response(bytes).await;
+        let writing = self.write_request(bytes).await;
         self.reusable =
             writing.map_err(SendFailure::upstream("did not accept the complete request"))?;
         for _ in 0..=EARLIER_HEADS {
@@ -196,6 +199,19 @@
         )))
     }
 
+    /// Writes the request, whose head is given, with its body if that is small; returns whether all of it was written before
+    /// a response arrived.
+    async fn write_request(&mut self, bytes: &[u8]) -> std::io::Result<bool> {
+        let body = &self.request.body;
+        if !self.socket.write_until_response(bytes).await? {
+            return Ok(false);
+        }
+        if body.len() <= COMBINED_BODY {
+            return Ok(true);
+        }
+        self.socket.write_until_response(body).await
+    }
+
     /// Reads the next response head; fails if the network path to the upstream is broken and the request may be
     /// repeated.
     async fn await_head(&mut self, sent_at: Instant) -> Result<ResponseHead, SendFailure> {
@@ -300,6 +316,7 @@
     upstream.connect().await
 }
 
+/// Encodes the head of the request, and its body if that is small.
 fn encode(
     context: &EntryContext,
     request: &RoutedRequest,
@@ -307,7 +324,8 @@
     rank: Option<u8>,
 ) -> BytesMut {
     let head = &request.head;
-    let mut bytes = BytesMut::with_capacity(1024 + request.body.len());
+    let body = Some(&request.body).filter(|body| body.len() <= COMBINED_BODY);
+    let mut bytes = BytesMut::with_capacity(1024 + body.map_or(0, Bytes::len));
     bytes.put_slice(&head.method);
     bytes.put_u8(b' ');
     bytes.put_slice(&head.target);
@@ -335,7 +353,9 @@
         bytes.put_slice(format!("Content-Length: {}\r\n", request.body.len()).as_bytes());
     }
     bytes.put_slice(b"\r\n");
-    bytes.put_slice(&request.body);
+    if let Some(body) = body {
+        bytes.put_slice(body);
+    }
     bytes
 }
 
--- a/crates/samphiregrade-gateway/src/exchange/connection.rs
+++ b/crates/samphiregrade-gateway/src/exchange/connection.rs
@@ -2,19 +2,22 @@
 //! client can detect.
 
 mod accepting;
+mod body;
 mod reading;
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use bytes::{Bytes, BytesMut};
 use samphiregrade_http::wire::{RequestHead, WireSocket};
+use samphiregrade_http::{LeaseState, MemoryLease};
 use smol_str::SmolStr;
 use tokio::net::TcpStream;
 
-use super::admission::{admit_while_preparing, identify};
+use super::admission::{admit_while_preparing, check_limit, identify};
 use super::affinity::note_completed;
 use super::attempt::LiveResponse;
+use super::client_memory::{CONNECTION_BYTES, RequestSize};
 use super::context::EntryContext;
 use super::dispatch::dispatch;
 use super::origin::{KnownVersions, OriginSource, SoftwareRule};
@@ -27,14 +30,23 @@
 use super::tries::RequestTries;
 use super::try_record::TryRecorder;
 use super::turn::{PreparedTurn, ProgramState, TurnPlan};
-use crate::access::BootTime;
-use crate::model::{ClientLimits, RequestKind, RequestMetadata};
+use crate::access::{BootTime, CallerIdentity};
+use crate::model::{ClientLimits, RequestKind, RequestMetadata, RouteRecord};
 use crate::routing::{RouteTable, service_for};
 
 pub use accepting::{ShutdownTokens, serve_clients};
 use reading::{BodyEnd, HeadEnd};
 
-async fn serve_stream(context: Arc<EntryContext>, stream: TcpStream, tokens: ShutdownTokens) {
+/// Longest time for writing a refusal: it fits into an empty send queue, so that only a client that reads nothing needs
+/// longer.
+const REFUSAL_TIMEOUT: Duration = Duration::from_secs(2);
+
+async fn serve_stream(
+    context: Arc<EntryContext>,
+    stream: TcpStream,
+    lease: MemoryLease,
+    tokens: ShutdownTokens,
+) {
     let socket = match WireSocket::new(stream, &context.slow_readers.socket_limits()) {
         Ok(socket) => socket,
         Err(error) => {
@@ -50,6 +62,7 @@
         context,
         socket,
         age,
+        lease,
         tokens,
     };
     client.serve().await;
@@ -59,6 +72,8 @@
     context: Arc<EntryContext>,
     socket: WireSocket,
     age: ConnectionAge,
+    /// What the connection holds of the clients' memory.
+    lease: MemoryLease,
     tokens: ShutdownTokens,
 }
 
@@ -79,7 +94,8 @@
                     break;
                 }
                 HeadEnd::Head(head) => {
-                    if !self.serve_request(head, &limits).await {
+                    // Most connections are idle most of the time; the state of a request is large.
+                    if !Box::pin(self.serve_request(head, &limits)).await {
                         break;
                     }
                     self.age.earlier_requests += 1;
@@ -88,7 +104,11 @@
         }
         // The rest of a refused body or a further request may still arrive; closing at once would reset the connection
         // and could lose the last response.
-        self.socket.close_gracefully().await;
+        self.lease.enter(LeaseState::Closing, CONNECTION_BYTES);
+        tokio::select! {
+            () = self.socket.close_gracefully() => {}
+            () = self.lease.ended() => self.context.metrics.count_client_limit("closed-draining"),
+        }
     }
 
     fn limits(&self) -> ClientLimits {
@@ -121,10 +141,11 @@
         let resumption = metadata.resumption.as_ref();
         record.resumes = resumption.and_then(|stream| stream.first_attempt.clone());
         let keep_alive = head.keeps_connection() && head.minor_version > 0;
-        let body = match self.read_body(&head, limits).await {
+        let reading = self.read_body(&head, &metadata, limits, &mut record);
+        let body = match reading.await {
             BodyEnd::Complete(body) => body,
-            BodyEnd::Refused(reason) => {
-                self.refuse(&mut record, reason.into(), false).await;
+            BodyEnd::Refused(refusal) => {
+                self.refuse(&mut record, refusal, false).await;
                 return false;
             }
             BodyEnd::Disconnected => {
@@ -137,6 +158,10 @@
                 let refusal = RefusalReason::Stopping.into();
                 self.refuse(&mut record, refusal, false).await
             }
+            Ok(prepared) if !self.admit(&prepared).await => {
+                let refusal = RefusalReason::NoMemory.into();
+                self.refuse(&mut record, refusal, keep_alive).await
+            }
             Ok(prepared) => self.execute(prepared, &mut record, keep_alive).await,
             Err(reason) => self.refuse(&mut record, reason.into(), keep_alive).await,
         }
@@ -148,16 +173,34 @@
         !self.tokens.drain.is_cancelled() || self.context.can_complete_by(request.due)
     }
 
-    /// Looks up the route and the service of a request in the current configuration.
-    fn prepare(
+    /// Counts the memory that a complete request needs until it has its response; returns whether there is room.
+    async fn admit(&mut self, prepared: &PreparedRequest) -> bool {
+        let size = RequestSize {
+            body: prepared.request.body.len(),
+            history: 0,
+            is_retained: prepared.turn.as_ref().is_some_and(|plan| plan.retained),
+        };
+        let admitted = self
+            .context
+            .clients
+            .admit(&mut self.lease, size)
+            .await
+            .is_ok();
+        if admitted {
+            let bytes = self.lease.bytes();
+            self.lease.enter(LeaseState::Running, bytes);
+        }
+        admitted
+    }
+
+    /// Finds the route of a request and identifies its caller.
+    fn identify_request(
         &self,
-        head: RequestHead,
-        metadata: RequestMetadata,
-        body: Bytes,
+        table: &RouteTable,
+        head: &RequestHead,
+        metadata: &RequestMetadata,
         record: &mut RequestRecord,
-    ) -> Result<PreparedRequest, RefusalReason> {
-        let routes = self.context.routes.load();
-        let table: &RouteTable = routes.as_ref().ok_or(RefusalReason::NoConfiguration)?;
+    ) -> Result<(Arc<RouteRecord>, CallerIdentity), RefusalReason> {
         record.config = table.version;
         if metadata.request.is_none() {
             return Err(RefusalReason::Malformed);
@@ -173,6 +216,42 @@
         let caller = identify(&self.context, &route, &metadata.credential)?;
         let organisation = caller.organisation();
         record.organisation = organisation.map(|organisation| organisation.name.clone());
+        Ok((route, caller))
+    }
+
+    /// Refuses a request whose head shows that it won't be served, before its body is read.
+    fn check_head(
+        &self,
+        head: &RequestHead,
+        metadata: &RequestMetadata,
+        record: &mut RequestRecord,
+    ) -> Result<(), Refusal> {
+        let routes = self.context.routes.load();
+        let table: &RouteTable = routes.as_ref().ok_or(RefusalReason::NoConfiguration)?;
+        let (route, caller) = self.identify_request(table, head, metadata, record)?;
+        let time = metadata.deadline.unwrap_or(route.timeout);
+        let due = record.started + time.min(route.timeout);
+        if self.tokens.drain.is_cancelled() && !self.context.can_complete_by(due) {
+            return Err(RefusalReason::Stopping.into());
+        }
+        match caller.organisation() {
+            Some(organisation) => check_limit(&self.context, organisation, table.version, metadata),
+            None => Ok(()),
+        }
+    }
+
+    /// Looks up the route and the service of a request in the current configuration.
+    fn prepare(
+        &self,
+        head: RequestHead,
+        metadata: RequestMetadata,
+        body: Bytes,
+        record: &mut RequestRecord,
+    ) -> Result<PreparedRequest, RefusalReason> {
+        let routes = self.context.routes.load();
+        let table: &RouteTable = routes.as_ref().ok_or(RefusalReason::NoConfiguration)?;
+        let (route, caller) = self.identify_request(table, &head, &metadata, record)?;
+        let organisation = caller.organisation();
         let priority = organisation.and_then(|organisation| organisation.priority);
         let key = metadata.origin_program().unwrap_or(&record.request);
         let service = service_for(&route, key)
@@ -224,9 +303,10 @@
     ) -> bool {
         let PreparedRequest { mut request, turn } = prepared;
         let context = self.context.clone();
+        let lease = &mut self.lease;
         let sent = tokio::select! {
             biased;
-            sent = send_request(&context, &mut request, turn.as_ref(), record) => sent.map_err(Some),
+            sent = send_request(&context, &mut request, turn.as_ref(), record, lease) => sent.map_err(Some),
             () = self.socket.wait_for_hangup() => Err(None),
             () = self.tokens.abort.cancelled() => Err(Some(abort_refusal(record))),
         };
@@ -268,6 +348,7 @@
         let upstream = response.guard.upstream().clone();
         let client = RelayClient {
             socket: &mut self.socket,
+            lease: &mut self.lease,
             keep_alive,
             abort: &self.tokens.abort,
         };
@@ -313,6 +394,9 @@
         let refusal = refusal
             .until_proof(self.context.freshness.unproved_for(BootTime::now()))
             .while_cut_off(self.context.cut_off_for());
+        if refusal.reason == RefusalReason::NoMemory {
+            self.context.metrics.count_client_limit("refused-request");
+        }
         record.outcome = refusal.reason.name();
         record.window = refusal.window;
         record.status = refusal.reason.status();
@@ -320,12 +404,23 @@
         let id = Some(record.request.as_str()).filter(|id| !id.is_empty());
         let keep_alive = keep_alive && !self.context.closes_connections();
         let kept_open = refusal.encode(&*self.context.dialect, id, keep_alive, &mut bytes);
-        if let Err(error) = self.socket.write(&bytes).await {
+        if let Err(error) = self.write_refusal(&bytes).await {
             record.add_detail(&format!("the refusal could not be written: {error}"));
             return false;
         }
         kept_open
     }
+
+    /// Writes a refusal to a client that may not read.
+    async fn write_refusal(&mut self, bytes: &[u8]) -> std::io::Result<()> {
+        self.lease.enter(LeaseState::Closing, CONNECTION_BYTES);
+        let writing = tokio::time::timeout(REFUSAL_TIMEOUT, self.socket.write(bytes));
+        tokio::select! {
+            biased;
+            written = writing => written?,
+            () = self.lease.ended() => Err(std::io::ErrorKind::ConnectionAborted.into()),
+        }
+    }
 }
 
 /// Admits a request, prepares its turn if it has one, and dispatches it.
@@ -334,6 +429,7 @@
     request: &mut RoutedRequest,
     turn: Option<&TurnPlan>,
     record: &mut RequestRecord,
+    lease: &mut MemoryLease,
 ) -> Result<Box<LiveResponse>, Refusal> {
     let is_tracked = turn.is_some_and(TurnPlan::is_tracked);
     let versions = if is_tracked {
@@ -343,8 +439,13 @@
     };
     let tries = request.tries.clone();
     let looking_up = Box::pin(tries.look_up());
-    let turn_input = request.body.clone();
-    let preparing = prepare_turn(context, turn, turn_input, request.due, versions, looking_up);
+    let preparation = TurnPreparation {
+        body: request.body.clone(),
+        due: request.due,
+        versions,
+        lease,
+    };
+    let preparing = prepare_turn(context, turn, preparation, looking_up);
     let prepared = admit_while_preparing(context, request, record, preparing).await?;
     let directory = context.directory.load_full();
     let settling = tries.settle_doubts(directory.of(&request.service.name));
@@ -389,13 +490,19 @@
     }
 }
 
+/// What the preparation of a turn needs beside its plan.
+struct TurnPreparation<'request> {
+    body: Bytes,
+    due: Instant,
+    versions: KnownVersions,
+    lease: &'request mut MemoryLease,
+}
+
 /// Prepares a turn while `looking_up` runs; resolves to `None` if the request is not a turn.
 async fn prepare_turn<LookUp>(
     context: &EntryContext,
     turn: Option<&TurnPlan>,
-    body: Bytes,
-    due: Instant,
-    versions: KnownVersions,
+    preparation: TurnPreparation<'_>,
     looking_up: LookUp,
 ) -> Result<Option<PreparedTurn>, RefusalReason>
 where
@@ -405,7 +512,14 @@
         looking_up.await;
         return Ok(None);
     };
-    let preparing = tokio::time::timeout_at(due.into(), plan.prepare(context, &body, versions));
+    let TurnPreparation {
+        body,
+        due,
+        versions,
+        lease,
+    } = preparation;
+    let preparing = plan.prepare(context, &body, versions, lease);
+    let preparing = tokio::time::timeout_at(due.into(), preparing);
     let (prepared, ()) = tokio::join!(preparing, looking_up);
     prepared.unwrap_or(Err(RefusalReason::LateUnsent)).map(Some)
 }
--- a/crates/samphiregrade-gateway/src/exchange/connection/accepting.rs
+++ b/crates/samphiregrade-gateway/src/exchange/connection/accepting.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use samphiregrade_http::{MemoryLease, NoRoom};
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
@@ -31,14 +32,22 @@
             () = tokens.drain.cancelled() => break,
             accepted = accept(&listener, "a client connection") => accepted,
         };
-        if let Some(stream) = accepted {
-            spawn_connection(&context, stream, &tokens);
+        let Some(stream) = accepted else {
+            continue;
+        };
+        // Nobody else is accepted while connections close to make room: their number is bounded at every moment.
+        match context.clients.open_connection().await {
+            Ok(lease) => spawn_connection(&context, stream, lease, &tokens),
+            Err(error) => refuse_connection(&context, error),
         }
     }
     match listener.into_std() {
         Ok(listener) => {
             let accept = || accept_pending(&listener);
-            let serve = |stream| spawn_connection(&context, stream, &tokens);
+            let serve = |stream| match context.clients.try_open_connection() {
+                Ok(lease) => spawn_connection(&context, stream, lease, &tokens),
+                Err(error) => refuse_connection(&context, error),
+            };
             drain_backlog(accept, serve).await;
         }
         Err(error) => log::warn!("connections in the accept queue could not be accepted: {error}"),
@@ -52,12 +61,23 @@
     TcpStream::from_std(stream)
 }
 
+/// Records that a new connection is closed since no other one can give way to it.
+fn refuse_connection(context: &EntryContext, error: NoRoom) {
+    log::info!("a client connection is closed: {error}");
+    context.metrics.count_client_limit("refused-connection");
+}
+
 /// Spawns a task that serves a connection.
 ///
 /// The connection counts as open before the task starts, so that a shutdown does not miss it.
-fn spawn_connection(context: &Arc<EntryContext>, stream: TcpStream, tokens: &ShutdownTokens) {
+fn spawn_connection(
+    context: &Arc<EntryContext>,
+    stream: TcpStream,
+    lease: MemoryLease,
+    tokens: &ShutdownTokens,
+) {
     let guard = context.open_connection();
-    let serving = serve_stream(context.clone(), stream, tokens.clone());
+    let serving = serve_stream(context.clone(), stream, lease, tokens.clone());
     tokio::spawn(async move {
         serving.await;
         drop(guard);
--- a/crates/samphiregrade-gateway/src/exchange/context.rs
+++ b/crates/samphiregrade-gateway/src/exchange/context.rs
@@ -7,8 +7,9 @@
 
 use arc_swap::{ArcSwap, ArcSwapOption};
 
+use super::client_memory::{ClientMemory, MachineLimits};
 use super::limit_desk::EntryLimiter;
-use super::slow_readers::{MemoryMegabytes, SlowReaders};
+use super::slow_readers::SlowReaders;
 use super::suspects::SuspectTable;
 use super::turn_cache::TurnCache;
 use crate::access::{BootTime, KeyFreshness};
@@ -24,9 +25,6 @@
     SpeedBoard, UpstreamDirectory,
 };
 
-/// Memory of a machine of unknown size, in megabytes.
-const DEFAULT_MEMORY: MemoryMegabytes = 256;
-
 /// Times of a shutdown.
 #[derive(Clone, Copy, Debug)]
 struct StopTimes {
@@ -63,6 +61,8 @@
     pub affinity: AffinityTracker,
     /// Measured request times, by service.
     times: Mutex<HashMap<ServiceName, ServiceTimes>>,
+    /// Bounds of what connections and requests of clients hold.
+    pub clients: ClientMemory,
     /// Bounds of what is buffered for clients that read slowly.
     pub slow_readers: SlowReaders,
     /// Local allowances of the organisations' limits.
@@ -106,7 +106,8 @@
             shares: ShareBoard::default(),
             affinity: AffinityTracker::default(),
             times: Mutex::default(),
-            slow_readers: SlowReaders::new(DEFAULT_MEMORY),
+            clients: ClientMemory::new(MachineLimits::default()),
+            slow_readers: SlowReaders::new(MachineLimits::default().memory),
             limits: EntryLimiter::new(instance, organisations),
             freshness: KeyFreshness::new(organisations.freshness_rule()),
             metrics,
@@ -118,11 +119,12 @@
         }
     }
 
-    /// Sets the memory of the machine.
+    /// Sets what the machine offers.
     #[must_use]
-    pub fn with_memory(self, memory: MemoryMegabytes) -> Self {
+    pub fn on_machine(self, machine: MachineLimits) -> Self {
         Self {
-            slow_readers: SlowReaders::new(memory),
+            clients: ClientMemory::new(machine),
+            slow_readers: SlowReaders::new(machine.memory),
             ..self
         }
     }
--- a/crates/samphiregrade-gateway/src/exchange/mod.rs
+++ b/crates/samphiregrade-gateway/src/exchange/mod.rs
@@ -4,6 +4,7 @@
 mod affinity;
 mod attempt;
 mod broken;
+mod client_memory;
 mod connection;
 mod context;
 mod dispatch;
@@ -25,6 +26,7 @@
 mod turn_cache;
 mod waiting;
 
+pub use client_memory::{ClientMemory, DescriptorCount, MachineLimits, RECEIVE_QUEUE, RequestSize};
 pub use connection::{ShutdownTokens, serve_clients};
 pub use context::EntryContext;
 pub use events::EventParser;
--- a/crates/samphiregrade-gateway/src/exchange/refusal.rs
+++ b/crates/samphiregrade-gateway/src/exchange/refusal.rs
@@ -10,7 +10,7 @@
 /// Retry-After time of a refusal for lack of an upstream: an upstream's queue advances within it.
 const UPSTREAM_RETRY_AFTER: Duration = Duration::from_millis(80);
 
-/// Retry-After time of a refusal by an instance that lacks a configuration or a connection to the keepers.
+/// Retry-After time of a refusal by an instance that lacks a configuration, a connection to the keepers, or memory.
 const UNREADY_RETRY_AFTER: Duration = Duration::from_millis(300);
 
 /// Shortest Retry-After time of a refusal for want of a proof.
@@ -36,6 +36,8 @@
     HeadTooLarge,
     /// The request body is too long.
     BodyTooLarge,
+    /// The turn with the ones before it is larger than the machine's memory permits.
+    HistoryTooLarge,
     /// The client took too long to send its request.
     TooSlow,
     /// No route matches.
@@ -68,6 +70,8 @@
     UpstreamsEnded,
     /// Other attempts of a request under which upstreams have ended are running; this one has not run.
     TriesInFlight,
+    /// The memory for clients is occupied; the request has not run.
+    NoMemory,
     /// The instance is stopping and accepts no more work; the request has not run.
     Stopping,
     /// The request timed out before anything was sent to an upstream.
@@ -86,6 +90,7 @@
             Self::Malformed => "malformed",
             Self::HeadTooLarge => "head-too-large",
             Self::BodyTooLarge => "body-too-large",
+            Self::HistoryTooLarge => "history-too-large",
             Self::TooSlow => "too-slow",
             Self::NoRoute => "no-route",
             Self::UnknownKey => "unknown-key",
@@ -100,6 +105,7 @@
             Self::UnknownOrigin => "unknown-origin",
             Self::NoSameVersion => "no-same-version",
             Self::OverBudget => "over-budget",
+            Self::NoMemory => "no-memory",
             Self::Stopping => "stopping",
             Self::UpstreamsEnded => "upstreams-ended",
             Self::TriesInFlight => "tries-in-flight",
@@ -115,7 +121,7 @@
         match self {
             Self::Malformed => 400,
             Self::HeadTooLarge => 431,
-            Self::BodyTooLarge => 413,
+            Self::BodyTooLarge | Self::HistoryTooLarge => 413,
             Self::TooSlow => 408,
             Self::NoRoute | Self::NoSuchTurn => 404,
             Self::OverBudget => 402,
@@ -130,6 +136,7 @@
             | Self::UnknownOrigin
             | Self::NoSameVersion
             | Self::TriesInFlight
+            | Self::NoMemory
             | Self::Stopping
             | Self::LateUnsent => 503,
             Self::Late => 504,
@@ -145,9 +152,11 @@
 
     fn default_retry_after(self) -> Option<Duration> {
         match self {
-            Self::NoConfiguration | Self::KeysUnproved | Self::LimitUnproved | Self::NoKeepers => {
-                Some(UNREADY_RETRY_AFTER)
-            }
+            Self::NoConfiguration
+            | Self::KeysUnproved
+            | Self::LimitUnproved
+            | Self::NoKeepers
+            | Self::NoMemory => Some(UNREADY_RETRY_AFTER),
             // A stopping instance closes its listener, so the next connection goes to another instance.
             Self::NoUpstream
             | Self::NotExecuted
--- a/crates/samphiregrade-gateway/src/exchange/relay.rs
+++ b/crates/samphiregrade-gateway/src/exchange/relay.rs
@@ -1,8 +1,10 @@
 //! Relays a response to the client as it arrives, and withholds its end until the turn is durable.
 
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use bytes::{BufMut, Bytes, BytesMut};
+use samphiregrade_http::MemoryLease;
 use samphiregrade_http::wire::{
     BodyFraming, BodyPiece, LAST_CHUNK, ResponseHead, WireSocket, append_chunk,
 };
@@ -11,6 +13,7 @@
 
 use super::attempt::LiveResponse;
 use super::broken::{BreakStage, record_break};
+use super::client_memory::stored_copies;
 use super::context::EntryContext;
 use super::events::EventParser;
 use super::outcome::RequestRecord;
@@ -95,6 +98,8 @@
 pub struct RelayClient<'connection> {
     /// Connection of the client.
     pub socket: &'connection mut WireSocket,
+    /// What the connection holds of the clients' memory.
+    pub lease: &'connection mut MemoryLease,
     /// Whether the connection stays open after the response.
     pub keep_alive: bool,
     /// Aborts the requests in progress when cancelled.
@@ -411,12 +416,14 @@
         let spent = self.spent();
         let output = self.parser.as_mut().map(EventParser::take_output);
         let output = output.unwrap_or_default();
+        // A keeper that is slow gets its copy after the response has ended.
+        let hold = Arc::new(self.client.lease.split(stored_copies(plan.input.len())));
         let mut chain = BytesMut::with_capacity(self.request.body.len() + output.len());
         chain.put_slice(&self.request.body);
         chain.put_slice(&output);
         tokio::select! {
             biased;
-            committed = plan.commit(self.context, output, spent, upstream) => {
+            committed = plan.commit(self.context, output, spent, upstream, hold) => {
                 committed.map_err(|_| RelayStop::NotDurable)?;
             }
             () = final_commit_timeout(self.client.abort) => return Err(RelayStop::Stopping),
--- a/crates/samphiregrade-gateway/src/exchange/turn.rs
+++ b/crates/samphiregrade-gateway/src/exchange/turn.rs
@@ -3,15 +3,17 @@
 use std::time::Duration;
 
 use bytes::{BufMut, Bytes, BytesMut};
+use samphiregrade_http::{LeaseState, MemoryLease};
 use smol_str::SmolStr;
 
+use super::client_memory::RequestSize;
 use super::context::EntryContext;
 use super::origin::{KnownVersions, OriginSource, SoftwareRule, StreamStep, find_origin};
 use super::refusal::RefusalReason;
 use super::request::RoutedRequest;
 use crate::fact::{
-    ChainLookup, FactFailure, FactRecord, ProgramLedger, Reservation, ReserveOutcome, TurnFact,
-    TurnPlace,
+    ChainLookup, FactFailure, FactRecord, MemoryHold, ProgramLedger, Reservation, ReserveOutcome,
+    TurnFact, TurnPlace,
 };
 use crate::model::{ProgramId, SessionId, SoftwareTag, TurnId, UpstreamRecord};
 use crate::upstream::{ProgramProgress, Upstream};
@@ -27,6 +29,9 @@
 /// takes up its stream at once is hardly delayed.
 const ORIGIN_LOOKUP_PAUSE: Duration = Duration::from_millis(20);
 
+/// Length of the earlier turns, in bytes, for which room is made before it is known: a program of ordinary size has fewer.
+const FIRST_HISTORY: usize = 192 << 10;
+
 /// The budget, history and origin of a turn or of another stream that can be taken up again.
 #[derive(Clone, Debug)]
 pub struct TurnPlan {
@@ -125,7 +130,7 @@
         })
     }
 
-    /// Reserves tokens and fetches the history; resolves to the turn to dispatch.
+    /// Reserves tokens and fetches the history, which is counted in the lease; resolves to the turn to dispatch.
     ///
     /// # Errors
     ///
@@ -135,8 +140,10 @@
         context: &EntryContext,
         body: &Bytes,
         versions: KnownVersions,
+        lease: &mut MemoryLease,
     ) -> Result<PreparedTurn, RefusalReason> {
-        let (reserved, chain) = tokio::join!(self.reserve(context, versions), self.chain(context));
+        let looking_up = self.chain(context, body.len(), lease);
+        let (reserved, chain) = tokio::join!(self.reserve(context, versions), looking_up);
         let chain = chain?;
         let (ledger, software, origin) =
             self.look_up_software(context, reserved?, versions).await?;
@@ -288,21 +295,42 @@
         }
     }
 
-    async fn chain(&self, context: &EntryContext) -> Result<Option<Bytes>, RefusalReason> {
+    /// Returns the earlier turns of the chain, once there is room for them.
+    async fn chain(
+        &self,
+        context: &EntryContext,
+        body: usize,
+        lease: &mut MemoryLease,
+    ) -> Result<Option<Bytes>, RefusalReason> {
         let Some(previous) = &self.previous else {
             return Ok(None);
         };
+        let sized = |history: usize| RequestSize {
+            body,
+            history,
+            is_retained: self.retained,
+        };
         if let Some(chain) = context.turns.get(previous) {
+            admit_history(context, sized(chain.len()), lease).await?;
             return Ok(Some(chain));
         }
         let keepers = context
             .keepers
             .load_full()
             .ok_or(RefusalReason::NoKeepers)?;
-        match keepers.chain(&self.program, previous).await {
-            Ok(ChainLookup::Found(chain)) => Ok(Some(chain)),
-            Ok(ChainLookup::Absent) => Err(RefusalReason::NoSuchTurn),
-            Err(_) => Err(RefusalReason::NoKeepers),
+        let mut longest = FIRST_HISTORY;
+        loop {
+            admit_history(context, sized(longest), lease).await?;
+            let looking_up = keepers.chain_up_to(&self.program, previous, longest);
+            match looking_up.await {
+                Ok(ChainLookup::Found(chain)) => {
+                    lease.enter(LeaseState::Running, sized(chain.len()).bytes());
+                    return Ok(Some(chain));
+                }
+                Ok(ChainLookup::Absent) => return Err(RefusalReason::NoSuchTurn),
+                Ok(ChainLookup::TooLong(bytes)) if bytes > longest => longest = bytes,
+                Ok(ChainLookup::TooLong(_)) | Err(_) => return Err(RefusalReason::NoKeepers),
+            }
         }
     }
 
@@ -355,7 +383,7 @@
         }
     }
 
-    /// Makes the complete turn durable; its response must not end before.
+    /// Makes the complete turn durable; its response must not end before. The hold counts the copies for the keepers.
     ///
     /// # Errors
     ///
@@ -366,13 +394,14 @@
         output: Bytes,
         spent: u32,
         upstream: &UpstreamRecord,
+        hold: MemoryHold,
     ) -> Result<(), FactFailure> {
         let keepers = context
             .keepers
             .load_full()
             .ok_or(FactFailure::NoPlacement)?;
         let fact = FactRecord::Turn(self.fact(output, spent, upstream));
-        keepers.store(&self.program, fact).await
+        keepers.store_held(&self.program, fact, Some(hold)).await
     }
 
     fn fact(&self, output: Bytes, spent: u32, upstream: &UpstreamRecord) -> TurnFact {
@@ -388,3 +417,16 @@
         }
     }
 }
+
+/// Makes room for the earlier turns of a turn.
+async fn admit_history(
+    context: &EntryContext,
+    size: RequestSize,
+    lease: &mut MemoryLease,
+) -> Result<(), RefusalReason> {
+    if !context.clients.can_hold(size) {
+        return Err(RefusalReason::HistoryTooLarge);
+    }
+    let admitted = context.clients.admit(lease, size).await;
+    admitted.map_err(|_| RefusalReason::NoMemory)
+}
--- a/crates/samphiregrade-gateway/src/fact/book.rs
+++ b/crates/samphiregrade-gateway/src/fact/book.rs
@@ -60,6 +60,17 @@
     }
 }
 
+impl TurnContent {
+    /// Returns the bytes of the content, with the framing of one that is on disk.
+    #[must_use]
+    pub fn stored_bytes(&self) -> usize {
+        match self {
+            Self::Memory { input, output } => input.len() + output.len(),
+            Self::Disk(location) => location.length,
+        }
+    }
+}
+
 /// The known part of a chain.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct KnownChain {
--- a/crates/samphiregrade-gateway/src/fact/client.rs
+++ b/crates/samphiregrade-gateway/src/fact/client.rs
@@ -9,6 +9,7 @@
 
 use arc_swap::ArcSwap;
 use bytes::Bytes;
+use samphiregrade_http::MemoryLease;
 use thiserror::Error;
 use tokio::sync::mpsc;
 
@@ -66,8 +67,13 @@
     Found(Bytes),
     /// It is certain that the turn doesn't exist.
     Absent,
+    /// The chain is longer than the query allows: about this many bytes.
+    TooLong(usize),
 }
 
+/// Counts the memory of a fact's copies until the last one is dropped.
+pub type MemoryHold = Arc<MemoryLease>;
+
 /// Client of all keepers; cheap to clone.
 #[derive(Clone)]
 pub struct KeeperClient {
@@ -194,9 +200,24 @@
     ///
     /// [`FactFailure`] if too few keepers acknowledge the fact in time.
     pub async fn store(&self, program: &ProgramId, fact: FactRecord) -> Result<(), FactFailure> {
-        let fact = &fact;
+        self.store_held(program, fact, None).await
+    }
+
+    /// Stores a fact like [`store`](Self::store); the hold is kept until no copy of the fact is left.
+    ///
+    /// # Errors
+    ///
+    /// As [`store`](Self::store).
+    pub async fn store_held(
+        &self,
+        program: &ProgramId,
+        fact: FactRecord,
+        hold: Option<MemoryHold>,
+    ) -> Result<(), FactFailure> {
+        let (fact, hold) = (&fact, hold.as_ref());
         let storing = self.with_newest_placement(move |placement| async move {
-            self.store_with_placement(&placement, program, fact).await
+            self.store_with_placement(&placement, program, fact, hold)
+                .await
         });
         tokio::time::timeout(STORE_TIMEOUT, storing)
             .await
@@ -228,9 +249,11 @@
         placement: &Arc<KeeperPlacement>,
         program: &ProgramId,
         fact: &FactRecord,
+        hold: Option<&MemoryHold>,
     ) -> Result<(), FactFailure> {
         let group = group_slots(placement, program)?;
-        let mut replies = self.call_group(placement, &group, &KeeperRequest::Store(fact.clone()));
+        let request = KeeperRequest::Store(fact.clone());
+        let mut replies = self.call_group_held(placement, &group, &request, hold);
         let mut stored = 0;
         while !self.is_outdated(placement) {
             // A newer placement may become known while no keeper replies.
@@ -273,15 +296,31 @@
         &self,
         program: &ProgramId,
         turn: &TurnId,
+    ) -> Result<ChainLookup, FactFailure> {
+        self.chain_up_to(program, turn, usize::MAX).await
+    }
+
+    /// Looks up a chain like [`chain`](Self::chain), if it is not longer than `longest` bytes.
+    ///
+    /// # Errors
+    ///
+    /// As [`chain`](Self::chain).
+    pub async fn chain_up_to(
+        &self,
+        program: &ProgramId,
+        turn: &TurnId,
+        longest: usize,
     ) -> Result<ChainLookup, FactFailure> {
         let mut current = turn.clone();
         let mut newer: Vec<Bytes> = Vec::new();
         loop {
-            let current_turn = &current;
+            let known: usize = newer.iter().map(Bytes::len).sum();
+            let request = &KeeperRequest::ChainUpTo(current, longest.saturating_sub(known));
             let querying = self.with_newest_placement(move |placement| async move {
-                self.query_chain(&placement, program, current_turn).await
+                self.query_chain(&placement, program, request).await
             });
             match querying.await? {
+                ChainAnswer::TooLong(bytes) => return Ok(ChainLookup::TooLong(known + bytes)),
                 ChainAnswer::Found(oldest) if newer.is_empty() => {
                     return Ok(ChainLookup::Found(oldest));
                 }
@@ -308,27 +347,30 @@
         &self,
         placement: &Arc<KeeperPlacement>,
         program: &ProgramId,
-        turn: &TurnId,
+        request: &KeeperRequest,
     ) -> Result<ChainAnswer, FactFailure> {
         let mut group = self.reachable_group(placement, program)?;
         group.sort_by_key(|slot| slot.domain != self.own.domain);
-        let request = KeeperRequest::Chain(turn.clone());
         let mut partial = None;
         if let Some(nearest) = group.first() {
             let calling = self.call(nearest.clone(), placement, request.clone(), REQUEST_TIMEOUT);
             match calling.await {
-                Some(KeeperReply::Chain(found @ ChainAnswer::Found(_))) => return Ok(found),
+                Some(KeeperReply::Chain(
+                    found @ (ChainAnswer::Found(_) | ChainAnswer::TooLong(_)),
+                )) => return Ok(found),
                 Some(KeeperReply::Chain(part @ ChainAnswer::Partial { .. })) => {
                     partial = Some(part);
                 }
                 _ => {}
             }
         }
-        let mut replies = self.call_group(placement, &placement.slots, &request);
+        let mut replies = self.call_group(placement, &placement.slots, request);
         let mut absent = 0;
         while let Some(reply) = replies.recv().await {
             match reply {
-                Some(KeeperReply::Chain(found @ ChainAnswer::Found(_))) => return Ok(found),
+                Some(KeeperReply::Chain(
+                    found @ (ChainAnswer::Found(_) | ChainAnswer::TooLong(_)),
+                )) => return Ok(found),
                 Some(KeeperReply::Chain(part @ ChainAnswer::Partial { .. })) => {
                     partial.get_or_insert(part);
                 }
--- a/crates/samphiregrade-gateway/src/fact/client/asking.rs
+++ b/crates/samphiregrade-gateway/src/fact/client/asking.rs
@@ -5,7 +5,7 @@
 
 use tokio::sync::mpsc;
 
-use super::{KeeperClient, REQUEST_TIMEOUT};
+use super::{KeeperClient, MemoryHold, REQUEST_TIMEOUT};
 use crate::fact::message::{KeeperAnswer, KeeperEnvelope, KeeperReply, KeeperRequest};
 use crate::fact::placement::{KeeperPlacement, KeeperSlot, PlacementGeneration};
 use crate::upstream::{UpstreamSpeed, UpstreamSuspect};
@@ -37,6 +37,17 @@
         placement: &Arc<KeeperPlacement>,
         slots: &[KeeperSlot],
         request: &KeeperRequest,
+    ) -> mpsc::Receiver<Option<KeeperReply>> {
+        self.call_group_held(placement, slots, request, None)
+    }
+
+    /// Sends a request like [`call_group`](Self::call_group); the hold is kept until the last keeper has its copy.
+    pub(super) fn call_group_held(
+        &self,
+        placement: &Arc<KeeperPlacement>,
+        slots: &[KeeperSlot],
+        request: &KeeperRequest,
+        hold: Option<&MemoryHold>,
     ) -> mpsc::Receiver<Option<KeeperReply>> {
         let (sender, replies) = mpsc::channel(slots.len().max(1));
         for slot in slots {
@@ -45,7 +56,9 @@
             let request = request.clone();
             let sender = sender.clone();
             let slot = slot.clone();
+            let hold = hold.cloned();
             tokio::spawn(async move {
+                let _hold = hold;
                 let calling =
                     client.call_with_retries(&slot, &placement, &request, REQUEST_TIMEOUT);
                 let reply = calling.await;
--- a/crates/samphiregrade-gateway/src/fact/message.rs
+++ b/crates/samphiregrade-gateway/src/fact/message.rs
@@ -318,6 +318,8 @@
     },
     /// Records tries of a suspected request; the reply doesn't wait until they are durable.
     RecordTries(TryFact),
+    /// Queries the chain that ends with a turn, if it is not longer than this many bytes.
+    ChainUpTo(TurnId, usize),
 }
 
 /// A request with the generation of the placement that its sender knows.
@@ -368,6 +370,8 @@
     Absent,
     /// The keeper is still rebuilding and doesn't know whether the turn exists.
     Unknown,
+    /// The part of the chain that the keeper has is longer than the query allows: about this many bytes.
+    TooLong(usize),
 }
 
 /// A keeper's reply, with the data that accompanies every reply.
--- a/crates/samphiregrade-gateway/src/fact/mod.rs
+++ b/crates/samphiregrade-gateway/src/fact/mod.rs
@@ -27,7 +27,8 @@
 pub use accounts::AccountReplies;
 pub use book::{FactIndex, FactPart, FrameLocation, KnownChain, TurnContent};
 pub use client::{
-    ChainLookup, FactFailure, KeeperClient, ReportedTries, ReserveOutcome, SendRegistration,
+    ChainLookup, FactFailure, KeeperClient, MemoryHold, ReportedTries, ReserveOutcome,
+    SendRegistration,
 };
 pub use disk::{DiskState, FactDisk, FactDiskError, RecoveredFacts};
 pub use health::KeeperHealth;
--- a/crates/samphiregrade-gateway/src/fact/service.rs
+++ b/crates/samphiregrade-gateway/src/fact/service.rs
@@ -6,6 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use serde::Serialize;
 use smol_str::SmolStr;
+use tokio::sync::Semaphore;
 
 use super::book::{FactIndex, FactPart, TurnContent};
 use super::disk::{DiskState, FactDisk, RecoveredFacts};
@@ -17,6 +18,7 @@
 use super::placement::{KeeperPlacement, PlacementGeneration};
 use super::sends::SendTable;
 use super::tries::{TryFact, TryKey, TryNumber};
+use crate::exchange::MachineLimits;
 use crate::limits::{LedgerTime, LimitLedger, LimitReservation, LimitRule, LimitUse, TokenUse};
 use crate::model::TurnId;
 use crate::observe::Logbook;
@@ -26,6 +28,16 @@
 /// Number of bytes by which the segments may exceed twice the live data before they are compacted.
 const COMPACTION_SLACK: u64 = 24 << 20;
 
+/// Part of the machine's memory that the chains which are being read may have, as a divisor. Each is held three times: as
+/// turns, joined, and as a message.
+const READ_DIVISOR: u64 = 20;
+
+/// Bytes for which one permit of a read stands.
+const PERMIT_BYTES: usize = 1 << 10;
+
+/// Permits for reads on a machine of unknown size.
+const DEFAULT_READ_PERMITS: usize = 12 << 10;
+
 #[derive(Serialize)]
 struct SizeLine {
     turns: usize,
@@ -106,6 +118,9 @@
     disk: FactDisk,
     mirror: Arc<StoreMirror>,
     proofs: Arc<ProofCache>,
+    /// Permits for chains that are being read.
+    reads: Arc<Semaphore>,
+    read_permits: usize,
 }
 
 impl KeeperService {
@@ -146,9 +161,30 @@
             disk,
             mirror: Arc::default(),
             proofs: Arc::default(),
+            reads: Arc::new(Semaphore::new(DEFAULT_READ_PERMITS)),
+            read_permits: DEFAULT_READ_PERMITS,
         }
     }
 
+    /// Bounds the chains that are read at the same time to a part of the machine's memory.
+    #[must_use]
+    pub fn on_machine(self, machine: MachineLimits) -> Self {
+        let bytes = machine.memory.saturating_mul(1 << 20) / READ_DIVISOR;
+        let permits = usize::try_from(bytes).unwrap_or(usize::MAX) / PERMIT_BYTES;
+        let read_permits = permits.max(1);
+        Self {
+            reads: Arc::new(Semaphore::new(read_permits)),
+            read_permits,
+            ..self
+        }
+    }
+
+    /// Returns the permits for reading a chain: all of them for one that is longer than the bound.
+    fn permits_for(&self, bytes: usize) -> u32 {
+        let permits = bytes.div_ceil(PERMIT_BYTES).min(self.read_permits);
+        u32::try_from(permits).unwrap_or(u32::MAX)
+    }
+
     /// Returns the mirror of the key-value service that the keeper's followers read.
     #[must_use]
     pub fn mirror(&self) -> &Arc<StoreMirror> {
@@ -207,15 +243,13 @@
                     speeds: self.speeds(wants_speeds),
                 }
             }
-            KeeperRequest::Store(fact) => match self.store(fact, now).await {
-                Some(_) => KeeperReply::Stored,
-                None => KeeperReply::NotStored,
-            },
+            KeeperRequest::Store(fact) => self.reply_stored(fact, now).await,
             KeeperRequest::Note(fact) => {
                 self.note(fact, now);
                 KeeperReply::Stored
             }
-            KeeperRequest::Chain(turn) => KeeperReply::Chain(self.chain(&turn, now).await),
+            KeeperRequest::Chain(turn) => self.reply_chain(&turn, usize::MAX, now).await,
+            KeeperRequest::ChainUpTo(turn, longest) => self.reply_chain(&turn, longest, now).await,
             KeeperRequest::Export(request) => match self.export(&request).await {
                 Some(facts) => KeeperReply::Part {
                     facts,
@@ -275,6 +309,17 @@
         }
     }
 
+    async fn reply_stored(&self, fact: FactRecord, now: Instant) -> KeeperReply {
+        match self.store(fact, now).await {
+            Some(_) => KeeperReply::Stored,
+            None => KeeperReply::NotStored,
+        }
+    }
+
+    async fn reply_chain(&self, turn: &TurnId, longest: usize, now: Instant) -> KeeperReply {
+        KeeperReply::Chain(self.chain(turn, longest, now).await)
+    }
+
     /// Stores a fact without waiting until it is durable.
     fn note(&self, fact: FactRecord, now: Instant) {
         let fact = match fact {
@@ -347,7 +392,9 @@
     }
 
     /// Returns the known part of a chain; content that is no longer in memory is read from disk.
-    async fn chain(&self, turn: &TurnId, now: Instant) -> ChainAnswer {
+    ///
+    /// Chains that are read at the same time are bounded, since a short request names a long one.
+    async fn chain(&self, turn: &TurnId, longest: usize, now: Instant) -> ChainAnswer {
         let known = self.with(|state| match state.index.chain(turn, now) {
             Some(chain) => Ok(chain),
             None if state.disk_state.complete => Err(ChainAnswer::Absent),
@@ -357,6 +404,13 @@
             Ok(chain) => chain,
             Err(answer) => return answer,
         };
+        let length = chain.turns.iter().map(TurnContent::stored_bytes).sum();
+        if length > longest {
+            return ChainAnswer::TooLong(length);
+        }
+        let Ok(_permit) = self.reads.acquire_many(self.permits_for(length)).await else {
+            return ChainAnswer::Unknown;
+        };
         let Some(joined) = self.join_content(chain.turns).await else {
             return ChainAnswer::Unknown;
         };
--- a/crates/samphiregrade-gateway/src/observe/metrics.rs
+++ b/crates/samphiregrade-gateway/src/observe/metrics.rs
@@ -6,6 +6,7 @@
 use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
+use samphiregrade_http::BudgetUse;
 
 use crate::exchange::OriginSource;
 use crate::upstream::{BreakCause, LifeSign};
@@ -50,6 +51,9 @@
     yielding_turns: Counter<u64>,
     affinity: Counter<u64>,
     key_proofs: Counter<u64>,
+    client_limits: Counter<u64>,
+    client_memory: Gauge<u64>,
+    client_connections: Gauge<u64>,
 }
 
 impl GatewayMetrics {
@@ -132,6 +136,21 @@
                 .u64_counter("samphiregrade_key_proofs")
                 .with_description("Rounds of requests for proofs of the keys, and losses of proofs")
                 .build(),
+            client_limits: meter
+                .u64_counter("samphiregrade_client_limits")
+                .with_description(
+                    "Connections and requests that gave way for lack of memory or descriptors",
+                )
+                .build(),
+            client_memory: meter
+                .u64_gauge("samphiregrade_client_memory")
+                .with_unit("By")
+                .with_description("Memory counted for connections and requests of clients")
+                .build(),
+            client_connections: meter
+                .u64_gauge("samphiregrade_client_connections")
+                .with_description("Open connections of clients")
+                .build(),
             registry,
             _provider: provider,
         })
@@ -223,6 +242,20 @@
         self.key_proofs.add(1, &[KeyValue::new("result", result)]);
     }
 
+    /// Counts a connection or a request that gave way for lack of memory or descriptors.
+    pub fn count_client_limit(&self, decision: &'static str) {
+        self.client_limits
+            .add(1, &[KeyValue::new("decision", decision)]);
+    }
+
+    /// Records what is counted for clients.
+    pub fn record_clients(&self, occupied: BudgetUse) {
+        let bytes = u64::try_from(occupied.bytes).unwrap_or(u64::MAX);
+        let connections = u64::try_from(occupied.connections).unwrap_or(u64::MAX);
+        self.client_memory.record(bytes, &[]);
+        self.client_connections.record(connections, &[]);
+    }
+
     /// Renders all instruments in the Prometheus text format.
     ///
     /// # Errors
--- a/crates/samphiregrade-gateway/src/role/entry.rs
+++ b/crates/samphiregrade-gateway/src/role/entry.rs
@@ -7,18 +7,18 @@
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, Result};
-use samphiregrade_http::wire::listen;
+use samphiregrade_http::wire::listen_with_queue;
 use serde::Serialize;
 use tokio_util::sync::CancellationToken;
 
 use super::beliefs::follow_store;
 use super::departure::EntryShutdown;
 use super::domain_watch::watch_domains;
-use super::probe_server::{ProbeResponse, serve_probes};
+use super::probe_server::{ProbeResponse, listen_for_probes, serve_probes};
 use super::signals::handle_signals;
 use crate::access::BootTime;
 use crate::dialect::Dialect;
-use crate::exchange::{EntryContext, ShutdownTokens, TurnCache, serve_clients};
+use crate::exchange::{EntryContext, RECEIVE_QUEUE, ShutdownTokens, TurnCache, serve_clients};
 use crate::fact::KeeperPlacement;
 use crate::model::UpstreamTag;
 use crate::observe::{GatewayMetrics, Logbook};
@@ -104,14 +104,15 @@
         &settings.organisations,
     );
     let context = context
-        .with_memory(settings.instance.memory_megabytes)
+        .on_machine(settings.instance.machine_limits())
         .with_learned_speeds(settings.upstreams.learn_speeds);
     let context = Arc::new(context);
     let clients = settings
         .listen
         .clients
         .context("setting `listen.clients` is missing; an entry instance requires it")?;
-    let clients = listen(clients).context("listening for clients")?;
+    let clients = listen_with_queue(clients, Some(RECEIVE_QUEUE));
+    let clients = clients.context("listening for clients")?;
     serve_status(&settings, &context, &dialect, &ended)?;
     let store = StoreClient::new(settings.store.address, dialect.clone(), metrics);
     let relays = follow_store(&settings, &context, &store, registry, &ended);
@@ -148,7 +149,7 @@
     ended: &CancellationToken,
 ) -> Result<()> {
     if let Some(address) = settings.listen.readiness {
-        let listener = listen(address).context("listening for readiness probes")?;
+        let listener = listen_for_probes(address).context("listening for readiness probes")?;
         let context = context.clone();
         let ready_path = dialect.readiness_path();
         let was_ready = Arc::new(AtomicBool::new(false));
@@ -163,7 +164,8 @@
         };
         tokio::spawn(serve_probes(listener, handler, ended.clone()));
     }
-    let listener = listen(settings.listen.metrics()).context("listening for metrics requests")?;
+    let listener =
+        listen_for_probes(settings.listen.metrics()).context("listening for metrics requests")?;
     let context = context.clone();
     let name = settings.instance.name.clone();
     let handler = move |path: &str| answer_status_request(&context, &name, path);
@@ -256,6 +258,7 @@
             () = ended.cancelled() => return,
             () = tokio::time::sleep(SWEEP_INTERVAL) => {}
         }
+        context.metrics.record_clients(context.clients.occupied());
         let now = Instant::now();
         let directory = context.directory.load_full();
         for upstream in directory.all() {
--- a/crates/samphiregrade-gateway/src/role/keeper.rs
+++ b/crates/samphiregrade-gateway/src/role/keeper.rs
@@ -6,14 +6,13 @@
 use std::time::{Duration, Instant};
 
 use anyhow::{Context, Result};
-use samphiregrade_http::wire::listen;
 use serde::Serialize;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use super::authority::{AUTHORITY_KEY, LinkAuthority};
 use super::member::KeeperMember;
-use super::probe_server::{ProbeResponse, serve_probes};
+use super::probe_server::{ProbeResponse, listen_for_probes, serve_probes};
 use super::signals::handle_signals;
 use crate::dialect::{Dialect, StoreWrite};
 use crate::fact::{FactDisk, KeeperEnvelope, KeeperService};
@@ -70,6 +69,7 @@
         settings.instance.first_start,
         settings.organisations.limit_rule(),
     );
+    let service = service.on_machine(settings.instance.machine_limits());
     let line = StartLine {
         role: "keeper",
         instance: &settings.instance.name,
@@ -146,7 +146,8 @@
     metrics: &Arc<GatewayMetrics>,
     stop: &CancellationToken,
 ) -> Result<()> {
-    let listener = listen(settings.listen.metrics()).context("listening for metrics requests")?;
+    let listener =
+        listen_for_probes(settings.listen.metrics()).context("listening for metrics requests")?;
     let metrics = metrics.clone();
     let handler = move |_: &str| ProbeResponse {
         status: 200,
--- a/crates/samphiregrade-gateway/src/role/probe_server.rs
+++ b/crates/samphiregrade-gateway/src/role/probe_server.rs
@@ -1,9 +1,12 @@
 //! Minimal HTTP server for probes of the instance: readiness, metrics and dump.
 
+use std::io;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::{BufMut, BytesMut};
-use samphiregrade_http::wire::{RequestHead, SocketLimits, WireSocket};
+use samphiregrade_http::wire::{RequestHead, SocketLimits, WireSocket, listen_with_queue};
+use samphiregrade_http::{BudgetSettings, MemoryBudget};
 use tokio::net::TcpListener;
 use tokio_util::sync::CancellationToken;
 
@@ -15,6 +18,24 @@
 /// Time after which an idle connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Largest number of open connections; the platform and an operator need a few.
+const CONNECTION_LIMIT: usize = 32;
+
+/// Memory of an open connection in bytes, with its receive queue and the longest response.
+const CONNECTION_BYTES: usize = 96 << 10;
+
+/// The system's receive queue of a connection, in bytes.
+const RECEIVE_QUEUE: usize = 16 << 10;
+
+/// Listens for probes.
+///
+/// # Errors
+///
+/// The system's error, for example if the port is in use.
+pub fn listen_for_probes(address: SocketAddr) -> io::Result<TcpListener> {
+    listen_with_queue(address, Some(RECEIVE_QUEUE))
+}
+
 /// Response to a probe.
 pub struct ProbeResponse {
     /// HTTP status code.
@@ -25,7 +46,8 @@
     pub body: Vec<u8>,
 }
 
-/// Responds to each request according to its path, until cancelled.
+/// Responds to each request according to its path, until cancelled. At the largest number of connections, the one that has
+/// waited longest is closed for a new one.
 pub async fn serve_probes<Handler>(
     listener: TcpListener,
     handler: Handler,
@@ -33,6 +55,11 @@
 ) where
     Handler: Fn(&str) -> ProbeResponse + Clone + Send + 'static,
 {
+    let budget = MemoryBudget::new(BudgetSettings {
+        bytes: CONNECTION_LIMIT * CONNECTION_BYTES,
+        connection_bytes: CONNECTION_BYTES,
+        connections: CONNECTION_LIMIT,
+    });
     loop {
         let accepted = tokio::select! {
             () = cancel.cancelled() => return,
@@ -41,10 +68,17 @@
         let Some(stream) = accepted else {
             continue;
         };
+        let Ok(lease) = budget.open_connection().await else {
+            continue;
+        };
         let handler = handler.clone();
         tokio::spawn(async move {
-            if let Ok(socket) = WireSocket::new(stream, &SocketLimits::default()) {
-                serve_connection(socket, handler).await;
+            let Ok(socket) = WireSocket::new(stream, &SocketLimits::default()) else {
+                return;
+            };
+            tokio::select! {
+                () = serve_connection(socket, handler) => {}
+                () = lease.ended() => {}
             }
         });
     }
--- a/crates/samphiregrade-gateway/src/settings.rs
+++ b/crates/samphiregrade-gateway/src/settings.rs
@@ -5,11 +5,13 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+use nix::sys::resource::{Resource, getrlimit};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use thiserror::Error;
 
 use crate::access::FreshnessRule;
+use crate::exchange::{DescriptorCount, MachineLimits, MemoryMegabytes};
 use crate::limits::LimitRule;
 use crate::model::DomainId;
 use crate::store::FollowTiming;
@@ -82,11 +84,30 @@
     pub first_start: bool,
     /// Memory of the machine in megabytes.
     #[serde(default = "default_memory")]
-    pub memory_megabytes: u64,
+    pub memory_megabytes: MemoryMegabytes,
+    /// Number of descriptors that the process may open; defaults to the limit that the system states.
+    #[serde(default)]
+    pub file_descriptors: Option<DescriptorCount>,
+}
+
+fn default_memory() -> MemoryMegabytes {
+    MachineLimits::default().memory
 }
 
-fn default_memory() -> u64 {
-    256
+impl InstanceSection {
+    /// Returns what the machine offers: the smaller number of descriptors, if both the settings and the system state one.
+    #[must_use]
+    pub fn machine_limits(&self) -> MachineLimits {
+        let limit = getrlimit(Resource::RLIMIT_NOFILE)
+            .map(|(soft, _)| soft)
+            .ok();
+        let known = [self.file_descriptors, limit];
+        let default = MachineLimits::default().descriptors;
+        MachineLimits {
+            memory: self.memory_megabytes,
+            descriptors: known.into_iter().flatten().min().unwrap_or(default),
+        }
+    }
 }
 
 /// Addresses on which the instance listens.
@@ -298,6 +319,19 @@
         if self.instance.name.is_empty() {
             return bad("instance.name", "is empty; give each instance its own name");
         }
+        if self.instance.memory_megabytes < 16 {
+            return bad("instance.memory-megabytes", "is too small; use 16 or more");
+        }
+        if self
+            .instance
+            .file_descriptors
+            .is_some_and(|count| count < 64)
+        {
+            return bad(
+                "instance.file-descriptors",
+                "is too small; use 64 or more, or leave it out",
+            );
+        }
         if self.listen.link_ports[0] >= self.listen.link_ports[1] {
             return bad(
                 "listen.link-ports",
--- a/crates/samphiregrade-http/src/lib.rs
+++ b/crates/samphiregrade-http/src/lib.rs
@@ -16,6 +16,7 @@
 //! println!("{status:?}");
 //! ```
 
+mod budget;
 mod client;
 mod closing;
 mod message;
@@ -24,6 +25,7 @@
 
 use std::future::Future;
 
+pub use budget::{BudgetSettings, BudgetUse, LeaseState, MemoryBudget, MemoryLease, NoRoom};
 pub use client::{HttpError, HttpPool, IncomingResponse};
 pub use closing::{ListenerCloser, RequestGate};
 pub use message::{
--- a/crates/samphiregrade-http/src/wire/framing.rs
+++ b/crates/samphiregrade-http/src/wire/framing.rs
@@ -9,6 +9,13 @@
 /// Longest line of a chunk's size with its extensions, and maximum size of all trailer lines, in bytes.
 const LINE_LIMIT: usize = 4096;
 
+/// Bytes of sizes, extensions and line ends that a chunked body may have for each byte of data: a chunk of one byte takes
+/// five.
+const FRAMING_RATIO: u64 = 8;
+
+/// Bytes of sizes, extensions and line ends that any chunked body may have.
+const FRAMING_ALLOWANCE: u64 = 64 << 10;
+
 /// A body whose end can't be determined.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
 pub enum FramingError {
@@ -21,6 +28,9 @@
     /// A transfer coding other than chunked.
     #[error("the transfer coding is not known; send a length or chunks")]
     Coding,
+    /// The chunks have far more framing than data.
+    #[error("the chunks have more extensions than data; send larger chunks without extensions")]
+    Overhead,
     /// A chunk's size or end is malformed.
     #[error("a chunk is malformed; send each chunk with its size and line end")]
     Chunk,
@@ -82,6 +92,9 @@
 #[derive(Clone, Copy, Debug)]
 pub struct BodyDecoder {
     state: DecoderState,
+    /// Bytes of framing and of data in the chunks so far.
+    framing_bytes: u64,
+    data_bytes: u64,
 }
 
 impl BodyDecoder {
@@ -94,14 +107,18 @@
             BodyFraming::Chunked => DecoderState::ChunkSize,
             BodyFraming::UntilClose => DecoderState::Open,
         };
-        Self { state }
+        Self {
+            state,
+            framing_bytes: 0,
+            data_bytes: 0,
+        }
     }
 
     /// Removes the next piece from the buffer.
     ///
     /// # Errors
     ///
-    /// [`FramingError::Chunk`] for a malformed chunk.
+    /// [`FramingError::Chunk`] for a malformed chunk, [`FramingError::Overhead`] for chunks with hardly any data.
     pub fn take(&mut self, buffer: &mut BytesMut) -> Result<BodyPiece, FramingError> {
         loop {
             match self.state {
@@ -121,6 +138,7 @@
                 DecoderState::ChunkData(left) => {
                     let data = take_up_to(buffer, left);
                     let rest = left - data.len() as u64;
+                    self.data_bytes += data.len() as u64;
                     self.state = if rest == 0 {
                         DecoderState::ChunkEnd
                     } else {
@@ -131,6 +149,7 @@
                 DecoderState::ChunkSize => match httparse::parse_chunk_size(buffer) {
                     Ok(httparse::Status::Complete((used, size))) => {
                         buffer.advance(used);
+                        self.count_framing(used)?;
                         self.state = if size == 0 {
                             DecoderState::Trailer(0)
                         } else {
@@ -172,6 +191,15 @@
         }
     }
 
+    fn count_framing(&mut self, bytes: usize) -> Result<(), FramingError> {
+        self.framing_bytes += bytes as u64;
+        let most = FRAMING_ALLOWANCE.saturating_add(self.data_bytes.saturating_mul(FRAMING_RATIO));
+        if self.framing_bytes > most {
+            return Err(FramingError::Overhead);
+        }
+        Ok(())
+    }
+
     /// Reports to the decoder that the peer closed the connection in an orderly way.
     ///
     /// # Errors
--- a/crates/samphiregrade-http/src/wire/mod.rs
+++ b/crates/samphiregrade-http/src/wire/mod.rs
@@ -11,4 +11,6 @@
 
 pub use framing::{BodyDecoder, BodyFraming, BodyPiece, FramingError, LAST_CHUNK, append_chunk};
 pub use head::{HeadError, HeaderField, HeaderFields, RequestHead, ResponseHead, decimal};
-pub use socket::{ACCEPT_QUEUE, LivenessLimits, SocketLimits, WireSocket, apply_limits, listen};
+pub use socket::{
+    ACCEPT_QUEUE, LivenessLimits, SocketLimits, WireSocket, apply_limits, listen, listen_with_queue,
+};
--- a/crates/samphiregrade-http/src/wire/socket.rs
+++ b/crates/samphiregrade-http/src/wire/socket.rs
@@ -13,8 +13,8 @@
 /// Length of the accept queue; a burst of connections from every client of a failure domain fits.
 pub const ACCEPT_QUEUE: u16 = 1024;
 
-/// Bytes read ahead of a request that is being served; a further request of the same client fits.
-const READ_AHEAD: usize = 64 << 10;
+/// Bytes read ahead of a request that is being served; the head of a further request of the same client fits.
+const READ_AHEAD: usize = 16 << 10;
 
 /// Longest time that an orderly close waits for the peer to close its side: the peer has read the last response within
 /// a few round trips, even if a packet was lost.
@@ -130,6 +130,19 @@
 ///
 /// The system's error, for example if the port is in use.
 pub fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    listen_with_queue(address, None)
+}
+
+/// Listens like [`listen`], with connections whose receive queues the system bounds to `receive_queue` bytes; without a
+/// bound they grow to megabytes. The system also counts its overhead and allows twice as much.
+///
+/// # Errors
+///
+/// As [`listen`].
+pub fn listen_with_queue(
+    address: SocketAddr,
+    receive_queue: Option<usize>,
+) -> io::Result<TcpListener> {
     let socket = Socket::new(
         Domain::for_address(address),
         Type::STREAM,
@@ -137,6 +150,10 @@
     )?;
     socket.set_reuse_address(true)?;
     socket.set_nonblocking(true)?;
+    if let Some(bytes) = receive_queue {
+        // Accepted connections inherit the bound; set later, it would come after their first bytes.
+        socket.set_recv_buffer_size(bytes)?;
+    }
     socket.bind(&address.into())?;
     socket.listen(ACCEPT_QUEUE.into())?;
     TcpListener::from_std(socket.into())
@@ -217,6 +234,13 @@
         read_some(&self.stream, &mut self.buffer).await
     }
 
+    /// Releases the spare capacity of the read buffer if nothing is left in it.
+    pub fn release_buffer(&mut self) {
+        if self.buffer.is_empty() {
+            self.buffer = BytesMut::new();
+        }
+    }
+
     /// Writes all bytes.
     ///
     /// # Errors
@@ -278,7 +302,7 @@
         unacknowledged(&self.stream)
     }
 
-    /// Waits until the peer closes the connection, reading about 64 KiB ahead at most meanwhile. Safe to cancel.
+    /// Waits until the peer closes the connection, reading about 16 KiB ahead at most meanwhile. Safe to cancel.
     pub async fn wait_for_hangup(&mut self) {
         while self.buffer.len() < READ_AHEAD {
             match self.fill().await {
@@ -341,6 +365,8 @@
             Ok(0) | Err(_) => return,
             Ok(count) => left = left.saturating_sub(count),
         }
+        // A peer that sends without a pause must not keep the thread from other connections.
+        tokio::task::yield_now().await;
     }
 }
 
