Bound what links hold: messages for a peer, and requests that keepers handle

What callers saw: a crowd of turns filled keepers as well as the entry; by the users' probe a keeper held 85 MB for 150 turns of 1 MB.

Cause: a link queued 1,024 messages of any size for each peer, reserved the announced length of every frame and started a handler for each; the system's queues of a link grow to megabytes; strangers that never prove to be a peer were not counted.

Change: messages for one peer are bounded to a 32nd of the machine's memory, one more fails at once and is tried again by its caller; requests above 16 KiB that are received or handled take permits for a 20th of it, and are read only with one; the system's queues are bounded to 128 KiB; connections to a quarter of the descriptors, of which those in their handshake give way to new ones.

--- a/crates/samphiregrade-gateway/src/link.rs
+++ b/crates/samphiregrade-gateway/src/link.rs
@@ -6,30 +6,36 @@
 //! never caught up. Therefore each peer has one connection, one task that drives it, and at most one handshake at a
 //! time.
 //!
+//! What a peer may make an instance hold is bounded ([`LinkLimits`]): messages that wait to be sent, and large requests that
+//! are being received or handled. A request beyond that waits in its sender.
+//!
 //! A peer that is stopping announces it on its connections and still replies to all requests that it has received.
 //! Otherwise, its clients would lose replies in transit and could not know which requests had arrived.
 
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
 use rustls::pki_types::ServerName;
-use samphiregrade_http::wire::{SocketLimits, apply_limits, listen};
+use samphiregrade_http::wire::{SocketLimits, apply_limits, listen_with_queue};
+use samphiregrade_http::{BudgetSettings, LeaseState, MemoryBudget, MemoryLease};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use thiserror::Error;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
-use tokio::sync::{mpsc, oneshot};
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
 use tokio_rustls::client::TlsStream;
 use tokio_rustls::{TlsAcceptor, TlsConnector};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::accept::accept;
+use crate::exchange::MachineLimits;
 use crate::identity::{LinkIdentity, SERVER_NAME};
 
 /// Largest accepted message: large enough for the longest chain and for one part of an export.
@@ -69,6 +75,69 @@
 /// this connection only. A keeper's reply takes some milliseconds, its disk at worst some hundreds.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Size in bytes above which a received request is counted.
+const COUNTED_REQUEST: usize = READ_RESERVE;
+
+/// Bytes for which one permit of the handled requests stands.
+const PERMIT_BYTES: usize = 1 << 10;
+
+/// The system's queues of a link in each direction, in bytes: enough for 40 MB/s at a round trip of three milliseconds.
+const SYSTEM_QUEUE: u32 = 128 << 10;
+
+/// Memory of a connection that has not proved yet that it belongs to a peer, in bytes.
+const HANDSHAKE_BYTES: usize = 64 << 10;
+
+/// Part of the descriptors that links may occupy, as a divisor.
+const DESCRIPTOR_DIVISOR: u64 = 4;
+
+/// Part of the machine's memory that the messages to one peer may occupy, as a divisor.
+const QUEUE_DIVISOR: u64 = 32;
+
+/// Part of the machine's memory that received requests may occupy, as a divisor. A keeper holds up to four copies of a turn
+/// until it is on disk: the message, its content, and two on the way to the disk.
+const HANDLED_DIVISOR: u64 = 20;
+
+/// Bounds of what links hold.
+#[derive(Clone, Copy, Debug)]
+pub struct LinkLimits {
+    /// Bytes of the messages that wait to be sent to one peer. One message is accepted in any case.
+    pub queued_bytes: usize,
+    /// Bytes of the large requests that are received or handled at the same time, of all peers.
+    pub handled_bytes: usize,
+    /// Open connections of peers.
+    pub connections: usize,
+}
+
+impl Default for LinkLimits {
+    fn default() -> Self {
+        Self::of(MachineLimits::default())
+    }
+}
+
+impl LinkLimits {
+    /// Returns the bounds for a machine.
+    #[must_use]
+    pub fn of(machine: MachineLimits) -> Self {
+        let memory = machine.memory.saturating_mul(1 << 20);
+        let size = |count: u64| usize::try_from(count).unwrap_or(usize::MAX);
+        Self {
+            queued_bytes: size(memory / QUEUE_DIVISOR),
+            handled_bytes: size(memory / HANDLED_DIVISOR),
+            connections: size(machine.descriptors / DESCRIPTOR_DIVISOR),
+        }
+    }
+
+    /// Returns the number of permits for a request: all of them for one that is larger than the bound.
+    fn permits_for(&self, bytes: usize) -> u32 {
+        let permits = bytes.div_ceil(PERMIT_BYTES).min(self.permits());
+        u32::try_from(permits).unwrap_or(u32::MAX)
+    }
+
+    fn permits(&self) -> usize {
+        (self.handled_bytes / PERMIT_BYTES).max(1)
+    }
+}
+
 /// Why a request got no usable reply.
 #[derive(Clone, Debug, Error)]
 pub enum LinkFailure {
@@ -102,16 +171,53 @@
 
 /// A request to a peer, with the channel for its reply.
 struct LinkJob {
-    message: Vec<u8>,
+    message: QueuedMessage,
     reply: oneshot::Sender<Bytes>,
 }
 
+/// A message that waits to be sent, and counts as such until it is dropped.
+struct QueuedMessage {
+    bytes: Vec<u8>,
+    queued: Arc<AtomicUsize>,
+}
+
+impl QueuedMessage {
+    /// Counts a message; fails if others occupy the room that is left.
+    fn count(bytes: Vec<u8>, queued: &Arc<AtomicUsize>, limit: usize) -> Result<Self, LinkFailure> {
+        let length = bytes.len();
+        let before = queued.fetch_add(length, Ordering::Relaxed);
+        let message = Self {
+            bytes,
+            queued: queued.clone(),
+        };
+        if before > 0 && before + length > limit {
+            return Err(closed("too many bytes wait to be sent to the peer"));
+        }
+        Ok(message)
+    }
+}
+
+impl Drop for QueuedMessage {
+    fn drop(&mut self) {
+        self.queued.fetch_sub(self.bytes.len(), Ordering::Relaxed);
+    }
+}
+
+/// The queue of the task that drives the connection to a peer.
+#[derive(Clone)]
+struct PeerQueue {
+    jobs: mpsc::Sender<LinkJob>,
+    /// Bytes of the queued messages.
+    queued: Arc<AtomicUsize>,
+}
+
 /// An instance's endpoint for links; cloning it is cheap.
 #[derive(Clone)]
 pub struct LinkEndpoint {
     connector: TlsConnector,
     acceptor: TlsAcceptor,
-    peers: Arc<Mutex<HashMap<SocketAddr, mpsc::Sender<LinkJob>>>>,
+    peers: Arc<Mutex<HashMap<SocketAddr, PeerQueue>>>,
+    limits: LinkLimits,
 }
 
 impl LinkEndpoint {
@@ -127,9 +233,16 @@
             connector: TlsConnector::from(Arc::new(opening)),
             acceptor: TlsAcceptor::from(Arc::new(accepting)),
             peers: Arc::default(),
+            limits: LinkLimits::default(),
         })
     }
 
+    /// Replaces the bounds of what the links hold.
+    #[must_use]
+    pub fn with_limits(self, limits: LinkLimits) -> Self {
+        Self { limits, ..self }
+    }
+
     /// Sends a request to another instance, and waits for its reply.
     ///
     /// # Errors
@@ -175,27 +288,33 @@
         Request: Serialize,
     {
         let message = encode_message(request)?;
+        let peer = self.peer(address);
+        let message = QueuedMessage::count(message, &peer.queued, self.limits.queued_bytes)?;
         let (reply, receiver) = oneshot::channel();
         let job = LinkJob { message, reply };
-        self.peer(address).try_send(job).map_err(closed)?;
+        peer.jobs.try_send(job).map_err(closed)?;
         Ok(receiver)
     }
 
     /// Returns the queue of the task that drives the connection to a peer; starts the task if there is none.
-    fn peer(&self, address: SocketAddr) -> mpsc::Sender<LinkJob> {
+    fn peer(&self, address: SocketAddr) -> PeerQueue {
         let mut peers = self.peers.lock().unwrap_or_else(PoisonError::into_inner);
         if let Some(peer) = peers.get(&address) {
             return peer.clone();
         }
         let (sender, jobs) = mpsc::channel(QUEUE_LIMIT);
+        let peer = PeerQueue {
+            jobs: sender,
+            queued: Arc::default(),
+        };
         let driver = PeerDriver {
             address,
             connector: self.connector.clone(),
             jobs,
         };
         tokio::spawn(driver.run());
-        peers.insert(address, sender.clone());
-        sender
+        peers.insert(address, peer.clone());
+        peer
     }
 
     /// Serves requests of other instances on an address for as long as the process runs.
@@ -236,8 +355,9 @@
         Reply: Serialize + Send + 'static,
         ReplyFuture: Future<Output = Reply> + Send + 'static,
     {
-        let listener = listen(address)?;
+        let listener = listen_with_queue(address, Some(SYSTEM_QUEUE as usize))?;
         let links = TaskTracker::new();
+        let server = LinkServer::new(self.acceptor.clone(), self.limits, stop.clone());
         loop {
             let accepted = tokio::select! {
                 () = stop.cancelled() => break,
@@ -246,11 +366,13 @@
             let Some(stream) = accepted else {
                 continue;
             };
-            let acceptor = self.acceptor.clone();
-            let handler = handler.clone();
-            let stop = stop.clone();
+            let Ok(lease) = server.handshakes.open_connection().await else {
+                log::info!("a link is closed: peers occupy all connections");
+                continue;
+            };
+            let serving = server.clone().serve(stream, lease, handler.clone());
             links.spawn(async move {
-                if let Err(error) = serve_link(stream, acceptor, handler, stop).await {
+                if let Err(error) = serving.await {
                     log::debug!("a link from a peer ended: {error}");
                 }
             });
@@ -305,8 +427,13 @@
     }
 
     async fn connect(&self) -> io::Result<TlsStream<TcpStream>> {
-        let stream = TcpStream::connect(self.address).await?;
-        let limits = SocketLimits::for_calls();
+        let socket = match self.address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.set_recv_buffer_size(SYSTEM_QUEUE)?;
+        let stream = socket.connect(self.address).await?;
+        let limits = link_limits(SocketLimits::for_calls());
         apply_limits(&stream, &limits)?;
         let name = ServerName::try_from(SERVER_NAME).map_err(io::Error::other)?;
         self.connector.connect(name, stream).await
@@ -361,7 +488,7 @@
         }
         self.last_number += 1;
         self.pending.insert(self.last_number, job.reply);
-        append_frame(&mut self.output, self.last_number, &job.message);
+        append_frame(&mut self.output, self.last_number, &job.message.bytes);
     }
 
     /// Transfers requests and replies until the connection fails or the peer is stopping; returns the reason.
@@ -459,8 +586,15 @@
     output.put_slice(message);
 }
 
-/// Removes a complete frame from the front of the buffer; returns the request's number and the message.
-fn take_frame(buffer: &mut BytesMut) -> io::Result<Option<(u64, Bytes)>> {
+fn link_limits(limits: SocketLimits) -> SocketLimits {
+    SocketLimits {
+        send_queue: Some(SYSTEM_QUEUE as usize),
+        ..limits
+    }
+}
+
+/// Returns the number of the request at the front of the buffer and the length of its message, once both are known.
+fn frame_head(buffer: &BytesMut) -> io::Result<Option<(u64, usize)>> {
     if buffer.len() < FRAME_HEADER {
         return Ok(None);
     }
@@ -470,6 +604,14 @@
     if length > MESSAGE_LIMIT {
         return Err(io::Error::other("the message exceeds the size limit"));
     }
+    Ok(Some((number, length)))
+}
+
+/// Removes a complete frame from the front of the buffer; returns the request's number and the message.
+fn take_frame(buffer: &mut BytesMut) -> io::Result<Option<(u64, Bytes)>> {
+    let Some((number, length)) = frame_head(buffer)? else {
+        return Ok(None);
+    };
     if buffer.len() < FRAME_HEADER + length {
         buffer.reserve(FRAME_HEADER + length - buffer.len());
         return Ok(None);
@@ -478,11 +620,128 @@
     Ok(Some((number, buffer.split_to(length).freeze())))
 }
 
-async fn serve_link<Handler, Request, Reply, ReplyFuture>(
-    stream: TcpStream,
+/// Serves the links of all peers of an instance.
+#[derive(Clone)]
+struct LinkServer {
     acceptor: TlsAcceptor,
-    handler: Handler,
+    limits: LinkLimits,
+    /// Permits for large requests that are received or handled.
+    handled: Arc<Semaphore>,
+    /// Connections; those that have not completed their handshake give way to new ones.
+    handshakes: MemoryBudget,
     stop: CancellationToken,
+}
+
+/// The receiving half of a link.
+struct RequestReader {
+    received: BytesMut,
+    /// Counts the large request at the front of the buffer.
+    permit: Option<OwnedSemaphorePermit>,
+}
+
+impl RequestReader {
+    /// Returns the length of the request at the front of the buffer if it has to be counted before more of it is read.
+    fn uncounted(&self) -> io::Result<Option<usize>> {
+        let length = frame_head(&self.received)?.map(|(_, length)| length);
+        Ok(length.filter(|length| *length > COUNTED_REQUEST && self.permit.is_none()))
+    }
+
+    /// Removes the next request, with the permit that counts it.
+    fn take(&mut self) -> io::Result<Option<(u64, Bytes, Option<OwnedSemaphorePermit>)>> {
+        if self.uncounted()?.is_some() {
+            return Ok(None);
+        }
+        let taken = take_frame(&mut self.received)?;
+        Ok(taken.map(|(number, message)| (number, message, self.permit.take())))
+    }
+}
+
+impl LinkServer {
+    fn new(acceptor: TlsAcceptor, limits: LinkLimits, stop: CancellationToken) -> Self {
+        let settings = BudgetSettings {
+            bytes: limits.connections.saturating_mul(HANDSHAKE_BYTES),
+            connection_bytes: HANDSHAKE_BYTES,
+            connections: limits.connections,
+        };
+        Self {
+            acceptor,
+            limits,
+            handled: Arc::new(Semaphore::new(limits.permits())),
+            handshakes: MemoryBudget::new(settings),
+            stop,
+        }
+    }
+
+    async fn serve<Handler, Request, Reply, ReplyFuture>(
+        self,
+        stream: TcpStream,
+        mut lease: MemoryLease,
+        handler: Handler,
+    ) -> io::Result<()>
+    where
+        Handler: Fn(Request) -> ReplyFuture + Clone + Send + 'static,
+        Request: DeserializeOwned + Send + 'static,
+        Reply: Serialize + Send + 'static,
+        ReplyFuture: Future<Output = Reply> + Send + 'static,
+    {
+        apply_limits(&stream, &link_limits(SocketLimits::default()))?;
+        let accepting = tokio::time::timeout(CONNECT_TIMEOUT, self.acceptor.accept(stream));
+        let mut link = tokio::select! {
+            accepted = accepting => accepted??,
+            () = lease.ended() => return Err(io::ErrorKind::ConnectionAborted.into()),
+        };
+        lease.enter(LeaseState::Running, HANDSHAKE_BYTES);
+        let (replies, mut finished) = mpsc::channel::<(u64, Vec<u8>)>(QUEUE_LIMIT);
+        let mut reader = RequestReader {
+            received: BytesMut::new(),
+            permit: None,
+        };
+        let mut is_stopping = false;
+        loop {
+            let uncounted = reader.uncounted()?;
+            let permits = self.limits.permits_for(uncounted.unwrap_or(0));
+            reader.received.reserve(READ_RESERVE);
+            tokio::select! {
+                () = self.stop.cancelled(), if !is_stopping => {
+                    is_stopping = true;
+                    let mut output = BytesMut::new();
+                    append_frame(&mut output, STOP_NUMBER, &[]);
+                    link.write_all(&output).await?;
+                    link.flush().await?;
+                }
+                permit = self.handled.clone().acquire_many_owned(permits), if uncounted.is_some() => {
+                    reader.permit = Some(permit.map_err(io::Error::other)?);
+                    handle_received(&mut reader, &handler, &replies)?;
+                }
+                read = link.read_buf(&mut reader.received), if uncounted.is_none() => {
+                    if read? == 0 {
+                        return Ok(());
+                    }
+                    handle_received(&mut reader, &handler, &replies)?;
+                }
+                Some((number, message)) = finished.recv() => {
+                    let mut output = BytesMut::new();
+                    append_frame(&mut output, number, &message);
+                    while output.len() < WRITE_LIMIT {
+                        let Ok((number, message)) = finished.try_recv() else {
+                            break;
+                        };
+                        append_frame(&mut output, number, &message);
+                    }
+                    link.write_all(&output).await?;
+                    link.flush().await?;
+                }
+                () = tokio::time::sleep(IDLE_TIMEOUT) => return Ok(()),
+            }
+        }
+    }
+}
+
+/// Starts the handlers of the complete requests in the buffer.
+fn handle_received<Handler, Request, Reply, ReplyFuture>(
+    reader: &mut RequestReader,
+    handler: &Handler,
+    replies: &mpsc::Sender<(u64, Vec<u8>)>,
 ) -> io::Result<()>
 where
     Handler: Fn(Request) -> ReplyFuture + Clone + Send + 'static,
@@ -490,54 +749,21 @@
     Reply: Serialize + Send + 'static,
     ReplyFuture: Future<Output = Reply> + Send + 'static,
 {
-    apply_limits(&stream, &SocketLimits::default())?;
-    let mut link = tokio::time::timeout(CONNECT_TIMEOUT, acceptor.accept(stream)).await??;
-    let (replies, mut finished) = mpsc::channel::<(u64, Vec<u8>)>(QUEUE_LIMIT);
-    let mut received = BytesMut::new();
-    let mut is_stopping = false;
-    loop {
-        received.reserve(READ_RESERVE);
-        tokio::select! {
-            () = stop.cancelled(), if !is_stopping => {
-                is_stopping = true;
-                let mut output = BytesMut::new();
-                append_frame(&mut output, STOP_NUMBER, &[]);
-                link.write_all(&output).await?;
-                link.flush().await?;
-            }
-            read = link.read_buf(&mut received) => {
-                if read? == 0 {
-                    return Ok(());
-                }
-                while let Some((number, message)) = take_frame(&mut received)? {
-                    let request = postcard::from_bytes(&message).map_err(io::Error::other)?;
-                    let handler = handler.clone();
-                    let replies = replies.clone();
-                    tokio::spawn(async move {
-                        let reply = handler(request).await;
-                        let message = encode_message(&reply).unwrap_or_else(|error| {
-                            log::error!("a reply is not sent: {error}");
-                            // The peer can't decode an empty message, so its request fails at once.
-                            Vec::new()
-                        });
-                        // The link may have ended in the meantime.
-                        drop(replies.send((number, message)).await);
-                    });
-                }
-            }
-            Some((number, message)) = finished.recv() => {
-                let mut output = BytesMut::new();
-                append_frame(&mut output, number, &message);
-                while output.len() < WRITE_LIMIT {
-                    let Ok((number, message)) = finished.try_recv() else {
-                        break;
-                    };
-                    append_frame(&mut output, number, &message);
-                }
-                link.write_all(&output).await?;
-                link.flush().await?;
-            }
-            () = tokio::time::sleep(IDLE_TIMEOUT) => return Ok(()),
-        }
+    while let Some((number, message, permit)) = reader.take()? {
+        let request = postcard::from_bytes(&message).map_err(io::Error::other)?;
+        let handler = handler.clone();
+        let replies = replies.clone();
+        tokio::spawn(async move {
+            let reply = handler(request).await;
+            drop(permit);
+            let message = encode_message(&reply).unwrap_or_else(|error| {
+                log::error!("a reply is not sent: {error}");
+                // The peer can't decode an empty message, so its request fails at once.
+                Vec::new()
+            });
+            // The link may have ended in the meantime.
+            drop(replies.send((number, message)).await);
+        });
     }
+    Ok(())
 }
--- a/crates/samphiregrade-gateway/src/role/beliefs.rs
+++ b/crates/samphiregrade-gateway/src/role/beliefs.rs
@@ -18,7 +18,7 @@
 use crate::dialect::{StoreItem, StorePage, StoreRevision, StoreValue};
 use crate::exchange::EntryContext;
 use crate::fact::{HelperAddress, HelperRequest, HelperService, KeeperClient, KeeperPlacement};
-use crate::link::LinkEndpoint;
+use crate::link::{LinkEndpoint, LinkLimits};
 use crate::model::{UpstreamId, UpstreamRecord};
 use crate::observe::Logbook;
 use crate::routing::RouteTable;
@@ -296,7 +296,8 @@
     let authority: LinkAuthority =
         serde_json::from_slice(value).context("reading the authority")?;
     let identity = authority.issue_identity(&settings.instance.name)?;
-    let links = LinkEndpoint::new(&identity)?;
+    let limits = LinkLimits::of(settings.instance.machine_limits());
+    let links = LinkEndpoint::new(&identity)?.with_limits(limits);
     let keepers = KeeperClient::new(
         links.clone(),
         placement.clone(),
--- a/crates/samphiregrade-gateway/src/role/keeper.rs
+++ b/crates/samphiregrade-gateway/src/role/keeper.rs
@@ -16,7 +16,7 @@
 use super::signals::handle_signals;
 use crate::dialect::{Dialect, StoreWrite};
 use crate::fact::{FactDisk, KeeperEnvelope, KeeperService};
-use crate::link::LinkEndpoint;
+use crate::link::{LinkEndpoint, LinkLimits};
 use crate::observe::{GatewayMetrics, Logbook};
 use crate::settings::GatewaySettings;
 use crate::store::{StoreClient, StoreFailure};
@@ -86,7 +86,8 @@
     let running = async {
         let authority = obtain_authority(&store, &service).await?;
         let identity = authority.issue_identity(&settings.instance.name)?;
-        let links = LinkEndpoint::new(&identity)?;
+        let limits = LinkLimits::of(settings.instance.machine_limits());
+        let links = LinkEndpoint::new(&identity)?.with_limits(limits);
         let serving = serve_entries(links.clone(), settings.listen.links(), &service, &stop);
         tasks.spawn(serving);
         let member = KeeperMember::new(settings, store, dialect, service.clone(), links);
