Serve: count what callers hold, and check the token before a large body

Cause: a body was read whole before the token was looked at, also one that was announced as too long; nothing counted bodies or connections.

Change: connections and bodies are counted in a budget of a third of limits.memory-megabytes, and limits.connections; the head is checked before more than 64 KiB of a body is read; a length over the limit gets 413 at once; a request counts six times its body until its response has ended. Connections that wait are closed where room is lacking, bodies that are being read get 503 no-memory. Operators have a budget of their own.

--- a/crates/samphiregrade-http/src/lib.rs
+++ b/crates/samphiregrade-http/src/lib.rs
@@ -19,6 +19,7 @@
 mod budget;
 mod client;
 mod closing;
+mod connections;
 mod message;
 mod server;
 pub mod wire;
@@ -31,7 +32,7 @@
 pub use message::{
     HeaderList, IncomingRequest, OutgoingRequest, OutgoingResponse, ResponseBody, header_value,
 };
-pub use server::{HttpServer, ServerSettings};
+pub use server::{HeadCheck, HttpServer, ServerSettings};
 
 /// Runs a future on the main event loop of a new `ntex` system and returns its result.
 ///
--- a/crates/samphiregrade-http/src/server.rs
+++ b/crates/samphiregrade-http/src/server.rs
@@ -4,6 +4,7 @@
 use std::future::Future;
 use std::io;
 use std::net::TcpListener;
+use std::sync::Arc;
 use std::task::Poll;
 use std::time::Duration;
 
@@ -11,14 +12,19 @@
 use futures_util::{Stream, StreamExt};
 use ntex::SharedCfg;
 use ntex::http::body::SizedStream;
-use ntex::http::{HttpServiceConfig, KeepAlive, StatusCode};
-use ntex::server::Server;
+use ntex::http::header::CONTENT_LENGTH;
+use ntex::http::{HttpService, HttpServiceConfig, KeepAlive, StatusCode};
+use ntex::server::{Server, ServerBuilder};
+use ntex::service::fn_service;
 use ntex::time::Seconds;
 use ntex::util::{Bytes, BytesMut};
 use ntex::web::{self, App, HttpRequest, HttpResponse};
 use serde_json::json;
+use socket2::SockRef;
 
+use crate::budget::{BudgetSettings, LeaseState, MemoryBudget, MemoryLease, NoRoom};
 use crate::closing::{RequestGate, RequestGuard};
+use crate::connections::{ConnectionTable, ConnectionUse};
 use crate::message::{IncomingRequest, OutgoingResponse, ResponseBody};
 
 /// Slowest accepted rate for reading heads and bodies.
@@ -27,8 +33,25 @@
 /// Longest time that a graceful stop waits for open connections; no request is in progress on them by then.
 const STOP_TIMEOUT: Seconds = Seconds(3);
 
+/// Largest part of a body, in bytes, that is read before the head of its request is checked. A request with a smaller body
+/// is refused after its body, so that its connection can stay open.
+const UNCHECKED_BODY: usize = 64 << 10;
+
+/// Memory of a request in progress, as a multiple of its body: the body while it grows, what is parsed from it, and the
+/// copies for other instances and for the upstream.
+const BODY_COPIES: usize = 6;
+
+/// The system's receive queue of a connection, in bytes.
+const RECEIVE_QUEUE: usize = 64 << 10;
+
+/// Value of `Retry-After`, in seconds, for a request that found no room.
+const ROOM_RETRY: &str = "1";
+
+/// Returns the response to a request that will be refused whatever its body is; the body of the given request is empty.
+pub type HeadCheck = Arc<dyn Fn(&IncomingRequest) -> Option<OutgoingResponse> + Send + Sync>;
+
 /// Limits of a server.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct ServerSettings {
     /// Largest accepted body in bytes; a longer one gets a 413 response.
     pub body_limit: usize,
@@ -40,6 +63,10 @@
     pub keep_alive: Duration,
     /// Event-loop threads.
     pub workers: usize,
+    /// Memory and connections that all clients of the server share.
+    pub budget: MemoryBudget,
+    /// Checks a request before more than a small part of its body is read.
+    pub head_check: Option<HeadCheck>,
     /// Counts the requests, from the end of their heads to the last byte of their responses.
     pub gate: RequestGate,
 }
@@ -52,6 +79,12 @@
             head_timeout: Duration::from_secs(5),
             keep_alive: Duration::from_secs(75),
             workers: 1,
+            budget: MemoryBudget::new(BudgetSettings {
+                bytes: 256 << 20,
+                connections: 4096,
+                ..BudgetSettings::default()
+            }),
+            head_check: None,
             gate: RequestGate::default(),
         }
     }
@@ -60,8 +93,24 @@
 /// Why a body was not read.
 enum BodyFailure {
     Broken,
+    NoRoom,
     TooLarge,
     TooSlow,
+    /// The request is refused for its head.
+    Refused(OutgoingResponse),
+}
+
+impl From<NoRoom> for BodyFailure {
+    fn from(_: NoRoom) -> Self {
+        Self::NoRoom
+    }
+}
+
+/// What is held for a request until its response was taken for writing.
+struct RequestHold {
+    _gate: RequestGuard,
+    _connection: ConnectionUse,
+    lease: MemoryLease,
 }
 
 /// A server whose every request goes to one handler.
@@ -83,24 +132,29 @@
         Handler: Fn(IncomingRequest) -> Reply + Clone + Send + Sync + 'static,
         Reply: Future<Output = OutgoingResponse> + 'static,
     {
+        SockRef::from(&listener).set_recv_buffer_size(RECEIVE_QUEUE)?;
         let workers = settings.workers;
-        let config = service_config(&settings);
-        let server = web::HttpServer::new(async move || {
-            let handler = handler.clone();
-            let settings = settings.clone();
-            let route = move |request: HttpRequest, payload: web::types::Payload| {
-                let handler = handler.clone();
-                let settings = settings.clone();
-                async move { serve_request(request, payload, settings, handler).await }
-            };
-            App::new().default_service(web::route().to(route))
-        })
-        .config(SharedCfg::new("http").add(config))
-        .workers(workers)
-        .disable_signals()
-        .shutdown_timeout(STOP_TIMEOUT)
-        .listen(listener)?
-        .run();
+        let config = SharedCfg::new("http").add(service_config(&settings));
+        let config = SharedCfg::from(config);
+        let server = ServerBuilder::default()
+            .workers(workers)
+            .disable_signals()
+            .shutdown_timeout(STOP_TIMEOUT)
+            .listen("http", listener, async move |service| {
+                service.config(config.clone());
+                let table = ConnectionTable::new(settings.budget.clone());
+                let controlled = table.clone();
+                let (handler, settings) = (handler.clone(), settings.clone());
+                let route = move |request: HttpRequest, payload: web::types::Payload| {
+                    let (handler, settings) = (handler.clone(), settings.clone());
+                    let table = table.clone();
+                    async move { serve_request(request, payload, table, settings, handler).await }
+                };
+                HttpService::new(App::new().default_service(web::route().to(route))).h1_control(
+                    fn_service(move |control| controlled.clone().handle(control)),
+                )
+            })?
+            .run();
         Ok(server)
     }
 }
@@ -116,6 +170,7 @@
 async fn serve_request<Handler, Reply>(
     request: HttpRequest,
     payload: web::types::Payload,
+    table: ConnectionTable,
     settings: ServerSettings,
     handler: Handler,
 ) -> HttpResponse
@@ -123,12 +178,12 @@
     Handler: Fn(IncomingRequest) -> Reply,
     Reply: Future<Output = OutgoingResponse>,
 {
-    let guard = settings.gate.enter();
-    let body = match read_body(payload, &settings).await {
-        Ok(body) => body,
-        Err(failure) => return into_response(failure_response(&failure, &settings), guard),
+    let mut hold = RequestHold {
+        _gate: settings.gate.enter(),
+        _connection: table.begin(&request),
+        lease: settings.budget.begin_request(),
     };
-    let incoming = IncomingRequest {
+    let head = IncomingRequest {
         method: request.method().clone(),
         path: request.path().into(),
         query: request.query_string().into(),
@@ -137,33 +192,87 @@
             .iter()
             .map(|(name, value)| (name.as_str().into(), value.to_str().unwrap_or("").into()))
             .collect(),
-        body,
+        body: Bytes::new(),
     };
-    into_response(handler(incoming).await, guard)
+    let body = match read_body(&head, payload, &settings, &mut hold.lease).await {
+        Ok(body) => body,
+        Err(failure) => return into_response(failure_response(failure, &settings), hold),
+    };
+    let incoming = IncomingRequest { body, ..head };
+    into_response(handler(incoming).await, hold)
 }
 
+/// Reads a body, and counts the memory that its request needs from then on.
 async fn read_body(
+    head: &IncomingRequest,
     mut payload: web::types::Payload,
     settings: &ServerSettings,
+    lease: &mut MemoryLease,
 ) -> Result<Bytes, BodyFailure> {
+    let announced = head.header(CONTENT_LENGTH.as_str());
+    let announced = announced.and_then(|length| length.parse::<usize>().ok());
+    let announced = announced.unwrap_or(0);
+    if announced > settings.body_limit {
+        return Err(BodyFailure::TooLarge);
+    }
+    let mut is_checked = announced > UNCHECKED_BODY;
+    if is_checked {
+        check_head(head, settings)?;
+    }
+    let ended = lease.token();
     let read = async {
         let mut body = BytesMut::new();
         while let Some(chunk) = payload.next().await {
             let chunk = chunk.map_err(|_| BodyFailure::Broken)?;
-            if body.len() + chunk.len() > settings.body_limit {
+            let length = body.len() + chunk.len();
+            if length > settings.body_limit {
                 return Err(BodyFailure::TooLarge);
             }
+            if length > UNCHECKED_BODY && !is_checked {
+                check_head(head, settings)?;
+                is_checked = true;
+            }
+            if length > body.capacity() {
+                // The buffer is copied once while it grows.
+                let longest = if announced > 0 {
+                    announced
+                } else {
+                    settings.body_limit
+                };
+                let capacity = (body.capacity() * 2).min(longest).max(length);
+                lease.grow_to(body.capacity() + capacity).await?;
+                body.reserve(capacity - body.len());
+            }
             body.extend_from_slice(&chunk);
         }
         Ok(body.freeze())
     };
-    tokio::time::timeout(settings.body_timeout, read)
-        .await
-        .unwrap_or(Err(BodyFailure::TooSlow))
+    let read = tokio::time::timeout(settings.body_timeout, read);
+    let body = tokio::select! {
+        read = read => read.unwrap_or(Err(BodyFailure::TooSlow))?,
+        () = ended.cancelled() => return Err(BodyFailure::NoRoom),
+    };
+    let bytes = (body.len() * BODY_COPIES).min(settings.budget.largest_lease());
+    lease.grow_to(bytes).await?;
+    lease.enter(LeaseState::Running, bytes);
+    Ok(body)
+}
+
+fn check_head(head: &IncomingRequest, settings: &ServerSettings) -> Result<(), BodyFailure> {
+    let check = settings.head_check.as_ref();
+    let refused = check.and_then(|check| check(head));
+    refused.map_or(Ok(()), |response| Err(BodyFailure::Refused(response)))
 }
 
-fn failure_response(failure: &BodyFailure, settings: &ServerSettings) -> OutgoingResponse {
+fn failure_response(failure: BodyFailure, settings: &ServerSettings) -> OutgoingResponse {
+    let is_lasting = !matches!(failure, BodyFailure::NoRoom);
     let (status, kind, remedy) = match failure {
+        BodyFailure::Refused(response) => return response.with_header("connection", "close"),
+        BodyFailure::NoRoom => (
+            503,
+            "no-memory",
+            format!("send the request again after {ROOM_RETRY} s"),
+        ),
         BodyFailure::Broken => (400, "body-broken", "send the whole body".to_owned()),
         BodyFailure::TooLarge => (
             413,
@@ -181,11 +290,15 @@
         "status": status, "ran": "no", "remedy": remedy,
     });
     let body = problem.to_string();
-    OutgoingResponse::full(status, "application/problem+json", body)
-        .with_header("connection", "close")
+    let response = OutgoingResponse::full(status, "application/problem+json", body)
+        .with_header("connection", "close");
+    if is_lasting {
+        return response;
+    }
+    response.with_header("retry-after", ROOM_RETRY)
 }
 
-fn into_response(outgoing: OutgoingResponse, guard: RequestGuard) -> HttpResponse {
+fn into_response(outgoing: OutgoingResponse, hold: RequestHold) -> HttpResponse {
     let status = StatusCode::from_u16(outgoing.status).unwrap_or(StatusCode::INTERNAL_SERVER_ERROR);
     let mut builder = HttpResponse::build(status);
     for (name, value) in &outgoing.headers {
@@ -199,7 +312,7 @@
         ResponseBody::Full(body) if body.is_empty() => builder.body(body),
         ResponseBody::Full(body) => {
             let length = body.len() as u64;
-            let parts = stream::iter([Ok(body)]).chain(hold_guard_until_end(guard));
+            let parts = stream::iter([Ok(body)]).chain(keep_until_end(hold));
             builder.body(SizedStream::new(length, Box::pin(parts)))
         }
         ResponseBody::Stream(receiver) => {
@@ -207,17 +320,15 @@
                 let chunk = receiver.recv().await?;
                 Some((Ok::<_, Infallible>(chunk), receiver))
             });
-            builder.streaming(Box::pin(chunks.chain(hold_guard_until_end(guard))))
+            builder.streaming(Box::pin(chunks.chain(keep_until_end(hold))))
         }
     }
 }
 
 /// Keeps a request counted until its body was taken for writing or its connection is closed.
-fn hold_guard_until_end<Failure>(
-    guard: RequestGuard,
-) -> impl Stream<Item = Result<Bytes, Failure>> {
+fn keep_until_end<Failure>(hold: RequestHold) -> impl Stream<Item = Result<Bytes, Failure>> {
     stream::poll_fn(move |_| {
-        let _guard = &guard;
+        let _hold = &hold;
         Poll::Ready(None)
     })
 }
--- a/src/instance/callers.rs
+++ b/src/instance/callers.rs
@@ -66,6 +66,19 @@
         })
     }
 
+    /// Returns the refusal of a request whose head shows that it won't be served; `None` if its body is to be read.
+    pub(super) fn refuse_head(&self, head: &IncomingRequest) -> Option<OutgoingResponse> {
+        if self.gate.is_closed() {
+            return Some(refuse_stopping().response());
+        }
+        if self.records.revision() == 0 {
+            return None;
+        }
+        let refusal = self.authenticate(head).err()?;
+        log::debug!("request refused before its body refusal={refusal}");
+        Some(refusal.response())
+    }
+
     /// Composes the response to a caller whose request is still running at the shutdown deadline.
     pub(super) fn refuse_at_deadline(&self) -> OutgoingResponse {
         log::info!(
--- a/src/instance/listeners.rs
+++ b/src/instance/listeners.rs
@@ -2,13 +2,15 @@
 
 use std::io;
 use std::net::TcpListener;
+use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use futures_util::future::join;
 use ntex::server::Server;
 use samphiregrade_http::{
-    HttpServer, IncomingRequest, ListenerCloser, OutgoingResponse, RequestGate, ServerSettings,
+    BudgetSettings, HeadCheck, HttpServer, IncomingRequest, ListenerCloser, MemoryBudget,
+    OutgoingResponse, RequestGate, ServerSettings,
 };
 use tokio::time::{Instant, sleep, timeout, timeout_at};
 use tokio_util::task::AbortOnDropHandle;
@@ -24,6 +26,13 @@
 /// Longest time for writing the last responses; a caller that reads more slowly gets a truncated response.
 const LAST_RESPONSES_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Memory and connections of the listener for operators: records are small, and operators few.
+const OPERATOR_BUDGET: BudgetSettings = BudgetSettings {
+    bytes: 16 << 20,
+    connection_bytes: 32 << 10,
+    connections: 128,
+};
+
 /// The open listeners of an instance.
 #[derive(Debug)]
 pub struct InstanceListeners {
@@ -77,6 +86,8 @@
             body_limit: limits.body_bytes,
             body_timeout: Duration::from_secs(limits.body_seconds),
             workers: self.state.settings.listen.workers,
+            budget: MemoryBudget::new(limits.caller_budget()),
+            head_check: Some(self.head_check()),
             gate: self.state.gate.clone(),
             ..ServerSettings::default()
         };
@@ -87,7 +98,10 @@
             async move { instance.serve_caller(request).await }
         })?;
         let instance = self.clone();
-        let settings = ServerSettings::default();
+        let settings = ServerSettings {
+            budget: MemoryBudget::new(OPERATOR_BUDGET),
+            ..ServerSettings::default()
+        };
         let operators = HttpServer::start(operators, settings, move |request| {
             let instance = instance.clone();
             async move { instance.serve_operator(request).await }
@@ -99,6 +113,12 @@
         })
     }
 
+    /// Returns the check of a caller's request whose body is long enough to be worth refusing before it is read.
+    fn head_check(&self) -> HeadCheck {
+        let state = self.state.clone();
+        Arc::new(move |head| state.refuse_head(head))
+    }
+
     /// Serves a caller's request on the instance's own runtime.
     ///
     /// The task is aborted when the caller closes the connection.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -6,6 +6,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
+use samphiregrade_http::BudgetSettings;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use thiserror::Error;
@@ -16,6 +17,9 @@
 use crate::shard::ShardSettings;
 use crate::upstream::PollerSettings;
 
+/// Part of the machine's memory that callers' connections and bodies may hold, as a divisor.
+const CALLER_SHARE_DIVISOR: usize = 3;
+
 /// Reason why settings can't be used.
 #[derive(Debug, Error)]
 pub enum SettingsError {
@@ -275,6 +279,10 @@
     pub body_bytes: usize,
     /// Longest time for reading a body, in seconds.
     pub body_seconds: u64,
+    /// Memory of the machine in megabytes; bounds what callers' connections and bodies may hold together.
+    pub memory_megabytes: u64,
+    /// Largest number of open connections of callers.
+    pub connections: usize,
     /// Longest time a request waits for its response before the caller has to send it again, in seconds.
     pub wait_seconds: u64,
     /// Longest time for finding the primary of a request, in milliseconds.
@@ -290,6 +298,8 @@
         Self {
             body_bytes: 4 << 20,
             body_seconds: 10,
+            memory_megabytes: 256,
+            connections: 4096,
             wait_seconds: 25,
             route_ms: 4000,
             linger_ms: 2000,
@@ -298,6 +308,19 @@
     }
 }
 
+impl LimitSection {
+    /// Returns the memory and the connections that callers may hold together.
+    #[must_use]
+    pub fn caller_budget(&self) -> BudgetSettings {
+        let megabytes = usize::try_from(self.memory_megabytes).unwrap_or(usize::MAX);
+        BudgetSettings {
+            bytes: megabytes.saturating_mul(1 << 20) / CALLER_SHARE_DIVISOR,
+            connections: self.connections,
+            ..BudgetSettings::default()
+        }
+    }
+}
+
 impl Settings {
     /// Reads and validates a settings file.
     ///
@@ -357,6 +380,13 @@
                 "has to be a URL such as http://10.0.0.2:2379",
             );
         }
+        let limits = &self.limits;
+        if limits.memory_megabytes < 32 || limits.connections == 0 {
+            return bad_value(
+                "limits.memory-megabytes",
+                "has to be at least 32, and limits.connections at least 1",
+            );
+        }
         if self.shards.count == 0 {
             return bad_value("shards.count", "has to be at least 1");
         }
