Look up sends again before a request is refused for others in flight

Cause: entries report with their next message to a keeper, or after 0.2 s, that a send is over; until then it counts as in flight.

Change: a request that would be refused for sends in flight is looked up again, four times at 70 ms, before its try is recorded and after, not beyond its deadline. What is decided, and with which records, is as before.

--- a/crates/samphiregrade-gateway/src/exchange/tries.rs
+++ b/crates/samphiregrade-gateway/src/exchange/tries.rs
@@ -47,6 +47,11 @@
 /// Longest time for which a request is held until its earlier tries can be settled; others are refused at once.
 const LONGEST_HOLD: Duration = LATE_END;
 
+/// Number of times that a request which waits for others that are alike is looked up again, and the pause before each: entries
+/// report within 0.2 s that a send is over.
+const REPORT_LOOK_UPS: usize = 4;
+const REPORT_PAUSE: Duration = Duration::from_millis(70);
+
 /// Age above which a look-up is repeated before a send: meanwhile, the instance may have been suspended.
 const LOOK_UP_AGE: Duration = Duration::from_millis(100);
 
@@ -113,10 +118,25 @@
         self.accept(&context.suspects.known(key, Instant::now()));
     }
 
+    /// Waits a moment for the reports of sends that are over: until then, they count as in flight, and a request that is like
+    /// them would be refused though nothing has ended under it.
+    async fn await_reports(&self) {
+        for _ in 0..REPORT_LOOK_UPS {
+            let is_contested = self.decide() == TryDecision::Occupied
+                && lock_ignoring_poison(&self.known).tries.open() > 0;
+            if !is_contested || Instant::now() + REPORT_PAUSE >= self.recorder.due {
+                return;
+            }
+            tokio::time::sleep(REPORT_PAUSE).await;
+            self.look_up().await;
+        }
+    }
+
     /// Examines the upstreams that have not shown yet that they have outlived the request, if it waits for that. The entry that
     /// examines them may have ended. `upstreams` are those of the request's service. The request is held for a moment at most,
     /// and not beyond its deadline.
     pub async fn settle_doubts(&self, upstreams: &[Arc<Upstream>]) {
+        self.await_reports().await;
         if self.decide() != TryDecision::Occupied {
             return;
         }
@@ -204,6 +224,7 @@
         if age.is_some_and(|age| age > LOOK_UP_AGE) {
             self.look_up().await;
         }
+        self.await_reports().await;
         let is_recorded = self.decide() != TryDecision::Unsuspected;
         let open = OpenTry {
             upstream: upstream.clone(),
@@ -216,6 +237,7 @@
             return Ok(());
         }
         let confirmed = self.record(self.timed(recorded)).await;
+        self.await_reports().await;
         let checked = self.check().and_then(|()| self.check_confirmed(confirmed));
         match &checked {
             Err(_) => self.settle(),
