--- a/crates/samphiregrade-gateway/src/settings.rs
+++ b/crates/samphiregrade-gateway/src/settings.rs
@@ -5,7 +5,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use nix::sys::resource::{Resource, getrlimit};
+use samphiregrade_http::descriptor_limit;
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use thiserror::Error;
@@ -98,10 +98,7 @@
     /// Returns what the machine offers: the smaller number of descriptors, if both the settings and the system state one.
     #[must_use]
     pub fn machine_limits(&self) -> MachineLimits {
-        let limit = getrlimit(Resource::RLIMIT_NOFILE)
-            .map(|(soft, _)| soft)
-            .ok();
-        let known = [self.file_descriptors, limit];
+        let known = [self.file_descriptors, descriptor_limit()];
         let default = MachineLimits::default().descriptors;
         MachineLimits {
             memory: self.memory_megabytes,
--- a/crates/samphiregrade-http/src/budget.rs
+++ b/crates/samphiregrade-http/src/budget.rs
@@ -8,6 +8,7 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
+use nix::sys::resource::{Resource, getrlimit};
 use thiserror::Error;
 use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
@@ -42,6 +43,13 @@
     }
 }
 
+/// Returns the number of descriptors that the system lets the process open; `None` if it doesn't tell.
+#[must_use]
+pub fn descriptor_limit() -> Option<u64> {
+    let (limit, _) = getrlimit(Resource::RLIMIT_NOFILE).ok()?;
+    Some(limit)
+}
+
 /// There is no room, and nobody who has to give way.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
 #[error("the memory for clients is occupied; send the request again a little later")]
--- a/crates/samphiregrade-http/src/connections.rs
+++ b/crates/samphiregrade-http/src/connections.rs
@@ -1,7 +1,7 @@
 //! Connections of one event loop, each counted in the server's budget. Where room is lacking, those that wait for a request
 //! are closed; those with a request in progress never are.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
 
@@ -12,11 +12,16 @@
 
 use crate::budget::{LeaseState, MemoryBudget, MemoryLease};
 
+/// Largest number of accepted connections that wait until others have given way: their descriptors are open already.
+const WAITING_LIMIT: usize = 32;
+
 /// The open connections of an event loop; cheap to clone.
 #[derive(Clone)]
 pub(crate) struct ConnectionTable {
     budget: MemoryBudget,
     leases: Rc<RefCell<HashMap<IoRef, MemoryLease>>>,
+    /// Number of accepted connections that wait for room.
+    waiting: Rc<Cell<usize>>,
 }
 
 /// A request in progress on a connection; the connection waits for the next one once it is dropped.
@@ -30,6 +35,7 @@
         Self {
             budget,
             leases: Rc::default(),
+            waiting: Rc::default(),
         }
     }
 
@@ -49,8 +55,8 @@
     }
 
     async fn open(&self, connection: IoRef) {
-        let Ok(lease) = self.budget.open_connection().await else {
-            log::info!("connection closed: all others have requests in progress");
+        let Some(lease) = self.lease().await else {
+            log::debug!("connection closed: no other one gives way in time");
             connection.terminate();
             return;
         };
@@ -66,6 +72,20 @@
         });
     }
 
+    /// Counts a new connection; waits for others that give way, unless too many wait already.
+    async fn lease(&self) -> Option<MemoryLease> {
+        if let Ok(lease) = self.budget.try_open_connection() {
+            return Some(lease);
+        }
+        if self.waiting.get() >= WAITING_LIMIT {
+            return None;
+        }
+        self.waiting.set(self.waiting.get() + 1);
+        let lease = self.budget.open_connection().await;
+        self.waiting.set(self.waiting.get() - 1);
+        lease.ok()
+    }
+
     /// Marks the connection of a request as in use.
     pub(crate) fn begin(&self, request: &HttpRequest) -> ConnectionUse {
         let connection = request.io().cloned();
--- a/crates/samphiregrade-http/src/lib.rs
+++ b/crates/samphiregrade-http/src/lib.rs
@@ -26,7 +26,9 @@
 
 use std::future::Future;
 
-pub use budget::{BudgetSettings, BudgetUse, LeaseState, MemoryBudget, MemoryLease, NoRoom};
+pub use budget::{
+    BudgetSettings, BudgetUse, LeaseState, MemoryBudget, MemoryLease, NoRoom, descriptor_limit,
+};
 pub use client::{HttpError, HttpPool, IncomingResponse};
 pub use closing::{ListenerCloser, RequestGate};
 pub use message::{
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -6,7 +6,7 @@
 use std::path::{Path, PathBuf};
 use std::time::Duration;
 
-use samphiregrade_http::BudgetSettings;
+use samphiregrade_http::{BudgetSettings, descriptor_limit};
 use serde::{Deserialize, Serialize};
 use smol_str::SmolStr;
 use thiserror::Error;
@@ -20,6 +20,9 @@
 /// Part of the machine's memory that callers' connections and bodies may hold, as a divisor.
 const CALLER_SHARE_DIVISOR: usize = 3;
 
+/// Part of the descriptors that callers' connections may take, as a divisor; upstreams, links and files need the others.
+const CONNECTION_DIVISOR: usize = 2;
+
 /// Reason why settings can't be used.
 #[derive(Debug, Error)]
 pub enum SettingsError {
@@ -281,7 +284,7 @@
     pub body_seconds: u64,
     /// Memory of the machine in megabytes; bounds what callers' connections and bodies may hold together.
     pub memory_megabytes: u64,
-    /// Largest number of open connections of callers.
+    /// Largest number of open connections of callers; at most half of the descriptors that the system permits.
     pub connections: usize,
     /// Longest time a request waits for its response before the caller has to send it again, in seconds.
     pub wait_seconds: u64,
@@ -313,9 +316,11 @@
     #[must_use]
     pub fn caller_budget(&self) -> BudgetSettings {
         let megabytes = usize::try_from(self.memory_megabytes).unwrap_or(usize::MAX);
+        let descriptors = descriptor_limit().and_then(|limit| usize::try_from(limit).ok());
+        let half = descriptors.map_or(usize::MAX, |limit| limit / CONNECTION_DIVISOR);
         BudgetSettings {
             bytes: megabytes.saturating_mul(1 << 20) / CALLER_SHARE_DIVISOR,
-            connections: self.connections,
+            connections: self.connections.min(half).max(1),
             ..BudgetSettings::default()
         }
     }
