--- a/crates/samphiregrade-gateway/tests/suite/main.rs
+++ b/crates/samphiregrade-gateway/tests/suite/main.rs
@@ -4,6 +4,7 @@
 mod affinity;
 mod balance;
 mod break_cause;
+mod client_memory;
 mod disk;
 mod events;
 mod facts;
--- a/crates/samphiregrade-http/tests/wire.rs
+++ b/crates/samphiregrade-http/tests/wire.rs
@@ -166,3 +166,21 @@
     assert_eq!(head.idle_seconds(), Some(4));
     assert_eq!(head.framing(), Ok(BodyFraming::Empty));
 }
+
+// Guards against chunk extensions without end around hardly any data, and against a limit that chunks of one byte meet.
+#[test]
+fn chunks_with_more_extensions_than_data_are_refused() {
+    let chunks = |extension: &str, count: usize| {
+        let chunk = format!("1{extension}\r\nx\r\n");
+        [chunk.repeat(count).as_bytes(), LAST_CHUNK].concat()
+    };
+    let small = decode(BodyFraming::Chunked, &chunks("", 200_000), 4096);
+    assert_eq!(small.map(|(body, _)| body.len()), Ok(200_000));
+    let once = decode(BodyFraming::Chunked, &chunks(";name=value", 100), 4096);
+    assert_eq!(once.map(|(body, _)| body.len()), Ok(100));
+    let extension = format!(";{}", "e".repeat(3000));
+    assert_eq!(
+        decode(BodyFraming::Chunked, &chunks(&extension, 100), 4096).map(|(body, _)| body.len()),
+        Err(FramingError::Overhead)
+    );
+}
