--- a/crates/samphiregrade-gateway/src/fact/service.rs
+++ b/crates/samphiregrade-gateway/src/fact/service.rs
@@ -6,7 +6,6 @@
 use bytes::{Bytes, BytesMut};
 use serde::Serialize;
 use smol_str::SmolStr;
-use tokio::sync::Semaphore;
 
 use super::book::{FactIndex, FactPart, TurnContent};
 use super::disk::{DiskState, FactDisk, RecoveredFacts};
@@ -18,6 +17,7 @@
 use super::placement::{KeeperPlacement, PlacementGeneration};
 use super::sends::SendTable;
 use super::tries::{TryFact, TryKey, TryNumber};
+use crate::byte_gate::ByteGate;
 use crate::exchange::MachineLimits;
 use crate::limits::{LedgerTime, LimitLedger, LimitReservation, LimitRule, LimitUse, TokenUse};
 use crate::model::TurnId;
@@ -32,12 +32,6 @@
 /// turns, joined, and as a message.
 const READ_DIVISOR: u64 = 20;
 
-/// Bytes for which one permit of a read stands.
-const PERMIT_BYTES: usize = 1 << 10;
-
-/// Permits for reads on a machine of unknown size.
-const DEFAULT_READ_PERMITS: usize = 12 << 10;
-
 #[derive(Serialize)]
 struct SizeLine {
     turns: usize,
@@ -118,9 +112,8 @@
     disk: FactDisk,
     mirror: Arc<StoreMirror>,
     proofs: Arc<ProofCache>,
-    /// Permits for chains that are being read.
-    reads: Arc<Semaphore>,
-    read_permits: usize,
+    /// Chains that are being read.
+    reads: ByteGate,
 }
 
 impl KeeperService {
@@ -161,30 +154,19 @@
             disk,
             mirror: Arc::default(),
             proofs: Arc::default(),
-            reads: Arc::new(Semaphore::new(DEFAULT_READ_PERMITS)),
-            read_permits: DEFAULT_READ_PERMITS,
+            reads: read_gate(MachineLimits::default()),
         }
     }
 
     /// Bounds the chains that are read at the same time to a part of the machine's memory.
     #[must_use]
     pub fn on_machine(self, machine: MachineLimits) -> Self {
-        let bytes = machine.memory.saturating_mul(1 << 20) / READ_DIVISOR;
-        let permits = usize::try_from(bytes).unwrap_or(usize::MAX) / PERMIT_BYTES;
-        let read_permits = permits.max(1);
         Self {
-            reads: Arc::new(Semaphore::new(read_permits)),
-            read_permits,
+            reads: read_gate(machine),
             ..self
         }
     }
 
-    /// Returns the permits for reading a chain: all of them for one that is longer than the bound.
-    fn permits_for(&self, bytes: usize) -> u32 {
-        let permits = bytes.div_ceil(PERMIT_BYTES).min(self.read_permits);
-        u32::try_from(permits).unwrap_or(u32::MAX)
-    }
-
     /// Returns the mirror of the key-value service that the keeper's followers read.
     #[must_use]
     pub fn mirror(&self) -> &Arc<StoreMirror> {
@@ -408,9 +390,7 @@
         if length > longest {
             return ChainAnswer::TooLong(length);
         }
-        let Ok(_permit) = self.reads.acquire_many(self.permits_for(length)).await else {
-            return ChainAnswer::Unknown;
-        };
+        let _permit = self.reads.enter(length).await;
         let Some(joined) = self.join_content(chain.turns).await else {
             return ChainAnswer::Unknown;
         };
@@ -720,3 +700,8 @@
         | FactRecord::LimitSnapshot { .. } => "",
     }
 }
+
+fn read_gate(machine: MachineLimits) -> ByteGate {
+    let bytes = machine.memory.saturating_mul(1 << 20) / READ_DIVISOR;
+    ByteGate::new(usize::try_from(bytes).unwrap_or(usize::MAX))
+}
--- a/crates/samphiregrade-gateway/src/lib.rs
+++ b/crates/samphiregrade-gateway/src/lib.rs
@@ -28,6 +28,7 @@
 
 mod accept;
 pub mod access;
+mod byte_gate;
 pub mod dialect;
 pub mod exchange;
 pub mod fact;
--- a/crates/samphiregrade-gateway/src/link.rs
+++ b/crates/samphiregrade-gateway/src/link.rs
@@ -12,6 +12,10 @@
 //! A peer that is stopping announces it on its connections and still replies to all requests that it has received.
 //! Otherwise, its clients would lose replies in transit and could not know which requests had arrived.
 
+mod frame;
+mod limits;
+mod serving;
+
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
@@ -19,30 +23,26 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
-use bytes::{Buf, BufMut, Bytes, BytesMut};
+use bytes::{Bytes, BytesMut};
 use rustls::pki_types::ServerName;
 use samphiregrade_http::wire::{SocketLimits, apply_limits, listen_with_queue};
-use samphiregrade_http::{BudgetSettings, LeaseState, MemoryBudget, MemoryLease};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use thiserror::Error;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpSocket, TcpStream};
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc, oneshot};
+use tokio::sync::{mpsc, oneshot};
 use tokio_rustls::client::TlsStream;
 use tokio_rustls::{TlsAcceptor, TlsConnector};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::accept::accept;
-use crate::exchange::MachineLimits;
 use crate::identity::{LinkIdentity, SERVER_NAME};
 
-/// Largest accepted message: large enough for the longest chain and for one part of an export.
-const MESSAGE_LIMIT: usize = 64 << 20;
-
-/// Length of a frame header in bytes: request number and message length.
-const FRAME_HEADER: usize = 12;
+use frame::{MESSAGE_LIMIT, append_frame, encode_message, take_frame};
+pub use limits::LinkLimits;
+use serving::LinkServer;
 
 /// Number of the frame that announces that its sender is stopping; requests are numbered from one. A peer that doesn't
 /// know the announcement ignores the frame.
@@ -61,9 +61,6 @@
 /// Free buffer space in bytes reserved before each read.
 const READ_RESERVE: usize = 16 << 10;
 
-/// Idle time after which the accepting side closes a connection.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
-
 /// Longest time for connecting, including the TLS handshake; slow machines need some hundreds of milliseconds while all
 /// of them start.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1500);
@@ -75,69 +72,9 @@
 /// this connection only. A keeper's reply takes some milliseconds, its disk at worst some hundreds.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(900);
 
-/// Size in bytes above which a received request is counted.
-const COUNTED_REQUEST: usize = READ_RESERVE;
-
-/// Bytes for which one permit of the handled requests stands.
-const PERMIT_BYTES: usize = 1 << 10;
-
 /// The system's queues of a link in each direction, in bytes: enough for 40 MB/s at a round trip of three milliseconds.
 const SYSTEM_QUEUE: u32 = 128 << 10;
 
-/// Memory of a connection that has not proved yet that it belongs to a peer, in bytes.
-const HANDSHAKE_BYTES: usize = 64 << 10;
-
-/// Part of the descriptors that links may occupy, as a divisor.
-const DESCRIPTOR_DIVISOR: u64 = 4;
-
-/// Part of the machine's memory that the messages to one peer may occupy, as a divisor.
-const QUEUE_DIVISOR: u64 = 32;
-
-/// Part of the machine's memory that received requests may occupy, as a divisor. A keeper holds up to four copies of a turn
-/// until it is on disk: the message, its content, and two on the way to the disk.
-const HANDLED_DIVISOR: u64 = 20;
-
-/// Bounds of what links hold.
-#[derive(Clone, Copy, Debug)]
-pub struct LinkLimits {
-    /// Bytes of the messages that wait to be sent to one peer. One message is accepted in any case.
-    pub queued_bytes: usize,
-    /// Bytes of the large requests that are received or handled at the same time, of all peers.
-    pub handled_bytes: usize,
-    /// Open connections of peers.
-    pub connections: usize,
-}
-
-impl Default for LinkLimits {
-    fn default() -> Self {
-        Self::of(MachineLimits::default())
-    }
-}
-
-impl LinkLimits {
-    /// Returns the bounds for a machine.
-    #[must_use]
-    pub fn of(machine: MachineLimits) -> Self {
-        let memory = machine.memory.saturating_mul(1 << 20);
-        let size = |count: u64| usize::try_from(count).unwrap_or(usize::MAX);
-        Self {
-            queued_bytes: size(memory / QUEUE_DIVISOR),
-            handled_bytes: size(memory / HANDLED_DIVISOR),
-            connections: size(machine.descriptors / DESCRIPTOR_DIVISOR),
-        }
-    }
-
-    /// Returns the number of permits for a request: all of them for one that is larger than the bound.
-    fn permits_for(&self, bytes: usize) -> u32 {
-        let permits = bytes.div_ceil(PERMIT_BYTES).min(self.permits());
-        u32::try_from(permits).unwrap_or(u32::MAX)
-    }
-
-    fn permits(&self) -> usize {
-        (self.handled_bytes / PERMIT_BYTES).max(1)
-    }
-}
-
 /// Why a request got no usable reply.
 #[derive(Clone, Debug, Error)]
 pub enum LinkFailure {
@@ -568,202 +505,9 @@
     }
 }
 
-fn encode_message<Message>(message: &Message) -> Result<Vec<u8>, LinkFailure>
-where
-    Message: Serialize,
-{
-    let bytes = postcard::to_stdvec(message).map_err(unreadable)?;
-    if bytes.len() > MESSAGE_LIMIT {
-        return Err(LinkFailure::TooLong(bytes.len()));
-    }
-    Ok(bytes)
-}
-
-fn append_frame(output: &mut BytesMut, number: u64, message: &[u8]) {
-    output.reserve(FRAME_HEADER + message.len());
-    output.put_u64(number);
-    output.put_u32(u32::try_from(message.len()).unwrap_or(u32::MAX));
-    output.put_slice(message);
-}
-
 fn link_limits(limits: SocketLimits) -> SocketLimits {
     SocketLimits {
         send_queue: Some(SYSTEM_QUEUE as usize),
         ..limits
     }
 }
-
-/// Returns the number of the request at the front of the buffer and the length of its message, once both are known.
-fn frame_head(buffer: &BytesMut) -> io::Result<Option<(u64, usize)>> {
-    if buffer.len() < FRAME_HEADER {
-        return Ok(None);
-    }
-    let mut head = &buffer[..FRAME_HEADER];
-    let number = head.get_u64();
-    let length = usize::try_from(head.get_u32()).map_err(io::Error::other)?;
-    if length > MESSAGE_LIMIT {
-        return Err(io::Error::other("the message exceeds the size limit"));
-    }
-    Ok(Some((number, length)))
-}
-
-/// Removes a complete frame from the front of the buffer; returns the request's number and the message.
-fn take_frame(buffer: &mut BytesMut) -> io::Result<Option<(u64, Bytes)>> {
-    let Some((number, length)) = frame_head(buffer)? else {
-        return Ok(None);
-    };
-    if buffer.len() < FRAME_HEADER + length {
-        buffer.reserve(FRAME_HEADER + length - buffer.len());
-        return Ok(None);
-    }
-    buffer.advance(FRAME_HEADER);
-    Ok(Some((number, buffer.split_to(length).freeze())))
-}
-
-/// Serves the links of all peers of an instance.
-#[derive(Clone)]
-struct LinkServer {
-    acceptor: TlsAcceptor,
-    limits: LinkLimits,
-    /// Permits for large requests that are received or handled.
-    handled: Arc<Semaphore>,
-    /// Connections; those that have not completed their handshake give way to new ones.
-    handshakes: MemoryBudget,
-    stop: CancellationToken,
-}
-
-/// The receiving half of a link.
-struct RequestReader {
-    received: BytesMut,
-    /// Counts the large request at the front of the buffer.
-    permit: Option<OwnedSemaphorePermit>,
-}
-
-impl RequestReader {
-    /// Returns the length of the request at the front of the buffer if it has to be counted before more of it is read.
-    fn uncounted(&self) -> io::Result<Option<usize>> {
-        let length = frame_head(&self.received)?.map(|(_, length)| length);
-        Ok(length.filter(|length| *length > COUNTED_REQUEST && self.permit.is_none()))
-    }
-
-    /// Removes the next request, with the permit that counts it.
-    fn take(&mut self) -> io::Result<Option<(u64, Bytes, Option<OwnedSemaphorePermit>)>> {
-        if self.uncounted()?.is_some() {
-            return Ok(None);
-        }
-        let taken = take_frame(&mut self.received)?;
-        Ok(taken.map(|(number, message)| (number, message, self.permit.take())))
-    }
-}
-
-impl LinkServer {
-    fn new(acceptor: TlsAcceptor, limits: LinkLimits, stop: CancellationToken) -> Self {
-        let settings = BudgetSettings {
-            bytes: limits.connections.saturating_mul(HANDSHAKE_BYTES),
-            connection_bytes: HANDSHAKE_BYTES,
-            connections: limits.connections,
-        };
-        Self {
-            acceptor,
-            limits,
-            handled: Arc::new(Semaphore::new(limits.permits())),
-            handshakes: MemoryBudget::new(settings),
-            stop,
-        }
-    }
-
-    async fn serve<Handler, Request, Reply, ReplyFuture>(
-        self,
-        stream: TcpStream,
-        mut lease: MemoryLease,
-        handler: Handler,
-    ) -> io::Result<()>
-    where
-        Handler: Fn(Request) -> ReplyFuture + Clone + Send + 'static,
-        Request: DeserializeOwned + Send + 'static,
-        Reply: Serialize + Send + 'static,
-        ReplyFuture: Future<Output = Reply> + Send + 'static,
-    {
-        apply_limits(&stream, &link_limits(SocketLimits::default()))?;
-        let accepting = tokio::time::timeout(CONNECT_TIMEOUT, self.acceptor.accept(stream));
-        let mut link = tokio::select! {
-            accepted = accepting => accepted??,
-            () = lease.ended() => return Err(io::ErrorKind::ConnectionAborted.into()),
-        };
-        lease.enter(LeaseState::Running, HANDSHAKE_BYTES);
-        let (replies, mut finished) = mpsc::channel::<(u64, Vec<u8>)>(QUEUE_LIMIT);
-        let mut reader = RequestReader {
-            received: BytesMut::new(),
-            permit: None,
-        };
-        let mut is_stopping = false;
-        loop {
-            let uncounted = reader.uncounted()?;
-            let permits = self.limits.permits_for(uncounted.unwrap_or(0));
-            reader.received.reserve(READ_RESERVE);
-            tokio::select! {
-                () = self.stop.cancelled(), if !is_stopping => {
-                    is_stopping = true;
-                    let mut output = BytesMut::new();
-                    append_frame(&mut output, STOP_NUMBER, &[]);
-                    link.write_all(&output).await?;
-                    link.flush().await?;
-                }
-                permit = self.handled.clone().acquire_many_owned(permits), if uncounted.is_some() => {
-                    reader.permit = Some(permit.map_err(io::Error::other)?);
-                    handle_received(&mut reader, &handler, &replies)?;
-                }
-                read = link.read_buf(&mut reader.received), if uncounted.is_none() => {
-                    if read? == 0 {
-                        return Ok(());
-                    }
-                    handle_received(&mut reader, &handler, &replies)?;
-                }
-                Some((number, message)) = finished.recv() => {
-                    let mut output = BytesMut::new();
-                    append_frame(&mut output, number, &message);
-                    while output.len() < WRITE_LIMIT {
-                        let Ok((number, message)) = finished.try_recv() else {
-                            break;
-                        };
-                        append_frame(&mut output, number, &message);
-                    }
-                    link.write_all(&output).await?;
-                    link.flush().await?;
-                }
-                () = tokio::time::sleep(IDLE_TIMEOUT) => return Ok(()),
-            }
-        }
-    }
-}
-
-/// Starts the handlers of the complete requests in the buffer.
-fn handle_received<Handler, Request, Reply, ReplyFuture>(
-    reader: &mut RequestReader,
-    handler: &Handler,
-    replies: &mpsc::Sender<(u64, Vec<u8>)>,
-) -> io::Result<()>
-where
-    Handler: Fn(Request) -> ReplyFuture + Clone + Send + 'static,
-    Request: DeserializeOwned + Send + 'static,
-    Reply: Serialize + Send + 'static,
-    ReplyFuture: Future<Output = Reply> + Send + 'static,
-{
-    while let Some((number, message, permit)) = reader.take()? {
-        let request = postcard::from_bytes(&message).map_err(io::Error::other)?;
-        let handler = handler.clone();
-        let replies = replies.clone();
-        tokio::spawn(async move {
-            let reply = handler(request).await;
-            drop(permit);
-            let message = encode_message(&reply).unwrap_or_else(|error| {
-                log::error!("a reply is not sent: {error}");
-                // The peer can't decode an empty message, so its request fails at once.
-                Vec::new()
-            });
-            // The link may have ended in the meantime.
-            drop(replies.send((number, message)).await);
-        });
-    }
-    Ok(())
-}
