Release a refused request's body before its refusal is written

A client that doesn't read its refusal kept the body of its request for up to two seconds, after the lease had been shrunk (read in the code).

--- a/crates/samphiregrade-gateway/src/exchange/connection.rs
+++ b/crates/samphiregrade-gateway/src/exchange/connection.rs
@@ -151,6 +151,8 @@
                 self.refuse(&mut record, refusal, false).await
             }
             Ok(prepared) if !self.admit(&prepared).await => {
+                // A client that doesn't read its refusal must not keep the body.
+                drop(prepared);
                 let refusal = RefusalReason::NoMemory.into();
                 self.refuse(&mut record, refusal, keep_alive).await
             }
@@ -215,6 +217,7 @@
                     request.spend_token();
                 }
                 settle_turn(&context, turn.as_ref(), 0);
+                drop((request, turn));
                 self.refuse(record, refusal, keep_alive).await
             }
             Ok(response) => {
