--- a/crates/samphiregrade-gateway/src/exchange/connection/reading.rs
+++ b/crates/samphiregrade-gateway/src/exchange/connection/reading.rs
@@ -104,13 +104,16 @@
 
     /// Reads more bytes of a request whose first bytes have arrived.
     ///
-    /// A client that sends without a pause keeps neither the end of its time from being noticed nor the thread from other
-    /// connections.
+    /// A client that sends without a pause keeps neither the end of its time nor the need to give way from being noticed, nor
+    /// the thread from other connections.
     async fn read_more(&mut self, due: Instant) -> ReadResult {
         tokio::task::yield_now().await;
         if Instant::now() >= due {
             return ReadResult::Refused(RefusalReason::TooSlow);
         }
+        if self.lease.has_ended() {
+            return ReadResult::Refused(RefusalReason::NoMemory);
+        }
         tokio::select! {
             biased;
             read = tokio::time::timeout_at(due.into(), self.socket.fill()) => match read {
