Serve: don't say of a request without room that it has not run

A request that found no room, or whose body came too slowly, was told that it has not run and never will; the same request may have arrived completely before and be running. It is told that this is not known; one that is too long or broken still gets a no.

--- a/crates/samphiregrade-http/src/server.rs
+++ b/crates/samphiregrade-http/src/server.rs
@@ -266,6 +266,8 @@
 
 fn failure_response(failure: BodyFailure, settings: &ServerSettings) -> OutgoingResponse {
     let is_lasting = !matches!(failure, BodyFailure::NoRoom);
+    // The same request may have arrived completely before; one that is too long or broken never does.
+    let may_have_run = matches!(failure, BodyFailure::NoRoom | BodyFailure::TooSlow);
     let (status, kind, remedy) = match failure {
         BodyFailure::Refused(response) => return response.with_header("connection", "close"),
         BodyFailure::NoRoom => (
@@ -287,7 +289,7 @@
     };
     let problem = json!({
         "type": kind, "title": "the request body was not accepted",
-        "status": status, "ran": "no", "remedy": remedy,
+        "status": status, "ran": if may_have_run { "unknown" } else { "no" }, "remedy": remedy,
     });
     let body = problem.to_string();
     let response = OutgoingResponse::full(status, "application/problem+json", body)
