--- a/crates/samphiregrade-gateway/src/exchange/attempt.rs
+++ b/crates/samphiregrade-gateway/src/exchange/attempt.rs
@@ -128,6 +128,11 @@
     if let Err(refusal) = Box::pin(request.tries.begin(upstream)).await {
         return AttemptOutcome::Withdrawn(Box::new(refusal));
     }
+    // The try may have waited for others; a key that was withdrawn meanwhile must not run anything.
+    if let Err(reason) = identify(context, &request.route, &request.metadata.credential) {
+        request.tries.settle();
+        return AttemptOutcome::Withdrawn(Box::new(reason.into()));
+    }
     record.sends += 1;
     record.before_send.get_or_insert(request.started.elapsed());
     record.rank = request.service.engine.map(|_| request.rank());
